--- /dev/null
+++ b/cmake/ShallotlugDependencies.cmake
@@ -0,0 +1,11 @@
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json)
+find_package(absl REQUIRED)
+find_package(GTest REQUIRED)
+find_package(PkgConfig REQUIRED)
+# CapnProto's own CMake package fails on Debian 12 ("libatomic not found").
+pkg_check_modules(CAPNP REQUIRED IMPORTED_TARGET capnp)
+pkg_check_modules(LOG4CXX REQUIRED IMPORTED_TARGET liblog4cxx)
+pkg_check_modules(CRYPTO REQUIRED IMPORTED_TARGET libcrypto)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
--- /dev/null
+++ b/cmake/ShallotlugOptions.cmake
@@ -0,0 +1,20 @@
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+
+if(NOT CMAKE_BUILD_TYPE)
+  set(CMAKE_BUILD_TYPE RelWithDebInfo CACHE STRING "" FORCE)
+endif()
+set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1")
+
+set(SHALLOTLUG_SANITIZE "" CACHE STRING "Value for -fsanitize=, for example address,undefined")
+if(SHALLOTLUG_SANITIZE)
+  add_compile_options(-fsanitize=${SHALLOTLUG_SANITIZE} -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=${SHALLOTLUG_SANITIZE})
+endif()
+
+find_program(SHALLOTLUG_CCACHE ccache)
+if(SHALLOTLUG_CCACHE)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${SHALLOTLUG_CCACHE})
+endif()
--- /dev/null
+++ b/packages/decision/include/shallotlug/decision/cluster.h
@@ -0,0 +1,90 @@
+#ifndef SHALLOTLUG_DECISION_CLUSTER_H_
+#define SHALLOTLUG_DECISION_CLUSTER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "shallotlug/base/ids.h"
+#include "shallotlug/base/work.h"
+
+/// Tables of workers and of the work on them, as one planner sees them.
+namespace shallotlug::decision {
+
+/// @brief Row number in the worker table; stable while the worker exists.
+enum class WorkerIndex : std::uint32_t {};
+
+/// @brief A worker as its agent announced it.
+struct WorkerInfo {
+  AgentName agent;
+  DataCentreName data_centre;
+  RackName rack;
+  int accelerators = 8;
+  int slots = 8;
+};
+
+/// @brief Accelerators of one worker.
+struct Allocation {
+  WorkerIndex worker{};
+  AcceleratorMask mask = 0;
+
+  bool operator==(const Allocation&) const = default;
+};
+
+/// @brief Work that occupies accelerators.
+struct RunningJob {
+  Attempt attempt;
+  CustomerName customer;
+  ClassName job_class;
+  JobShape shape;
+  bool repeatable = true;
+  bool checkpointable = false;
+  bool stopping = false;  ///< Asked to stop; its accelerators come free soon.
+  TimePoint started{};
+  Millis declared_run_time{};
+  double progress = 0;
+  std::vector<Allocation> tasks;  ///< One for each task.
+};
+
+/// @brief Workers, the work on them, and the indexes that make placement
+/// sublinear in the number of workers.
+class Cluster {
+ public:
+  Cluster();
+  Cluster(Cluster&&) noexcept;
+  Cluster& operator=(Cluster&&) noexcept;
+  ~Cluster();
+
+  WorkerIndex AddWorker(const WorkerInfo& info);
+  /// @brief Removes a worker; its jobs keep their other tasks until they are
+  /// removed.
+  void RemoveWorker(WorkerIndex worker);
+  /// @brief A worker that is not schedulable gets no new work (leaving, silent
+  /// or quarantined) but keeps what it has.
+  void SetSchedulable(WorkerIndex worker, bool schedulable);
+  /// @brief Accelerators in use by work that is not a RunningJob (live
+  /// requests, faulty accelerators).
+  void SetOtherUse(WorkerIndex worker, AcceleratorMask mask);
+
+  /// @brief Adds or replaces the job of the same id.
+  void AddJob(const RunningJob& job);
+  void RemoveJob(const JobId& job);
+
+  const RunningJob* FindJob(const JobId& job) const;
+  const WorkerInfo& Info(WorkerIndex worker) const;
+  AcceleratorMask Free(WorkerIndex worker) const;
+  std::size_t worker_count() const;
+  std::size_t job_count() const;
+
+  struct Tables;
+  const Tables& tables() const { return *tables_; }
+  Tables& tables() { return *tables_; }
+
+ private:
+  std::unique_ptr<Tables> tables_;
+};
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_CLUSTER_H_
--- /dev/null
+++ b/packages/decision/include/shallotlug/decision/plan.h
@@ -0,0 +1,95 @@
+#ifndef SHALLOTLUG_DECISION_PLAN_H_
+#define SHALLOTLUG_DECISION_PLAN_H_
+
+#include <string>
+#include <vector>
+
+#include "shallotlug/base/clock.h"
+#include "shallotlug/base/ids.h"
+#include "shallotlug/base/work.h"
+#include "shallotlug/decision/cluster.h"
+#include "shallotlug/decision/run_times.h"
+
+/// Planning of long jobs.
+namespace shallotlug::decision {
+
+/// @brief A job that waits for accelerators.
+struct WaitingJob {
+  JobId id;
+  CustomerName customer;
+  ClassName job_class;
+  JobShape shape;
+  bool repeatable = true;
+  bool checkpointable = false;
+  TimePoint submitted{};
+  Millis declared_run_time{};
+  double progress = 0;     ///< Kept by the last checkpoint.
+  int failures = 0;        ///< Attempts that failed.
+  TimePoint not_before{};  ///< Back-off after a refused or failed attempt.
+  std::vector<AgentName> failed_at;  ///< Not tried again while others exist.
+};
+
+/// @brief Start a job on these accelerators.
+struct Placement {
+  JobId job;
+  std::vector<Allocation> tasks;  ///< One for each task.
+  std::vector<JobId> victims;     ///< Jobs that must stop first.
+};
+
+/// @brief Stop a running job as a whole.
+struct Preemption {
+  JobId job;
+  bool for_migration = false;  ///< To open a shape rather than to reclaim one.
+};
+
+struct PlanOptions {
+  /// Upper bound of waiting jobs looked at in one plan.
+  std::size_t scan_limit = 2000;
+  /// Migrations that may be under way at once, as a share of running jobs.
+  double migration_budget = 0.02;
+  /// Free accelerators kept for live requests at each worker that has none
+  /// that can be throttled.
+  int live_headroom = 1;
+  bool keep_guarantees = true;  ///< Tests disable it to show that it matters.
+};
+
+struct Plan {
+  std::vector<Placement> placements;
+  std::vector<Preemption> preemptions;
+};
+
+/// @brief Chooses what starts and what stops now. Does not change `cluster`;
+/// the caller adds the placements that it carries out.
+Plan MakePlan(const Cluster& cluster,
+              const std::vector<WaitingJob>& waiting,
+              const Targets& targets,
+              const RunTimes& run_times,
+              const PlanOptions& options,
+              TimePoint now);
+
+/// @brief The empty string when some worker, rack or data centre of the cluster
+/// could hold the shape if it were empty; otherwise why none can.
+std::string WhyNeverPlaceable(const Cluster& cluster, const JobShape& shape);
+
+/// @brief Checks that all guarantees can be held at once on the empty cluster.
+/// Returns findings with the arithmetic; empty means they can.
+std::vector<std::string> CheckGuarantees(const Cluster& cluster,
+                                         const Targets& targets);
+
+enum class GuaranteeStanding { kNone, kHeld, kLent, kReclaiming, kShort };
+
+struct GuaranteeStatus {
+  ClassName name;
+  CustomerName customer;
+  GuaranteeStanding standing = GuaranteeStanding::kNone;
+  int groups_guaranteed = 0;
+  int groups_short = 0;  ///< Groups that no longer fit on live workers.
+};
+
+/// @brief State of each class's guarantee, for the burn report.
+std::vector<GuaranteeStatus> GuaranteeStates(const Cluster& cluster,
+                                             const Targets& targets);
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_PLAN_H_
--- /dev/null
+++ b/packages/decision/include/shallotlug/decision/run_times.h
@@ -0,0 +1,41 @@
+#ifndef SHALLOTLUG_DECISION_RUN_TIMES_H_
+#define SHALLOTLUG_DECISION_RUN_TIMES_H_
+
+#include <cstdint>
+#include <unordered_map>
+
+#include "shallotlug/base/clock.h"
+#include "shallotlug/base/ids.h"
+
+namespace shallotlug::decision {
+
+/// @brief What jobs and requests of one class have really taken.
+struct RunTimeEstimate {
+  std::int64_t samples = 0;
+  Millis median{};
+  Millis p90{};
+  Millis p99{};
+  /// Median of actual over declared run time.
+  double declared_factor = 1;
+};
+
+/// @brief Estimates by class.
+struct RunTimes {
+  std::unordered_map<ClassName, RunTimeEstimate> classes;
+};
+
+/// @brief Takes in one completed run. `declared` is 0 when there was none.
+void Learn(RunTimes& run_times,
+           const ClassName& name,
+           Millis declared,
+           Millis actual);
+
+/// @brief Expected run time: the declaration is a prior that fades as samples
+/// come in.
+Millis ExpectedRunTime(const RunTimes& run_times,
+                       const ClassName& name,
+                       Millis declared);
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_RUN_TIMES_H_
--- /dev/null
+++ b/packages/decision/include/shallotlug/decision/worker_health.h
@@ -0,0 +1,52 @@
+#ifndef SHALLOTLUG_DECISION_WORKER_HEALTH_H_
+#define SHALLOTLUG_DECISION_WORKER_HEALTH_H_
+
+#include <unordered_map>
+#include <vector>
+
+#include "shallotlug/base/clock.h"
+#include "shallotlug/base/ids.h"
+
+namespace shallotlug::decision {
+
+/// @brief Whether a worker gets work.
+enum class HealthState {
+  kHealthy,
+  kQuarantined,  ///< Gets nothing until `probe_at`.
+  kProbing,      ///< Gets one repeatable task at a time.
+};
+
+struct WorkerHealthRow {
+  HealthState state = HealthState::kHealthy;
+  int consecutive_failures = 0;
+  int quarantines = 0;
+  TimePoint probe_at{};
+};
+
+/// @brief Failures by worker and by work, so that each is blamed rightly.
+struct HealthTable {
+  std::unordered_map<AgentName, WorkerHealthRow> workers;
+  /// Distinct workers at which a job or class failed lately.
+  std::unordered_map<JobId, std::vector<AgentName>> job_failures;
+};
+
+/// @brief Takes in the outcome of one task of a job or, with an empty job, of a
+/// live request.
+void RecordOutcome(HealthTable& table,
+                   const AgentName& agent,
+                   const JobId& job,
+                   bool success,
+                   TimePoint now);
+
+/// @brief Moves quarantined workers whose probe time has come to kProbing.
+void UpdateHealth(HealthTable& table, TimePoint now);
+
+HealthState StateOf(const HealthTable& table, const AgentName& agent);
+
+/// @brief Whether a job has failed at so many distinct healthy workers that it
+/// is to blame.
+bool JobIsToBlame(const HealthTable& table, const JobId& job);
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_WORKER_HEALTH_H_
