--- a/packages/api/include/shallotlug/api/calls.h
+++ b/packages/api/include/shallotlug/api/calls.h
@@ -202,7 +202,7 @@
   std::string rack;
   bool alive = false;
   bool leaving = false;
-  bool set_aside = false;
+  bool quarantined = false;
   int accelerators = 0;
   int free_accelerators = 0;
   int live_running = 0;
