Answer live requests at the agent

Change: the agent dials its seeds, learns entries from their hellos and heartbeats, introduces itself, reports its load, starts a live request as a task under a lease and returns the checked answer.

--- /dev/null
+++ b/packages/agent/src/backend_tasks.cc
@@ -0,0 +1,205 @@
+#include "backend_tasks.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "live_requests.h"
+#include "log.h"
+
+namespace shallotlug::agent {
+namespace {
+
+bool EndsTask(TaskEventKind kind) {
+  return kind != TaskEventKind::kStarted;
+}
+
+TaskId NewTaskId(State& state, bool live) {
+  const auto incarnation =
+      static_cast<std::uint64_t>(state.options.self.incarnation);
+  return TaskId((live ? "live-" : "job-") + std::to_string(incarnation) + "-" +
+                std::to_string(state.backend.next_task++));
+}
+
+void CountEnd(State& state, const TaskEvent& event) {
+  if (event.kind == TaskEventKind::kFinished) {
+    ++state.reporting.tasks_finished;
+  }
+  if (event.kind == TaskEventKind::kFailed) {
+    ++state.reporting.tasks_failed;
+  }
+}
+
+void OnTaskEvent(State& state,
+                 const TaskEvent& event,
+                 TimePoint now,
+                 Outbox& out) {
+  const auto it = state.backend.tasks.find(event.task);
+  if (it == state.backend.tasks.end()) {
+    state.counters.AddTo("shallotlug_agent_unknown_task_events_total");
+    return;
+  }
+  if (!EndsTask(event.kind)) {
+    return;
+  }
+  const TaskOwner owner = it->second.owner;
+  state.backend.tasks.erase(it);
+  CountEnd(state, event);
+  if (const auto* id = std::get_if<RequestId>(&owner)) {
+    OnRequestTaskEnd(state, *id, event, now, out);
+  }
+}
+
+// The backend server lost all tasks; their outcomes are lost with them.
+void EndAllTasks(State& state, TimePoint now, Outbox& out) {
+  std::vector<TaskId> ids;
+  for (const auto& [id, task] : state.backend.tasks) {
+    ids.push_back(id);
+  }
+  for (const TaskId& id : ids) {
+    OnTaskEvent(state, {id, TaskEventKind::kLapsed, "", 0, "backend_restarted"},
+                now, out);
+  }
+}
+
+void NoteIncarnation(State& state,
+                     const BackendReport& report,
+                     TimePoint now,
+                     Outbox& out) {
+  Backend& backend = state.backend;
+  if (backend.heard && backend.incarnation != report.incarnation) {
+    state.counters.AddTo("shallotlug_agent_backend_restarts_total");
+    Log(out, LogLevel::kWarning, "backend_restarted");
+    EndAllTasks(state, now, out);
+  }
+  backend.incarnation = report.incarnation;
+  backend.heard = true;
+}
+
+void NoteUsage(State& state, const BackendReport& report) {
+  Backend& backend = state.backend;
+  for (auto& [id, task] : backend.tasks) {
+    task.reported = false;
+  }
+  backend.foreign.clear();
+  for (const TaskUsage& usage : report.usage) {
+    const auto it = backend.tasks.find(usage.task);
+    if (it == backend.tasks.end()) {
+      backend.foreign[usage.task] = usage.accelerators;
+      continue;
+    }
+    it->second.reported = true;
+    it->second.progress = usage.progress;
+  }
+}
+
+// A task that is not listed has ended or has not begun. It is certainly gone
+// once its last lease has passed on the backend server's own clock.
+void EndLapsedTasks(State& state,
+                    const BackendReport& report,
+                    TimePoint now,
+                    Outbox& out) {
+  std::vector<TaskId> lapsed;
+  for (const auto& [id, task] : state.backend.tasks) {
+    if (!task.reported && report.now > task.lease_until) {
+      lapsed.push_back(id);
+    }
+  }
+  for (const TaskId& id : lapsed) {
+    state.counters.AddTo("shallotlug_agent_tasks_missing_total");
+    OnTaskEvent(state, {id, TaskEventKind::kLapsed, "", 0, "lease_lapsed"}, now,
+                out);
+  }
+}
+
+void StopForeignTasks(State& state, Outbox& out) {
+  for (const auto& [id, accelerators] : state.backend.foreign) {
+    state.counters.AddTo("shallotlug_agent_foreign_task_stops_total");
+    out.backend_commands.push_back(ControlTask{id, TaskAction::kStop});
+  }
+}
+
+}  // namespace
+
+TaskId StartNewTask(State& state,
+                    TaskStart start,
+                    TimePoint lease_until,
+                    Outbox& out) {
+  const TaskId id = NewTaskId(state, start.live);
+  const PeerTime lease = ToPeerTime(state.backend.clock, lease_until);
+  Task task;
+  task.owner = std::move(start.owner);
+  task.live = start.live;
+  task.accelerators = start.accelerators;
+  task.lease_until = lease;
+  state.backend.tasks[id] = std::move(task);
+  out.backend_commands.push_back(StartTask{
+      id, start.live, start.accelerators, lease, start.declared_run_time,
+      std::move(start.body), std::move(start.checkpoint)});
+  return id;
+}
+
+void ControlTaskById(State& state,
+                     const TaskId& task,
+                     TaskAction action,
+                     Outbox& out) {
+  const auto it = state.backend.tasks.find(task);
+  if (it == state.backend.tasks.end()) {
+    return;
+  }
+  it->second.stopping |=
+      action == TaskAction::kStop || action == TaskAction::kCheckpoint;
+  out.backend_commands.push_back(ControlTask{task, action});
+}
+
+TimePoint LeaseFor(const State& state, const Task&, TimePoint now) {
+  return now + state.options.worker_lease;
+}
+
+void OnBackendReport(State& state,
+                     const BackendReport& report,
+                     TimePoint now,
+                     Outbox& out) {
+  NoteIncarnation(state, report, now, out);
+  Backend& backend = state.backend;
+  if (!backend.reachable) {
+    Log(out, LogLevel::kInfo, "backend_reachable");
+  }
+  backend.reachable = true;
+  backend.clock = {report.now, now};
+  if (backend.leaving != report.leaving) {
+    Log(out, LogLevel::kInfo,
+        report.leaving ? "backend_leaving" : "backend_staying");
+  }
+  backend.leaving = report.leaving;
+  for (const TaskEvent& event : report.events) {
+    OnTaskEvent(state, event, now, out);
+  }
+  NoteUsage(state, report);
+  EndLapsedTasks(state, report, now, out);
+  StopForeignTasks(state, out);
+}
+
+void OnBackendUnreachable(State& state, Outbox& out) {
+  if (state.backend.reachable) {
+    Log(out, LogLevel::kWarning, "backend_unreachable");
+  }
+  state.backend.reachable = false;
+}
+
+void RenewLeases(State& state, TimePoint now, Outbox& out) {
+  Backend& backend = state.backend;
+  if (now < backend.next_renewal || !backend.reachable) {
+    return;
+  }
+  backend.next_renewal = now + state.options.renew_interval;
+  for (auto& [id, task] : backend.tasks) {
+    const PeerTime until =
+        ToPeerTime(backend.clock, LeaseFor(state, task, now));
+    if (task.reported && until > task.lease_until) {
+      task.lease_until = until;
+      out.backend_commands.push_back(RenewLease{id, until});
+    }
+  }
+}
+
+}  // namespace shallotlug::agent
--- /dev/null
+++ b/packages/agent/src/links.cc
@@ -0,0 +1,229 @@
+#include "links.h"
+
+#include <utility>
+
+#include "log.h"
+#include "reports.h"
+
+namespace shallotlug::agent {
+namespace {
+
+// Shorter than the interval for seeds: a learned entry or a gang member was
+// alive a moment ago, and its loss delays work.
+constexpr Millis kRedialInterval{1000};
+
+// A dial without an answer is given up after this time.
+constexpr Millis kDialTimeout{3000};
+
+// Three announcements of an entry may be lost before it is no longer dialled.
+constexpr Millis kForgetEntryAfter{60'000};
+
+void Drop(State& state, LinkId link, const std::string& reason, Outbox& out) {
+  const auto it = state.links.find(link);
+  if (it == state.links.end()) {
+    return;
+  }
+  out.closes.push_back({link, reason});
+  state.counters.AddTo("shallotlug_agent_links_closed_total",
+                       {{"reason", reason}});
+  state.links.erase(it);
+}
+
+bool EntryLinked(const State& state, const EntryRef& entry) {
+  for (const auto& [id, link] : state.links) {
+    if (link.entry == entry) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool AddressLinked(const State& state, const std::string& address) {
+  for (const auto& [id, link] : state.links) {
+    if (link.dialled == address) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// A seed that no entry lists as its own address is a balancer: it is redialled
+// even while linked, because another entry may answer.
+bool IsBalancer(const DialTarget& target) {
+  return target.seed && target.last_mentioned == TimePoint{};
+}
+
+bool WantsLink(const State& state,
+               const std::string& address,
+               const DialTarget& target) {
+  if (IsBalancer(target)) {
+    return true;
+  }
+  if (AddressLinked(state, address)) {
+    return false;
+  }
+  return !target.behind || !EntryLinked(state, *target.behind);
+}
+
+bool DialDue(const State& state, const DialTarget& target, TimePoint now) {
+  if (target.last_dial == TimePoint{}) {
+    return true;
+  }
+  const Millis since = now - target.last_dial;
+  if (target.pending) {
+    return since >= kDialTimeout;
+  }
+  return since >= (IsBalancer(target) ? state.options.seed_redial_interval
+                                      : kRedialInterval);
+}
+
+bool AnyEntryLink(const State& state) {
+  for (const auto& [id, link] : state.links) {
+    if (link.entry) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Addresses are kept while no entry is linked: they may come back.
+void ForgetTargets(State& state, TimePoint now) {
+  const bool connected = AnyEntryLink(state);
+  std::erase_if(state.dial_targets, [&](const auto& item) {
+    const DialTarget& target = item.second;
+    return connected && !target.seed && target.peer == PeerRole::kEntry &&
+           now - target.last_mentioned > kForgetEntryAfter;
+  });
+}
+
+}  // namespace
+
+void AddSeeds(State& state) {
+  for (const std::string& address : state.options.entry_seeds) {
+    state.dial_targets[address].seed = true;
+  }
+}
+
+void OnLinkUp(State& state, const LinkUp& event, TimePoint now, Outbox& out) {
+  state.links[event.link] = {event.peer, event.dialled, now, {}, true};
+  if (event.dialled.empty()) {
+    return;
+  }
+  const auto it = state.dial_targets.find(event.dialled);
+  if (it != state.dial_targets.end()) {
+    it->second.pending = false;
+  }
+  if (event.peer == PeerRole::kEntry) {
+    SendHello(state, event.link, now, out);
+  } else {
+    SendOn(state, event.link, PeerHello{state.options.self}, out);
+  }
+}
+
+void OnLinkDown(State& state, const LinkDown& event, Outbox& out) {
+  const auto target = state.dial_targets.find(event.dialled);
+  if (target != state.dial_targets.end()) {
+    target->second.pending = false;
+  }
+  const auto it = state.links.find(event.link);
+  if (it == state.links.end()) {
+    return;
+  }
+  if (it->second.entry) {
+    Log(out, LogLevel::kInfo, "entry_link_down",
+        {{"entry", it->second.entry->name.value}});
+  }
+  state.links.erase(it);
+}
+
+bool NoteReceived(State& state, LinkId link, TimePoint now) {
+  const auto it = state.links.find(link);
+  if (it == state.links.end()) {
+    return false;
+  }
+  it->second.last_received = now;
+  return true;
+}
+
+void OnEntryIdentity(State& state,
+                     LinkId link,
+                     const EntryRef& entry,
+                     TimePoint now,
+                     Outbox& out) {
+  const auto self = state.links.find(link);
+  const auto target = state.dial_targets.find(self->second.dialled);
+  if (target != state.dial_targets.end()) {
+    target->second.behind = entry;
+  }
+  for (const auto& [id, other] : state.links) {
+    if (id == link || other.entry != entry) {
+      continue;
+    }
+    // The older link is kept, unless it has missed a heartbeat.
+    const bool works =
+        now - other.last_received <= state.options.heartbeat_interval * 3 / 2;
+    Drop(state, works ? link : id, "duplicate", out);
+    if (works) {
+      return;
+    }
+    break;
+  }
+  if (!self->second.entry) {
+    Log(out, LogLevel::kInfo, "entry_link_up", {{"entry", entry.name.value}});
+  }
+  self->second.entry = entry;
+}
+
+void LearnEntries(State& state,
+                  const std::vector<std::string>& addresses,
+                  TimePoint now) {
+  for (const std::string& address : addresses) {
+    state.dial_targets[address].last_mentioned = now;
+  }
+}
+
+void CloseSilentLinks(State& state, TimePoint now, Outbox& out) {
+  std::vector<LinkId> silent;
+  for (const auto& [id, link] : state.links) {
+    if (now - link.last_received > state.options.link_silence_limit) {
+      silent.push_back(id);
+    }
+  }
+  for (const LinkId id : silent) {
+    Drop(state, id, "silent", out);
+  }
+}
+
+void DialDueTargets(State& state, TimePoint now, Outbox& out) {
+  ForgetTargets(state, now);
+  for (auto& [address, target] : state.dial_targets) {
+    if (!DialDue(state, target, now) || !WantsLink(state, address, target)) {
+      continue;
+    }
+    target.last_dial = now;
+    target.pending = true;
+    out.dials.push_back({address, target.peer});
+    state.counters.AddTo("shallotlug_agent_dials_total");
+  }
+}
+
+bool IsEntryLink(const State& state, LinkId link) {
+  const auto it = state.links.find(link);
+  return it != state.links.end() && it->second.peer == PeerRole::kEntry;
+}
+
+void SendOn(State& state, LinkId link, Message message, Outbox& out) {
+  if (state.links.contains(link)) {
+    out.sends.push_back({link, std::move(message)});
+  }
+}
+
+void SendToEntries(State& state, const Message& message, Outbox& out) {
+  for (const auto& [id, link] : state.links) {
+    if (link.peer == PeerRole::kEntry) {
+      out.sends.push_back({id, message});
+    }
+  }
+}
+
+}  // namespace shallotlug::agent
--- /dev/null
+++ b/packages/agent/src/live_queue.h
@@ -0,0 +1,28 @@
+#ifndef SHALLOTLUG_AGENT_SRC_LIVE_QUEUE_H_
+#define SHALLOTLUG_AGENT_SRC_LIVE_QUEUE_H_
+
+#include "state.h"
+
+/// The bounded queue of live requests, in deadline order.
+namespace shallotlug::agent {
+
+int LiveRunning(const State& state);
+
+/// @brief Expected wait of a live request behind `ahead` queued ones.
+Millis ExpectedWait(const State& state, std::size_t ahead);
+
+/// @brief Expected run time of a class; 0 when none has finished here.
+Millis ExpectedRunTime(const State& state, const ClassName& name);
+
+/// @brief Learns from a finished request.
+void LearnRunTime(State& state, const ClassName& name, Millis run_time);
+
+void Enqueue(State& state, const RequestId& id, const LiveRequest& request);
+void RemoveFromQueue(State& state, const RequestId& id);
+
+/// @brief Starts queued requests in deadline order while they fit.
+void StartQueuedRequests(State& state, TimePoint now, Outbox& out);
+
+}  // namespace shallotlug::agent
+
+#endif  // SHALLOTLUG_AGENT_SRC_LIVE_QUEUE_H_
--- /dev/null
+++ b/packages/agent/src/reports.cc
@@ -0,0 +1,84 @@
+#include "reports.h"
+
+#include <algorithm>
+
+#include "accelerators.h"
+#include "links.h"
+#include "live_queue.h"
+
+namespace shallotlug::agent {
+namespace {
+
+// Bounds the reports of a burst of short requests to ten per second and entry.
+constexpr Millis kChangeReportInterval{100};
+
+StartableView ViewOf(const State& state) {
+  return {AcceleratorUses(state), FreeSlots(state), Leaving(state),
+          state.backend.reachable};
+}
+
+AgentReport MakeReport(const State& state, TimePoint now) {
+  AgentReport report;
+  report.now = AsPeerTime(now);
+  report.config_revision = state.targets.revision;
+  report.leaving = Leaving(state);
+  report.backend_reachable = state.backend.reachable;
+  report.accelerators = AcceleratorUses(state);
+  report.free_slots = FreeSlots(state);
+  report.live_running = LiveRunning(state);
+  report.live_queued = static_cast<int>(state.live.queue.size());
+  report.expected_wait = ExpectedWait(state, state.live.queue.size());
+  report.tasks_finished = state.reporting.tasks_finished;
+  report.tasks_failed = state.reporting.tasks_failed;
+  return report;
+}
+
+void SendReport(State& state,
+                LinkId id,
+                Link& link,
+                TimePoint now,
+                Outbox& out) {
+  AgentReport report = MakeReport(state, now);
+  report.has_attempts = link.attempts_due;
+  link.attempts_due = false;
+  out.sends.push_back({id, std::move(report)});
+}
+
+bool ReportDue(const State& state, const StartableView& view, TimePoint now) {
+  const Reporting& it = state.reporting;
+  const Millis since = now - it.last;
+  if (since >= state.options.heartbeat_interval) {
+    return true;
+  }
+  if (view.leaving != it.view.leaving) {
+    return true;
+  }
+  return since >= kChangeReportInterval && view != it.view;
+}
+
+}  // namespace
+
+void SendHello(State& state, LinkId link, TimePoint now, Outbox& out) {
+  const Options& options = state.options;
+  SendOn(state, link,
+         AgentHello{options.self, options.inventory, options.peer_address,
+                    state.targets.revision, AsPeerTime(now)},
+         out);
+  SendReport(state, link, state.links[link], now, out);
+}
+
+void SendDueReports(State& state, TimePoint now, Outbox& out) {
+  StartableView view = ViewOf(state);
+  if (!ReportDue(state, view, now)) {
+    return;
+  }
+  state.reporting.last = now;
+  state.reporting.view = std::move(view);
+  for (auto& [id, link] : state.links) {
+    if (link.peer == PeerRole::kEntry) {
+      SendReport(state, id, link, now, out);
+    }
+  }
+}
+
+}  // namespace shallotlug::agent
