Define every function of the decision package

Cause: the entry calls these functions and cannot link without them. Change: cluster tables with a free-block index, learned run times, worker health, live routing, guarantee checks, and a first-fit planner without guarantees or preemption.

--- a/packages/decision/include/shallotlug/decision/cluster.h
+++ b/packages/decision/include/shallotlug/decision/cluster.h
@@ -63,9 +63,11 @@
   /// @brief A worker that is not schedulable gets no new work (leaving, silent
   /// or quarantined) but keeps what it has.
   void SetSchedulable(WorkerIndex worker, bool schedulable);
-  /// @brief Accelerators in use by work that is not a RunningJob (live
-  /// requests, faulty accelerators).
+  /// @brief Accelerators in transient use by work that is not a RunningJob
+  /// (live requests). Not placed on, but still counted as capacity.
   void SetOtherUse(WorkerIndex worker, AcceleratorMask mask);
+  /// @brief Accelerators that are out of service; no longer capacity.
+  void SetFaulty(WorkerIndex worker, AcceleratorMask mask);
 
   /// @brief Adds or replaces the job of the same id.
   void AddJob(const RunningJob& job);
--- a/packages/decision/include/shallotlug/decision/run_times.h
+++ b/packages/decision/include/shallotlug/decision/run_times.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 #include "shallotlug/base/clock.h"
 #include "shallotlug/base/ids.h"
@@ -17,6 +18,13 @@
   Millis p99{};
   /// Median of actual over declared run time.
   double declared_factor = 1;
+  /// Recent mean error of the two predictors, as |ln(actual / predicted)|.
+  double median_error = 0;
+  double declared_error = 0;
+  std::vector<Millis> recent;          ///< Ring of the latest run times.
+  std::vector<double> recent_factors;  ///< Ring of actual over declared.
+  std::size_t next_recent = 0;
+  std::size_t next_factor = 0;
 };
 
 /// @brief Estimates by class.
--- a/packages/decision/include/shallotlug/decision/worker_health.h
+++ b/packages/decision/include/shallotlug/decision/worker_health.h
@@ -21,6 +21,10 @@
   int consecutive_failures = 0;
   int quarantines = 0;
   TimePoint probe_at{};
+  int consecutive_successes = 0;
+  /// Work that failed here since the last success; an empty id for each live
+  /// request.
+  std::vector<JobId> failed_work;
 };
 
 /// @brief Failures by worker and by work, so that each is blamed rightly.
@@ -47,6 +51,9 @@
 /// is to blame.
 bool JobIsToBlame(const HealthTable& table, const JobId& job);
 
+/// @brief Drops what is known of a job that has ended.
+void ForgetJob(HealthTable& table, const JobId& job);
+
 }  // namespace shallotlug::decision
 
 #endif  // SHALLOTLUG_DECISION_WORKER_HEALTH_H_
--- /dev/null
+++ b/packages/decision/src/cluster.cc
@@ -0,0 +1,165 @@
+#include "shallotlug/decision/cluster.h"
+
+#include <algorithm>
+
+#include "tables.h"
+
+namespace shallotlug::decision {
+namespace {
+
+void Refresh(Cluster::Tables& tables, std::uint32_t worker) {
+  const WorkerRow& row = tables.workers[worker];
+  const int slots = row.info.slots - static_cast<int>(row.occupants.size());
+  tables.free->Update(worker, FreeOf(row), slots, row.alive && row.schedulable);
+}
+
+std::uint32_t CentreRow(Cluster::Tables& tables, const DataCentreName& name) {
+  const auto it = tables.centres.find(name);
+  if (it != tables.centres.end()) {
+    return it->second;
+  }
+  return tables.centres[name] = tables.free->AddDataCentre();
+}
+
+std::uint32_t RackRowOf(Cluster::Tables& tables, const WorkerInfo& info) {
+  const std::pair key(info.data_centre, info.rack);
+  const auto it = tables.racks.find(key);
+  if (it != tables.racks.end()) {
+    return it->second;
+  }
+  return tables.racks[key] =
+             tables.free->AddRack(CentreRow(tables, info.data_centre));
+}
+
+JobOrder OrderOf(const RunningJob& job) {
+  return {MayStop(job), job.started, job.attempt.job};
+}
+
+void AddTasks(Cluster::Tables& tables, const RunningJob& job) {
+  for (const Allocation& it : job.tasks) {
+    const std::uint32_t worker = RowOf(it.worker);
+    tables.workers[worker].occupants.push_back({&job, it.mask});
+    Refresh(tables, worker);
+  }
+}
+
+void RemoveTasks(Cluster::Tables& tables, const RunningJob& job) {
+  for (const Allocation& it : job.tasks) {
+    const std::uint32_t worker = RowOf(it.worker);
+    std::erase_if(tables.workers[worker].occupants,
+                  [&](const Occupant& task) { return task.job == &job; });
+    Refresh(tables, worker);
+  }
+}
+
+}  // namespace
+
+AcceleratorMask AllOf(const WorkerRow& row) {
+  return LowMask(std::min(row.info.accelerators, kLargestBlock));
+}
+
+AcceleratorMask FreeOf(const WorkerRow& row) {
+  AcceleratorMask used = row.other | row.faulty;
+  for (const Occupant& it : row.occupants) {
+    used |= it.mask;
+  }
+  return AllOf(row) & ~used;
+}
+
+Cluster::Cluster() : tables_(std::make_unique<Tables>()) {}
+Cluster::Cluster(Cluster&&) noexcept = default;
+Cluster& Cluster::operator=(Cluster&&) noexcept = default;
+Cluster::~Cluster() = default;
+
+WorkerIndex Cluster::AddWorker(const WorkerInfo& info) {
+  const auto worker = static_cast<std::uint32_t>(tables_->workers.size());
+  const std::uint32_t rack = RackRowOf(*tables_, info);
+  tables_->free->AddWorker(rack, CentreRow(*tables_, info.data_centre));
+  WorkerRow row;
+  row.info = info;
+  tables_->workers.push_back(std::move(row));
+  tables_->by_agent[info.agent] = worker;
+  ++tables_->alive;
+  Refresh(*tables_, worker);
+  return WorkerIndex{worker};
+}
+
+void Cluster::RemoveWorker(WorkerIndex worker) {
+  WorkerRow& row = tables_->workers[RowOf(worker)];
+  if (!row.alive) {
+    return;
+  }
+  row.alive = false;
+  --tables_->alive;
+  const auto it = tables_->by_agent.find(row.info.agent);
+  if (it != tables_->by_agent.end() && it->second == RowOf(worker)) {
+    tables_->by_agent.erase(it);
+  }
+  Refresh(*tables_, RowOf(worker));
+}
+
+void Cluster::SetSchedulable(WorkerIndex worker, bool schedulable) {
+  tables_->workers[RowOf(worker)].schedulable = schedulable;
+  Refresh(*tables_, RowOf(worker));
+}
+
+void Cluster::SetOtherUse(WorkerIndex worker, AcceleratorMask mask) {
+  tables_->workers[RowOf(worker)].other = mask;
+  Refresh(*tables_, RowOf(worker));
+}
+
+void Cluster::SetFaulty(WorkerIndex worker, AcceleratorMask mask) {
+  tables_->workers[RowOf(worker)].faulty = mask;
+  Refresh(*tables_, RowOf(worker));
+}
+
+void Cluster::AddJob(const RunningJob& job) {
+  RunningJob copy = job;  // `job` may be the row that is replaced.
+  RemoveJob(copy.attempt.job);
+  RunningJob& row = tables_->jobs[copy.attempt.job];
+  row = std::move(copy);
+  tables_->by_customer[row.customer].insert(OrderOf(row));
+  if (!MayStop(row)) {
+    tables_->pinned.insert(row.attempt.job);
+  }
+  if (row.stopping) {
+    tables_->stopping.insert(row.attempt.job);
+  }
+  AddTasks(*tables_, row);
+}
+
+void Cluster::RemoveJob(const JobId& job) {
+  const auto it = tables_->jobs.find(job);
+  if (it == tables_->jobs.end()) {
+    return;
+  }
+  RemoveTasks(*tables_, it->second);
+  tables_->by_customer[it->second.customer].erase(OrderOf(it->second));
+  tables_->pinned.erase(it->first);
+  tables_->stopping.erase(it->first);
+  tables_->jobs.erase(it);
+}
+
+const RunningJob* Cluster::FindJob(const JobId& job) const {
+  const auto it = tables_->jobs.find(job);
+  return it == tables_->jobs.end() ? nullptr : &it->second;
+}
+
+const WorkerInfo& Cluster::Info(WorkerIndex worker) const {
+  return tables_->workers[RowOf(worker)].info;
+}
+
+AcceleratorMask Cluster::Free(WorkerIndex worker) const {
+  const WorkerRow& row = tables_->workers[RowOf(worker)];
+  return row.alive ? FreeOf(row) : 0;
+}
+
+std::size_t Cluster::worker_count() const {
+  return tables_->alive;
+}
+
+std::size_t Cluster::job_count() const {
+  return tables_->jobs.size();
+}
+
+}  // namespace shallotlug::decision
--- /dev/null
+++ b/packages/decision/src/free_index.h
@@ -0,0 +1,117 @@
+#ifndef SHALLOTLUG_DECISION_FREE_INDEX_H_
+#define SHALLOTLUG_DECISION_FREE_INDEX_H_
+
+#include <array>
+#include <bitset>
+#include <cstdint>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "shallotlug/decision/blocks.h"
+
+namespace shallotlug::decision {
+
+constexpr int kMasks = 256;
+
+/// @brief The workers of one data centre, or of the cluster, by free mask.
+struct MaskBuckets {
+  std::array<std::set<std::uint32_t>, kMasks> workers;
+  std::bitset<kMasks> used;
+  std::array<int, kLevels> blocks{};  ///< Free aligned blocks of each level.
+};
+
+/// @brief The workers of one rack.
+struct RackRow {
+  std::uint32_t data_centre = 0;
+  std::vector<std::uint32_t> workers;
+  std::array<int, kLevels> blocks{};
+};
+
+/// @brief One worker as the index sees it.
+struct FreeRow {
+  std::uint32_t rack = 0;
+  std::uint32_t data_centre = 0;
+  AcceleratorMask free = 0;
+  int free_slots = 0;
+  bool usable = false;  ///< Takes new work.
+  bool listed = false;  ///< In the buckets: usable and with a free slot.
+};
+
+/// @brief Free accelerators of all workers, indexed by what fits on them. An
+/// update costs O(log workers).
+class FreeIndex {
+ public:
+  using CountKey = std::pair<int, std::uint32_t>;
+
+  std::uint32_t AddRack(std::uint32_t data_centre);
+  std::uint32_t AddDataCentre();
+  void AddWorker(std::uint32_t rack, std::uint32_t data_centre);
+
+  void Update(std::uint32_t worker,
+              AcceleratorMask free,
+              int free_slots,
+              bool usable);
+
+  const FreeRow& row(std::uint32_t worker) const { return rows_[worker]; }
+  const std::vector<FreeRow>& rows() const { return rows_; }
+  const RackRow& rack(std::uint32_t n) const { return racks_[n]; }
+  const std::vector<RackRow>& racks() const { return racks_; }
+  const MaskBuckets& data_centre(std::uint32_t n) const { return centres_[n]; }
+  std::size_t data_centre_count() const { return centres_.size(); }
+  const MaskBuckets& all() const { return all_; }
+
+  /// @brief Racks and data centres ordered by free blocks of a level.
+  const std::set<CountKey>& racks_by_blocks(int level) const {
+    return racks_by_blocks_[static_cast<std::size_t>(level)];
+  }
+  const std::set<CountKey>& centres_by_blocks(int level) const {
+    return centres_by_blocks_[static_cast<std::size_t>(level)];
+  }
+
+ private:
+  void Insert(std::uint32_t worker);
+  void Erase(std::uint32_t worker);
+  void AddBlocks(std::uint32_t worker, int sign);
+
+  std::vector<FreeRow> rows_;
+  std::vector<RackRow> racks_;
+  std::vector<MaskBuckets> centres_;
+  MaskBuckets all_;
+  std::array<std::set<CountKey>, kLevels> racks_by_blocks_;
+  std::array<std::set<CountKey>, kLevels> centres_by_blocks_;
+};
+
+/// @brief Changes to a FreeIndex that are undone when it goes out of scope.
+class Trial {
+ public:
+  explicit Trial(FreeIndex& index) : index_(index) {}
+  ~Trial() { RollBackTo(0); }
+  Trial(const Trial&) = delete;
+  Trial& operator=(const Trial&) = delete;
+
+  void Take(std::uint32_t worker, AcceleratorMask mask);
+  /// @brief Treats accelerators as free, and one slot with them.
+  void Release(std::uint32_t worker, AcceleratorMask mask);
+  /// @brief Takes a worker out of the index.
+  void Hide(std::uint32_t worker);
+  std::size_t Mark() const { return journal_.size(); }
+  void RollBackTo(std::size_t mark);
+  const FreeIndex& index() const { return index_; }
+
+ private:
+  struct Entry {
+    std::uint32_t worker = 0;
+    AcceleratorMask free = 0;
+    int free_slots = 0;
+    bool usable = false;
+  };
+  void Record(std::uint32_t worker);
+
+  FreeIndex& index_;
+  std::vector<Entry> journal_;
+};
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_FREE_INDEX_H_
--- /dev/null
+++ b/packages/decision/src/live_route.cc
@@ -0,0 +1,84 @@
+#include "shallotlug/decision/live_route.h"
+
+#include <algorithm>
+
+#include "random.h"
+
+namespace shallotlug::decision {
+namespace {
+
+/// Random draws before all candidates are looked at. With half of them usable,
+/// both draws fail to hit in fewer than one of 1,000 calls.
+constexpr int kDraws = 12;
+
+bool CanServe(const LiveCandidate& it, int accelerators) {
+  return it.usable && !it.probing && it.live_capacity >= accelerators;
+}
+
+/// Requests sent since the last report are not part of the reported wait, so
+/// they break ties by their load on the worker's capacity.
+bool ShorterWait(const LiveCandidate& a, const LiveCandidate& b) {
+  if (a.expected_wait != b.expected_wait) {
+    return a.expected_wait < b.expected_wait;
+  }
+  return a.in_flight * std::max(1, b.live_capacity) <
+         b.in_flight * std::max(1, a.live_capacity);
+}
+
+std::size_t Draw(std::size_t count, std::uint64_t& random) {
+  return static_cast<std::size_t>(NextRandom(random) % count);
+}
+
+/// Fallback when random draws found too few: the best of all that match.
+template <class Match>
+std::optional<std::size_t> BestOf(const std::vector<LiveCandidate>& candidates,
+                                  const Match& match) {
+  std::optional<std::size_t> best;
+  for (std::size_t n = 0; n < candidates.size(); ++n) {
+    if (match(candidates[n]) &&
+        (!best || ShorterWait(candidates[n], candidates[*best]))) {
+      best = n;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+std::optional<std::size_t> RouteLive(
+    const std::vector<LiveCandidate>& candidates,
+    int accelerators,
+    std::uint64_t& random) {
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  std::optional<std::size_t> first;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const std::size_t n = Draw(candidates.size(), random);
+    if (!CanServe(candidates[n], accelerators) || first == n) {
+      continue;
+    }
+    if (!first) {
+      first = n;
+      continue;
+    }
+    return ShorterWait(candidates[n], candidates[*first]) ? n : *first;
+  }
+  if (const auto best = BestOf(candidates, [&](const LiveCandidate& it) {
+        return CanServe(it, accelerators);
+      })) {
+    return best;
+  }
+  // A worker without capacity now may still queue the request; a worker under
+  // probe is the last resort.
+  if (const auto best = BestOf(candidates, [](const LiveCandidate& it) {
+        return it.usable && !it.probing;
+      })) {
+    return best;
+  }
+  return BestOf(candidates, [](const LiveCandidate& it) {
+    return it.usable && it.in_flight == 0;
+  });
+}
+
+}  // namespace shallotlug::decision
--- /dev/null
+++ b/packages/decision/src/tables.h
@@ -0,0 +1,71 @@
+#ifndef SHALLOTLUG_DECISION_TABLES_H_
+#define SHALLOTLUG_DECISION_TABLES_H_
+
+#include <compare>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "free_index.h"
+#include "shallotlug/decision/cluster.h"
+
+namespace shallotlug::decision {
+
+/// @brief A task on a worker. The job lives in Tables::jobs.
+struct Occupant {
+  const RunningJob* job = nullptr;
+  AcceleratorMask mask = 0;
+};
+
+struct WorkerRow {
+  WorkerInfo info;
+  bool alive = true;
+  bool schedulable = true;
+  AcceleratorMask other = 0;   ///< Transient use by live requests.
+  AcceleratorMask faulty = 0;  ///< Lost until repaired.
+  std::vector<Occupant> occupants;
+};
+
+/// @brief Orders the jobs of one customer: what cannot be stopped first, then
+/// by start.
+struct JobOrder {
+  bool repeatable = false;
+  TimePoint started{};
+  JobId id;
+
+  auto operator<=>(const JobOrder&) const = default;
+};
+
+struct Cluster::Tables {
+  std::vector<WorkerRow> workers;
+  std::unordered_map<AgentName, std::uint32_t> by_agent;
+  std::unordered_map<DataCentreName, std::uint32_t> centres;
+  std::map<std::pair<DataCentreName, RackName>, std::uint32_t> racks;
+  std::unordered_map<JobId, RunningJob> jobs;
+  std::map<CustomerName, std::set<JobOrder>> by_customer;
+  std::set<JobId> pinned;    ///< Jobs that may not be stopped.
+  std::set<JobId> stopping;  ///< Jobs that were asked to stop.
+  std::size_t alive = 0;
+  /// Behind a pointer, so that a plan over a const cluster can try changes and
+  /// undo them.
+  std::unique_ptr<FreeIndex> free = std::make_unique<FreeIndex>();
+};
+
+/// @brief All accelerators of the worker.
+AcceleratorMask AllOf(const WorkerRow& row);
+/// @brief Accelerators that no job, live request or fault occupies.
+AcceleratorMask FreeOf(const WorkerRow& row);
+
+constexpr std::uint32_t RowOf(WorkerIndex worker) {
+  return static_cast<std::uint32_t>(worker);
+}
+
+/// @brief Whether a job may be stopped and started again.
+inline bool MayStop(const RunningJob& job) {
+  return job.repeatable;
+}
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_TABLES_H_
