Route live requests and fold the configuration at the entry

Cause: the shells need an entry that carries a live request end to end. Change: links and agent table, minting, sending, one-call requests, deadlines and resolution; config stream records and fold, append queue, target calls. Routing picks a random usable agent until decision::RouteLive has a body.

--- /dev/null
+++ b/packages/entry/src/agents.cc
@@ -0,0 +1,188 @@
+#include "agents.h"
+
+#include <utility>
+
+#include "live.h"
+#include "peers.h"
+#include "replies.h"
+
+namespace shallotlug::entry {
+namespace {
+
+// An update that was lost with its link is sent again after this time.
+constexpr Millis kConfigResend{2000};
+
+void Close(State& state, LinkId link, const std::string& reason) {
+  Count(state, "shallotlug_entry_links_closed_total", reason);
+  state.out.closes.push_back({link, reason});
+  OnLinkDown(state, link);
+}
+
+void DropAgentLink(State& state, const AgentName& name, LinkId link) {
+  const auto it = state.agents.find(name);
+  if (it == state.agents.end() || !it->second.linked ||
+      it->second.link != link) {
+    return;
+  }
+  it->second.linked = false;
+  Log(state, LogLevel::kInfo, "agent_link_down", {{"agent", name.value}});
+  OnAgentUnlinked(state, it->second);
+}
+
+bool IsSecondLiveIncarnation(const State& state, const AgentHello& hello) {
+  const auto it = state.agents.find(hello.agent.name);
+  return it != state.agents.end() && it->second.linked &&
+         it->second.ref.incarnation != hello.agent.incarnation;
+}
+
+void Register(State& state, LinkId link, const AgentHello& hello) {
+  Agent& agent = state.agents[hello.agent.name];
+  const bool new_life = agent.ref != hello.agent;
+  if (new_life) {
+    agent = Agent{};
+    agent.ref = hello.agent;
+  } else if (agent.linked && agent.link != link) {
+    // The agent redialled before the loss of its old link was noticed.
+    Close(state, agent.link, "replaced");
+  }
+  agent.linked = true;
+  agent.link = link;
+  agent.inventory = hello.inventory;
+  agent.peer_address = hello.peer_address;
+  agent.clock = {hello.now, state.now};
+  agent.last_heard = state.now;
+  agent.config_revision = hello.config_revision;
+  agent.config_sent = 0;
+  state.links[link].agent = hello.agent.name;
+  Log(state, LogLevel::kInfo, "agent_link_up",
+      {{"agent", hello.agent.name.value}});
+  OnAgentLinked(state, agent, new_life);
+}
+
+}  // namespace
+
+void OnLinkUp(State& state, const LinkUp& up) {
+  state.links[up.link] = {{}, state.now};
+  EntryHello hello{state.options.self, state.options.data_centre,
+                   stream::Current(state.config).revision, KnownEntries(state)};
+  state.out.sends.push_back({up.link, std::move(hello)});
+}
+
+void OnLinkDown(State& state, LinkId link) {
+  const auto it = state.links.find(link);
+  if (it == state.links.end()) {
+    return;
+  }
+  const AgentName name = it->second.agent;
+  state.links.erase(it);
+  if (!name.empty()) {
+    DropAgentLink(state, name, link);
+  }
+}
+
+void OnAgentHello(State& state, LinkId link, const AgentHello& hello) {
+  if (!state.links.contains(link)) {
+    return;
+  }
+  if (hello.agent.name.empty()) {
+    Close(state, link, "nameless_agent");
+    return;
+  }
+  if (IsSecondLiveIncarnation(state, hello)) {
+    Log(state, LogLevel::kWarning, "second_incarnation_refused",
+        {{"agent", hello.agent.name.value}});
+    Close(state, link, "second_incarnation");
+    return;
+  }
+  Register(state, link, hello);
+}
+
+void OnAgentReport(State& state, LinkId link, const AgentReport& report) {
+  Agent* agent = AgentOfLink(state, link);
+  if (agent == nullptr) {
+    return;
+  }
+  const bool new_attempts = report.has_attempts;
+  std::vector<RunningAttempt> attempts;
+  if (!new_attempts) {
+    attempts = std::move(agent->report.attempts);
+  }
+  agent->report = report;
+  if (!new_attempts) {
+    agent->report.attempts = std::move(attempts);
+  }
+  agent->reported = true;
+  agent->clock = {report.now, state.now};
+  agent->in_flight = 0;
+  agent->config_revision = report.config_revision;
+}
+
+Agent* AgentOfLink(State& state, LinkId link) {
+  const auto it = state.links.find(link);
+  if (it == state.links.end() || it->second.agent.empty()) {
+    return nullptr;
+  }
+  const auto agent = state.agents.find(it->second.agent);
+  return agent == state.agents.end() ? nullptr : &agent->second;
+}
+
+Agent* FindLinked(State& state, const AgentRef& ref) {
+  const auto it = state.agents.find(ref.name);
+  const bool found =
+      it != state.agents.end() && it->second.ref == ref && it->second.linked;
+  return found ? &it->second : nullptr;
+}
+
+bool IsGone(const State& state, const AgentRef& ref) {
+  const auto it = state.agents.find(ref.name);
+  return it != state.agents.end() && it->second.ref != ref;
+}
+
+void SendTo(State& state, const Agent& agent, Message message) {
+  state.out.sends.push_back({agent.link, std::move(message)});
+}
+
+void CloseSilentLinks(State& state) {
+  std::vector<LinkId> silent;
+  for (const auto& [link, row] : state.links) {
+    if (state.now - row.last_heard >= state.options.link_silence_limit) {
+      silent.push_back(link);
+    }
+  }
+  for (const LinkId link : silent) {
+    Close(state, link, "silent");
+  }
+}
+
+void SendHeartbeats(State& state) {
+  if (state.now < state.next_heartbeat) {
+    return;
+  }
+  state.next_heartbeat = state.now + state.options.heartbeat_interval;
+  const EntryHeartbeat heartbeat{stream::Current(state.config).revision,
+                                 KnownEntries(state)};
+  for (const auto& [name, agent] : state.agents) {
+    if (agent.linked) {
+      SendTo(state, agent, heartbeat);
+    }
+  }
+}
+
+void PushConfig(State& state) {
+  const Targets& targets = stream::Current(state.config);
+  for (auto& [name, agent] : state.agents) {
+    const bool lacks = agent.linked && agent.config_revision < targets.revision;
+    const bool sent = agent.config_sent == targets.revision &&
+                      state.now - agent.config_sent_at < kConfigResend;
+    if (!lacks || sent) {
+      continue;
+    }
+    SendTo(state, agent,
+           stream::MakeConfigUpdate(targets, agent.config_revision));
+    agent.config_sent = targets.revision;
+    agent.config_sent_at = state.now;
+    Count(state, "shallotlug_entry_config_pushes_total");
+  }
+}
+
+}  // namespace shallotlug::entry
--- /dev/null
+++ b/packages/entry/src/log.h
@@ -0,0 +1,19 @@
+#ifndef SHALLOTLUG_ENTRY_SRC_LOG_H_
+#define SHALLOTLUG_ENTRY_SRC_LOG_H_
+
+#include "state.h"
+
+namespace shallotlug::entry {
+
+void OnLogRead(State& state, const stream::LogReadResult& read);
+void OnLogAppend(State& state, const stream::LogAppendResult& result);
+
+/// @brief Starts the reads and appends that are due.
+void DriveLog(State& state);
+
+/// @brief Whether the last reads of the log succeeded.
+bool LogAvailable(const State& state);
+
+}  // namespace shallotlug::entry
+
+#endif  // SHALLOTLUG_ENTRY_SRC_LOG_H_
--- /dev/null
+++ b/packages/entry/src/retry_budget.h
@@ -0,0 +1,16 @@
+#ifndef SHALLOTLUG_ENTRY_SRC_RETRY_BUDGET_H_
+#define SHALLOTLUG_ENTRY_SRC_RETRY_BUDGET_H_
+
+#include "state.h"
+
+namespace shallotlug::entry {
+
+/// @brief Credits a success.
+void CreditRetries(State& state);
+
+/// @brief Takes one retry from the budget; false when it is used up.
+bool TakeRetry(State& state);
+
+}  // namespace shallotlug::entry
+
+#endif  // SHALLOTLUG_ENTRY_SRC_RETRY_BUDGET_H_
--- /dev/null
+++ b/packages/entry/src/state.h
@@ -0,0 +1,126 @@
+#ifndef SHALLOTLUG_ENTRY_SRC_STATE_H_
+#define SHALLOTLUG_ENTRY_SRC_STATE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "shallotlug/decision/live_route.h"
+#include "shallotlug/entry/entry.h"
+#include "shallotlug/stream/append_queue.h"
+#include "shallotlug/stream/config_fold.h"
+
+#include "timers.h"
+
+namespace shallotlug::entry {
+
+/// @brief One life of an agent, as this entry knows it.
+struct Agent {
+  AgentRef ref;
+  bool linked = false;
+  LinkId link{};
+  WorkerInventory inventory;
+  std::string peer_address;
+  PeerClockSample clock;
+  bool reported = false;  ///< `report` is from this life.
+  AgentReport report;
+  TimePoint last_heard{};
+  int in_flight = 0;                  ///< Live requests since the last report.
+  std::uint64_t config_revision = 0;  ///< Last reported.
+  std::uint64_t config_sent = 0;      ///< Last pushed on this link.
+  TimePoint config_sent_at{};
+};
+
+/// @brief An open link. Agents dial, so every link is an accepted one.
+struct Link {
+  AgentName agent;  ///< Empty until the agent's hello.
+  TimePoint last_heard{};
+};
+
+/// @brief A live request that this entry waits for.
+struct LiveRequest {
+  RequestId id;
+  bool one_shot = false;
+  bool resolve_only = false;  ///< Made by a ResolveCall; nothing is started.
+  CustomerName customer;
+  ClassName request_class;
+  bool repeatable = false;
+  int accelerators = 1;
+  std::string body;
+  std::uint64_t body_hash = 0;
+  TimePoint accepted{};
+  TimePoint deadline{};
+  Millis target{};
+  bool sent = false;
+  LinkId sent_on{};
+  TimePoint sent_at{};
+  bool resolving = false;  ///< ResolveRequest has been sent at the deadline.
+  TimePoint give_up_at{};  ///< End of the wait for the resolution.
+  bool cancel = false;
+  bool earlier_unknown = false;  ///< An earlier id of this call is unresolved.
+  int bad_answers = 0;
+  std::uint32_t newest_attempt = 0;
+  std::vector<AgentName> tried;
+  std::vector<CallId> callers;
+};
+
+/// @brief Reads of one stream; at most one is open.
+struct StreamReader {
+  std::string stream;
+  std::uint64_t next = 0;
+  bool open = false;
+  TimePoint opened{};
+  TimePoint due{};
+  TimePoint last_ok{};
+  /// Start of the last read that reached the end of the stream.
+  TimePoint caught_up_at{};
+  bool caught_up = false;  ///< Reached the end at least once.
+  bool failing = false;
+};
+
+/// @brief Tokens for retries: a share of the successes plus a floor.
+struct RetryBudget {
+  double tokens = 0;
+  TimePoint refilled{};
+};
+
+/// @brief A change of a target that waits to be read back.
+struct PendingChange {
+  CallId call{};
+  std::string change_id;
+  TimePoint give_up_at{};
+};
+
+struct State {
+  Options options;
+  CounterTable counters;
+  std::uint64_t random = 1;
+  TimePoint now{};
+  TimePoint started{};
+  TimePoint last_step{};
+
+  std::map<LinkId, Link> links;
+  std::map<AgentName, Agent> agents;
+  TimePoint next_heartbeat{};
+
+  std::map<RequestId, LiveRequest> requests;
+  std::unordered_map<CallId, RequestId> request_of_call;
+  Timers<RequestId> request_timers;
+  RetryBudget retry_budget;
+
+  stream::ConfigFold config;
+  StreamReader config_reader;
+  stream::AppendQueue config_appends;
+  std::map<std::string, PendingChange> pending_changes;  ///< By change id.
+  std::uint64_t next_token = 1;
+
+  bool shutting_down = false;
+  Outbox out;
+};
+
+}  // namespace shallotlug::entry
+
+#endif  // SHALLOTLUG_ENTRY_SRC_STATE_H_
