Answer not_accepted when a minted id is refused admission

Cause: an entry that was full or shutting down answered not_run for an id that its caller may already have sent through another entry; that is no proof. The default timeout equal to the target turned every late answer into an unknown outcome.

--- a/packages/entry/src/live.cc
+++ b/packages/entry/src/live.cc
@@ -17,6 +17,9 @@
 
 // Wait for the answer to a ResolveRequest; a round trip plus an agent's tick.
 constexpr Millis kResolveWait{1500};
+// A caller that gives no timeout waits this much longer than the target: a
+// late answer is worth more to it than an unknown outcome.
+constexpr Millis kDefaultGrace{2000};
 // A damaged answer is requested again this many times.
 constexpr int kMaxBadAnswers = 3;
 
@@ -54,8 +57,10 @@
   return &it->target;
 }
 
-// Refuses work that this entry cannot take on; nothing has been sent.
-bool Admit(State& state, CallId call) {
+// Refuses work that this entry cannot take on; this call sends nothing. For an
+// id that a caller minted, `code` must not be kNotRun, because another entry
+// may have sent the id.
+bool Admit(State& state, CallId call, api::ErrorCode code) {
   const char* reason = nullptr;
   if (state.shutting_down) {
     reason = "shutting_down";
@@ -63,7 +68,7 @@
     reason = "entry_full";
   }
   if (reason != nullptr) {
-    ReplyError(state, call, api::ErrorCode::kNotRun, reason,
+    ReplyError(state, call, code, reason,
                "the entry takes no more requests; try another one");
   }
   return reason == nullptr;
@@ -80,7 +85,8 @@
   request.target = target.finish_within;
   request.accepted = state.now;
   request.deadline =
-      state.now + (timeout > Millis(0) ? timeout : target.finish_within);
+      state.now +
+      (timeout > Millis(0) ? timeout : target.finish_within + kDefaultGrace);
   request.callers = {call};
   return request;
 }
@@ -276,7 +282,7 @@
 void OnMint(State& state, CallId call, const api::MintCall& mint) {
   const ClassTarget* target =
       FindLiveClass(state, call, mint.customer, mint.request_class);
-  if (target == nullptr || !Admit(state, call)) {
+  if (target == nullptr || !Admit(state, call, api::ErrorCode::kNotRun)) {
     return;
   }
   const Agent* agent = PickAgent(state, target->accelerators, {});
@@ -301,7 +307,7 @@
     Join(state, call, *request, send);
     return;
   }
-  if (!Admit(state, call)) {
+  if (!Admit(state, call, api::ErrorCode::kNotAccepted)) {
     return;
   }
   Agent* agent = FindLinked(state, send.id.agent);
@@ -320,7 +326,7 @@
 void OnOneShot(State& state, CallId call, const api::OneShotCall& one_shot) {
   const ClassTarget* target =
       FindLiveClass(state, call, one_shot.customer, one_shot.request_class);
-  if (target == nullptr || !Admit(state, call)) {
+  if (target == nullptr || !Admit(state, call, api::ErrorCode::kNotRun)) {
     return;
   }
   Agent* agent = PickAgent(state, target->accelerators, {});
