Keep every live request id at the agent until it expires

Cause: the thin live path started whatever arrived, so that a repeated, late or resolved id could run twice or after it was reported as not run.

While the table is full, all unknown ids up to the latest refused expiry count as refused, so that a refusal needs no record.

--- a/packages/agent/src/accelerators.cc
+++ b/packages/agent/src/accelerators.cc
@@ -17,20 +17,33 @@
   return mask;
 }
 
-int TaskSlots(const State& state) {
-  int slots = static_cast<int>(state.backend.foreign.size());
+AcceleratorMask MemberMask(const State& state) {
+  AcceleratorMask mask = 0;
+  for (const auto& [attempt, member] : state.gangs.members) {
+    mask |= member.accelerators;
+  }
+  return mask;
+}
+
+AcceleratorMask ThrottleableMask(const State& state) {
+  AcceleratorMask mask = 0;
   for (const auto& [id, task] : state.backend.tasks) {
-    slots += task.throttled ? 0 : 1;
+    mask |= task.throttleable ? task.accelerators : 0;
   }
-  return slots;
+  return mask;
 }
 
-AcceleratorUse UseOf(const State& state, AcceleratorMask bit) {
-  if ((LiveMask(state) & bit) != 0) {
-    return AcceleratorUse::kLive;
+// Accelerators of gangs whose tasks run.
+AcceleratorMask GangMask(const State& state) {
+  AcceleratorMask mask = 0;
+  for (const auto& [id, task] : state.backend.tasks) {
+    mask |= task.live || task.throttleable ? 0 : task.accelerators;
   }
-  return (TaskMask(state) & bit) != 0 ? AcceleratorUse::kReserved
-                                      : AcceleratorUse::kFree;
+  return mask;
+}
+
+bool IsMemberTask(const Task& task) {
+  return std::holds_alternative<MemberTask>(task.owner);
 }
 
 }  // namespace
@@ -49,17 +62,64 @@
 }
 
 AcceleratorMask FreeMask(const State& state) {
-  return AllAccelerators(state) & ~TaskMask(state);
+  return AllAccelerators(state) & ~TaskMask(state) & ~MemberMask(state);
+}
+
+AcceleratorMask ClaimedMask(const State& state) {
+  AcceleratorMask mask = 0;
+  for (const auto& [attempt, member] : state.gangs.members) {
+    mask |= member.phase == MemberPhase::kGranted ||
+                    member.phase == MemberPhase::kReady
+                ? member.accelerators
+                : 0;
+  }
+  return mask;
+}
+
+AcceleratorMask YieldedMask(const State& state) {
+  AcceleratorMask mask = 0;
+  for (const auto& [id, task] : state.backend.tasks) {
+    mask |= task.throttled ? task.accelerators : 0;
+  }
+  return mask & ~LiveMask(state);
+}
+
+// A member occupies one slot per task from its promise on.
+int UsedSlots(const State& state) {
+  std::size_t slots = state.backend.foreign.size();
+  for (const auto& [attempt, member] : state.gangs.members) {
+    slots += member.tasks.size();
+  }
+  for (const auto& [id, task] : state.backend.tasks) {
+    slots += IsMemberTask(task) ? 0 : 1;
+    slots -= IsMemberTask(task) && task.throttled ? 1 : 0;
+  }
+  return static_cast<int>(slots);
 }
 
 int FreeSlots(const State& state) {
-  return std::max(0, state.options.inventory.slots - TaskSlots(state));
+  return std::max(0, state.options.inventory.slots - UsedSlots(state));
 }
 
 std::vector<AcceleratorUse> AcceleratorUses(const State& state) {
+  const AcceleratorMask live = LiveMask(state);
+  const AcceleratorMask gang = GangMask(state);
+  const AcceleratorMask throttleable = ThrottleableMask(state);
+  const AcceleratorMask free = FreeMask(state);
   std::vector<AcceleratorUse> uses;
   for (int n = 0; n < state.options.inventory.accelerators; ++n) {
-    uses.push_back(UseOf(state, AcceleratorMask{1} << n));
+    const AcceleratorMask bit = AcceleratorMask{1} << n;
+    AcceleratorUse use = AcceleratorUse::kReserved;
+    if ((free & bit) != 0) {
+      use = AcceleratorUse::kFree;
+    } else if ((live & bit) != 0) {
+      use = AcceleratorUse::kLive;
+    } else if ((gang & bit) != 0) {
+      use = AcceleratorUse::kGang;
+    } else if ((throttleable & bit) != 0) {
+      use = AcceleratorUse::kThrottleable;
+    }
+    uses.push_back(use);
   }
   return uses;
 }
--- a/packages/agent/src/accelerators.h
+++ b/packages/agent/src/accelerators.h
@@ -16,6 +16,15 @@
 /// @brief Accelerators that no task or reservation uses.
 AcceleratorMask FreeMask(const State& state);
 
+/// @brief Accelerators of reservations that have not started to run.
+AcceleratorMask ClaimedMask(const State& state);
+
+/// @brief Accelerators of throttled tasks that no live request uses.
+AcceleratorMask YieldedMask(const State& state);
+
+/// @brief Slots that tasks and reservations use.
+int UsedSlots(const State& state);
+
 /// @brief Slots that no task or reservation uses. A throttled task gives its
 /// slot to the live request it yields to.
 int FreeSlots(const State& state);
--- a/packages/agent/src/backend_tasks.cc
+++ b/packages/agent/src/backend_tasks.cc
@@ -146,6 +146,12 @@
   if (it == state.backend.tasks.end()) {
     return;
   }
+  if (action == TaskAction::kThrottle || action == TaskAction::kResume) {
+    it->second.throttled = action == TaskAction::kThrottle;
+    state.counters.AddTo(action == TaskAction::kThrottle
+                             ? "shallotlug_agent_throttles_total"
+                             : "shallotlug_agent_resumes_total");
+  }
   it->second.stopping |=
       action == TaskAction::kStop || action == TaskAction::kCheckpoint;
   out.backend_commands.push_back(ControlTask{task, action});
--- a/packages/agent/src/live_queue.cc
+++ b/packages/agent/src/live_queue.cc
@@ -7,7 +7,8 @@
 
 #include "accelerators.h"
 #include "backend_tasks.h"
-#include "live_requests.h"
+#include "known_requests.h"
+#include "throttling.h"
 
 namespace shallotlug::agent {
 namespace {
@@ -27,6 +28,60 @@
   return n == 0 ? kUnknownRunTime : sum / n;
 }
 
+std::size_t QueuedBefore(const State& state, TimePoint finish_before) {
+  const auto end =
+      state.live.queue.upper_bound({finish_before, state.live.next_arrival});
+  return static_cast<std::size_t>(std::distance(state.live.queue.begin(), end));
+}
+
+// Why no live request may start now, whatever it is; empty when one may.
+std::string WorkerFault(const State& state) {
+  if (!state.backend.heard) {
+    return "starting";
+  }
+  if (Leaving(state) && state.options.guards.refuse_when_leaving) {
+    return "leaving";
+  }
+  return state.backend.reachable ? "" : "backend_unreachable";
+}
+
+bool TooLate(const State& state, const LiveRequest& request, TimePoint now) {
+  return state.options.guards.check_start_before &&
+         (now > request.start_before || now >= request.finish_before);
+}
+
+// Lowers the estimate of a class after a refusal that rests on it alone. A
+// request of the class is then tried again, and the estimate is renewed.
+void LowerEstimate(State& state, const ClassName& name) {
+  const auto it = state.live.run_times.find(name);
+  if (it != state.live.run_times.end()) {
+    it->second -= it->second / kRunTimeWeight;
+  }
+}
+
+bool CannotFinish(State& state, const LiveRequest& request, TimePoint now) {
+  const Millis wait = ExpectedWait(state, request.accelerators,
+                                   QueuedBefore(state, request.finish_before));
+  const Millis run_time = ExpectedRunTime(state, request.request_class);
+  if (now + wait + run_time <= request.finish_before) {
+    return false;
+  }
+  if (wait == Millis{0}) {
+    LowerEstimate(state, request.request_class);
+  }
+  return true;
+}
+
+// Why a queued request can no longer start; empty when it can.
+std::string QueueFault(const State& state,
+                       const LiveRequest& request,
+                       TimePoint now) {
+  if (Leaving(state) && state.options.guards.refuse_when_leaving) {
+    return "leaving";
+  }
+  return TooLate(state, request, now) ? "too_late" : "";
+}
+
 void Start(State& state,
            const RequestId& id,
            AcceleratorMask mask,
@@ -35,28 +90,18 @@
   LiveRequest& request = state.live.known[id];
   request.stage = LiveStage::kRunning;
   request.started = now;
-  TaskStart start{id,
-                  true,
-                  mask,
-                  ExpectedRunTime(state, request.request_class),
-                  std::exchange(request.body, {}),
-                  ""};
+  TaskStart start{
+      .owner = id,
+      .live = true,
+      .accelerators = mask,
+      .declared_run_time = ExpectedRunTime(state, request.request_class),
+      .body = std::exchange(request.body, {}),
+      .checkpoint = {}};
   request.task = StartNewTask(state, std::move(start),
                               now + state.options.worker_lease, out);
   state.counters.AddTo("shallotlug_agent_live_started_total");
 }
 
-// Starts the request if it fits. False means that it must wait.
-bool TryStart(State& state, const RequestId& id, TimePoint now, Outbox& out) {
-  const int needed = state.live.known[id].accelerators;
-  const AcceleratorMask free = FreeMask(state);
-  if (FreeSlots(state) < 1 || std::popcount(free) < needed) {
-    return false;
-  }
-  Start(state, id, LowestBits(free, needed), now, out);
-  return true;
-}
-
 }  // namespace
 
 int LiveRunning(const State& state) {
@@ -65,8 +110,8 @@
                     [](const auto& item) { return item.second.live; }));
 }
 
-Millis ExpectedWait(const State& state, std::size_t ahead) {
-  if (ahead == 0 && FreeSlots(state) > 0 && FreeMask(state) != 0) {
+Millis ExpectedWait(const State& state, int accelerators, std::size_t ahead) {
+  if (ahead == 0 && CanTakeForLive(state, accelerators)) {
     return Millis{0};
   }
   const int running = std::max(1, LiveRunning(state));
@@ -85,6 +130,25 @@
   }
 }
 
+std::string AdmissionFault(State& state,
+                           const LiveRequest& request,
+                           TimePoint now) {
+  const std::string fault = WorkerFault(state);
+  if (!fault.empty()) {
+    return fault;
+  }
+  if (TooLate(state, request, now)) {
+    return "too_late";
+  }
+  if (request.accelerators > state.options.inventory.accelerators) {
+    return "too_large";
+  }
+  if (state.live.queue.size() >= state.options.live_queue_limit) {
+    return "queue_full";
+  }
+  return CannotFinish(state, request, now) ? "cannot_finish" : "";
+}
+
 void Enqueue(State& state, const RequestId& id, const LiveRequest& request) {
   const QueueKey key{request.finish_before, state.live.next_arrival++};
   state.live.queue[key] = id;
@@ -95,13 +159,30 @@
                 [&](const auto& item) { return item.second == id; });
 }
 
+void RefuseOverdueRequests(State& state, TimePoint now, Outbox& out) {
+  auto it = state.live.queue.begin();
+  while (it != state.live.queue.end()) {
+    const auto entry = it++;
+    const RequestId id = entry->second;
+    const std::string fault = QueueFault(state, state.live.known[id], now);
+    if (!fault.empty()) {
+      state.live.queue.erase(entry);
+      Refuse(state, id, fault, out);
+    }
+  }
+}
+
 void StartQueuedRequests(State& state, TimePoint now, Outbox& out) {
+  RefuseOverdueRequests(state, now, out);
   while (!state.live.queue.empty() && state.backend.reachable) {
     const RequestId id = state.live.queue.begin()->second;
-    if (!TryStart(state, id, now, out)) {
+    const auto mask =
+        TakeForLive(state, state.live.known[id].accelerators, out);
+    if (!mask) {
       return;
     }
     state.live.queue.erase(state.live.queue.begin());
+    Start(state, id, *mask, now, out);
   }
 }
 
--- a/packages/agent/src/live_queue.h
+++ b/packages/agent/src/live_queue.h
@@ -1,15 +1,17 @@
 #ifndef SHALLOTLUG_AGENT_SRC_LIVE_QUEUE_H_
 #define SHALLOTLUG_AGENT_SRC_LIVE_QUEUE_H_
 
+#include <string>
+
 #include "state.h"
 
-/// The bounded queue of live requests, in deadline order.
+/// Admission of live requests and their bounded queue, in deadline order.
 namespace shallotlug::agent {
 
 int LiveRunning(const State& state);
 
 /// @brief Expected wait of a live request behind `ahead` queued ones.
-Millis ExpectedWait(const State& state, std::size_t ahead);
+Millis ExpectedWait(const State& state, int accelerators, std::size_t ahead);
 
 /// @brief Expected run time of a class; 0 when none has finished here.
 Millis ExpectedRunTime(const State& state, const ClassName& name);
@@ -17,9 +19,17 @@
 /// @brief Learns from a finished request.
 void LearnRunTime(State& state, const ClassName& name, Millis run_time);
 
+/// @brief Why a new request is refused; empty when it is admitted.
+std::string AdmissionFault(State& state,
+                           const LiveRequest& request,
+                           TimePoint now);
+
 void Enqueue(State& state, const RequestId& id, const LiveRequest& request);
 void RemoveFromQueue(State& state, const RequestId& id);
 
+/// @brief Refuses queued requests that may not or cannot start any more.
+void RefuseOverdueRequests(State& state, TimePoint now, Outbox& out);
+
 /// @brief Starts queued requests in deadline order while they fit.
 void StartQueuedRequests(State& state, TimePoint now, Outbox& out);
 
--- a/packages/agent/src/live_requests.h
+++ b/packages/agent/src/live_requests.h
@@ -5,8 +5,7 @@
 
 #include "state.h"
 
-/// The table of known request ids: each starts at most once, and its outcome
-/// is kept until the id expires.
+/// Messages and task events of live requests. Each id starts at most once.
 namespace shallotlug::agent {
 
 void OnStartRequest(State& state,
@@ -15,18 +14,20 @@
                     TimePoint now,
                     Outbox& out);
 
+/// @brief Answers with the final outcome, or with kRunning. An id that has not
+/// started is recorded as refused.
+void OnResolveRequest(State& state,
+                      LinkId link,
+                      const ResolveRequest& message,
+                      TimePoint now,
+                      Outbox& out);
+
 void OnRequestTaskEnd(State& state,
                       const RequestId& id,
                       const TaskEvent& event,
                       TimePoint now,
                       Outbox& out);
 
-/// @brief Records that a request which has not started never will.
-void Refuse(State& state,
-            const RequestId& id,
-            const std::string& reason,
-            Outbox& out);
-
 }  // namespace shallotlug::agent
 
 #endif  // SHALLOTLUG_AGENT_SRC_LIVE_REQUESTS_H_
--- a/packages/agent/src/reports.cc
+++ b/packages/agent/src/reports.cc
@@ -27,7 +27,7 @@
   report.free_slots = FreeSlots(state);
   report.live_running = LiveRunning(state);
   report.live_queued = static_cast<int>(state.live.queue.size());
-  report.expected_wait = ExpectedWait(state, state.live.queue.size());
+  report.expected_wait = ExpectedWait(state, 1, state.live.queue.size());
   report.tasks_finished = state.reporting.tasks_finished;
   report.tasks_failed = state.reporting.tasks_failed;
   return report;
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -2,6 +2,7 @@
 #define SHALLOTLUG_AGENT_SRC_STATE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,6 +69,7 @@
   AcceleratorMask accelerators = 0;
   PeerTime lease_until{};  ///< Latest lease sent; backend server's clock.
   bool reported = false;   ///< Listed by the last report.
+  bool throttleable = false;
   bool throttled = false;  ///< Asked to throttle.
   bool stopping = false;   ///< Asked to stop or to checkpoint.
   double progress = 0;
@@ -107,9 +109,109 @@
   /// Ids up to this expiry that are not in the table count as refused: some of
   /// them were refused while the table was full.
   PeerTime refused_through{};
+  std::deque<RequestId> answered;         ///< Oldest first.
+  std::size_t answer_bytes = 0;           ///< Of the answers kept.
   std::map<ClassName, Millis> run_times;  ///< Moving averages.
 };
 
+/// @brief How a task of a member ended.
+enum class TaskEnd { kNone, kFinished, kFailed, kCheckpointed, kStopped };
+
+/// @brief A task of a member: its accelerators, and what came of it.
+struct MemberTaskState {
+  AcceleratorMask accelerators = 0;
+  TaskId id;  ///< Empty until started.
+  TaskEnd end = TaskEnd::kNone;
+  std::string output;  ///< Answer or checkpoint.
+};
+
+/// @brief This agent's part of an attempt: a promise to hold accelerators, and
+/// permission to compute on them.
+struct Member {
+  AgentRef coordinator;
+  JobSpec spec;
+  std::vector<MemberTaskState> tasks;
+  AcceleratorMask accelerators = 0;  ///< Of all tasks.
+  std::vector<Attempt> victims;
+  std::string checkpoint;  ///< One entry per task; see task_list.h.
+  LinkId link{};           ///< Last link from the coordinator; 0 is local.
+  std::uint32_t round = 0;
+  MemberPhase phase = MemberPhase::kGranted;
+  TimePoint hold_until{};
+  std::optional<TimePoint> run_until;
+  bool stopping = false;  ///< Tasks were asked to stop or to checkpoint.
+  std::string reason;
+};
+
+/// @brief A member as its coordinator sees it.
+struct JobMember {
+  GangMember spec;
+  bool reserved = false;  ///< Has answered Reserve with a promise.
+  bool settled = false;   ///< Does not compute and will not, after a stop.
+  MemberPhase phase = MemberPhase::kRefused;
+  PeerClockSample clock;
+  TimePoint hold_until{};                    ///< Counted from the send.
+  std::map<std::uint32_t, TimePoint> sends;  ///< By round, first send of each.
+  double progress = 0;
+  std::string result;
+  std::string checkpoint;
+  std::string reason;
+};
+
+enum class JobStage { kReserving, kWaiting, kRunning, kStopping, kFinal };
+
+/// @brief How a started attempt is stopped.
+struct JobStop {
+  JobPhase phase = JobPhase::kLost;  ///< Final phase.
+  std::string reason;
+  std::vector<AgentName> failed_at;
+  bool checkpoint = false;  ///< Let the members checkpoint first.
+  std::uint32_t round = 0;  ///< First round of the stop.
+  TimePoint since{};
+};
+
+/// @brief An attempt that this agent coordinates.
+struct Job {
+  JobSpec spec;
+  std::vector<JobMember> members;
+  std::vector<Attempt> victims;
+  std::string checkpoint;
+  JobStage stage = JobStage::kReserving;
+  TimePoint stage_since{};
+  std::size_t reserving = 0;  ///< Index of the member being reserved.
+  TimePoint reserving_since{};
+  std::uint32_t round = 0;
+  TimePoint next_round{};
+  /// Latest time until which any member may compute; none before the first
+  /// permission.
+  std::optional<TimePoint> permitted_until;
+  JobStop stop;
+  JobUpdate update;  ///< Valid in kFinal.
+  TimePoint next_update{};
+};
+
+struct Gangs {
+  std::map<Attempt, Member> members;
+  std::map<Attempt, Job> jobs;
+  /// Highest attempt that was reserved or refused here, by job.
+  std::map<JobId, std::uint32_t> last_reserved;
+  /// Highest attempt that was proposed or refused here, by job.
+  std::map<JobId, std::uint32_t> last_proposed;
+  /// Acknowledged attempts, and whether each was ever started.
+  std::map<Attempt, bool> acknowledged;
+  std::deque<Message> local;  ///< From this agent to itself.
+  bool leaving_handled = false;
+};
+
+/// @brief An attempt as the last report listed it.
+struct ListedAttempt {
+  Attempt attempt;
+  JobPhase phase = JobPhase::kReserving;
+  AcceleratorMask accelerators = 0;
+
+  bool operator==(const ListedAttempt&) const = default;
+};
+
 /// @brief What decides whether an entry must hear of a change at once.
 struct StartableView {
   std::vector<AcceleratorUse> accelerators;
@@ -123,6 +225,7 @@
 struct Reporting {
   TimePoint last{};
   StartableView view;
+  std::vector<ListedAttempt> listed;
   std::int64_t tasks_finished = 0;
   std::int64_t tasks_failed = 0;
 };
@@ -137,6 +240,7 @@
   Targets targets;
   Backend backend;
   Live live;
+  Gangs gangs;
   Reporting reporting;
 };
 
--- a/packages/agent/src/step.cc
+++ b/packages/agent/src/step.cc
@@ -1,9 +1,11 @@
 #include "backend_tasks.h"
+#include "known_requests.h"
 #include "links.h"
 #include "live_queue.h"
 #include "live_requests.h"
 #include "reports.h"
 #include "state.h"
+#include "throttling.h"
 
 namespace shallotlug::agent {
 namespace {
@@ -25,6 +27,9 @@
   void operator()(const StartRequest& message) const {
     OnStartRequest(state, link, message, now, out);
   }
+  void operator()(const ResolveRequest& message) const {
+    OnResolveRequest(state, link, message, now, out);
+  }
   template <class Other>
   void operator()(const Other&) const {
     state.counters.AddTo("shallotlug_agent_unexpected_messages_total");
@@ -76,7 +81,9 @@
   state.shutdown |= inbox.shutdown_requested;
   HandleBackend(state, inbox, now, out);
   HandleLinks(state, inbox, now, out);
+  ForgetExpired(state, now, out);
   StartQueuedRequests(state, now, out);
+  ResumeThrottledTasks(state, out);
   RenewLeases(state, now, out);
   CloseSilentLinks(state, now, out);
   DialDueTargets(state, now, out);
