Send the agent's hello only on a link that is kept

Cause: an agent that redials a balancer reaches an entry it is already linked to. The agent closed the new link as a duplicate while the entry, having heard a hello on it, closed the old one, so both were lost every 5 s. Change: the agent says hello after the entry's hello and only when it keeps the link.

--- a/packages/agent/src/links.cc
+++ b/packages/agent/src/links.cc
@@ -113,9 +113,7 @@
   if (it != state.dial_targets.end()) {
     it->second.pending = false;
   }
-  if (event.peer == PeerRole::kEntry) {
-    SendHello(state, event.link, now, out);
-  } else {
+  if (event.peer == PeerRole::kAgent) {
     SendOn(state, event.link, PeerHello{state.options.self}, out);
   }
 }
@@ -168,10 +166,14 @@
     }
     break;
   }
-  if (!self->second.entry) {
+  const bool first = !self->second.entry;
+  self->second.entry = entry;
+  if (first) {
     Log(out, LogLevel::kInfo, "entry_link_up", {{"entry", entry.name.value}});
+    // Only now, because an entry replaces an older link when it hears a hello
+    // on a newer one: a hello on a duplicate would cost both links.
+    SendHello(state, link, now, out);
   }
-  self->second.entry = entry;
 }
 
 void LearnEntries(State& state,
