Complete the life of a live request

Cause: routing used a temporary pick, and refusals, retries and silence were untested. Change: route with decision::RouteLive over a table kept from reports, worker health from live outcomes, refusals of caller-minted ids as outcome_unknown, housekeeping of whole tables every 50 ms only.

--- a/packages/entry/src/agents.cc
+++ b/packages/entry/src/agents.cc
@@ -5,6 +5,7 @@
 #include "live.h"
 #include "peers.h"
 #include "replies.h"
+#include "routing.h"
 
 namespace shallotlug::entry {
 namespace {
@@ -25,6 +26,7 @@
     return;
   }
   it->second.linked = false;
+  RefreshCandidate(state, it->second);
   Log(state, LogLevel::kInfo, "agent_link_down", {{"agent", name.value}});
   OnAgentUnlinked(state, it->second);
 }
@@ -39,8 +41,10 @@
   Agent& agent = state.agents[hello.agent.name];
   const bool new_life = agent.ref != hello.agent;
   if (new_life) {
+    const std::optional<std::size_t> routing_row = agent.routing_row;
     agent = Agent{};
     agent.ref = hello.agent;
+    agent.routing_row = routing_row;
   } else if (agent.linked && agent.link != link) {
     // The agent redialled before the loss of its old link was noticed.
     Close(state, agent.link, "replaced");
@@ -54,6 +58,7 @@
   agent.config_revision = hello.config_revision;
   agent.config_sent = 0;
   state.links[link].agent = hello.agent.name;
+  RefreshCandidate(state, agent);
   Log(state, LogLevel::kInfo, "agent_link_up",
       {{"agent", hello.agent.name.value}});
   OnAgentLinked(state, agent, new_life);
@@ -102,19 +107,16 @@
   if (agent == nullptr) {
     return;
   }
-  const bool new_attempts = report.has_attempts;
-  std::vector<RunningAttempt> attempts;
-  if (!new_attempts) {
-    attempts = std::move(agent->report.attempts);
-  }
+  std::vector<RunningAttempt> attempts = std::move(agent->report.attempts);
   agent->report = report;
-  if (!new_attempts) {
+  if (!report.has_attempts) {
     agent->report.attempts = std::move(attempts);
   }
   agent->reported = true;
   agent->clock = {report.now, state.now};
   agent->in_flight = 0;
   agent->config_revision = report.config_revision;
+  RefreshCandidate(state, *agent);
 }
 
 Agent* AgentOfLink(State& state, LinkId link) {
@@ -170,6 +172,7 @@
 
 void PushConfig(State& state) {
   const Targets& targets = stream::Current(state.config);
+  state.config_pushed = targets.revision;
   for (auto& [name, agent] : state.agents) {
     const bool lacks = agent.linked && agent.config_revision < targets.revision;
     const bool sent = agent.config_sent == targets.revision &&
--- a/packages/entry/src/live.cc
+++ b/packages/entry/src/live.cc
@@ -54,8 +54,9 @@
   return &it->target;
 }
 
-// Refuses work that this entry cannot take on; nothing has been sent.
-bool Admit(State& state, CallId call) {
+// Refuses work that this entry cannot take on. `code` is what the refusal
+// proves: an id that the caller minted may have been sent by another entry.
+bool Admit(State& state, CallId call, api::ErrorCode code) {
   const char* reason = nullptr;
   if (state.shutting_down) {
     reason = "shutting_down";
@@ -63,7 +64,7 @@
     reason = "entry_full";
   }
   if (reason != nullptr) {
-    ReplyError(state, call, api::ErrorCode::kNotRun, reason,
+    ReplyError(state, call, code, reason,
                "the entry takes no more requests; try another one");
   }
   return reason == nullptr;
@@ -94,7 +95,7 @@
   request.sent = true;
   request.sent_on = agent.link;
   request.sent_at = state.now;
-  ++agent.in_flight;
+  NoteSent(state, agent);
   Count(state, "shallotlug_entry_live_sent_total");
 }
 
@@ -214,6 +215,10 @@
   return fits ? request : nullptr;
 }
 
+void NoteLiveResult(State& state, const AgentName& agent, bool success) {
+  decision::RecordOutcome(state.health, agent, {}, success, state.now);
+}
+
 void OnDamagedAnswer(State& state, LiveRequest& request) {
   Count(state, "shallotlug_entry_damaged_answers_total");
   if (++request.bad_answers >= kMaxBadAnswers) {
@@ -235,9 +240,11 @@
   const RequestId id = request.id;
   switch (outcome.result) {
     case RequestResult::kAnswered:
+      NoteLiveResult(state, id.agent.name, true);
       FinishAnswered(state, id, outcome.answer);
       break;
     case RequestResult::kFailed:
+      NoteLiveResult(state, id.agent.name, false);
       FinishError(state, id, api::ErrorCode::kFailed,
                   outcome.reason.empty() ? "failed" : outcome.reason,
                   "the backend server ran the request and reported a failure");
@@ -276,7 +283,7 @@
 void OnMint(State& state, CallId call, const api::MintCall& mint) {
   const ClassTarget* target =
       FindLiveClass(state, call, mint.customer, mint.request_class);
-  if (target == nullptr || !Admit(state, call)) {
+  if (target == nullptr || !Admit(state, call, api::ErrorCode::kNotRun)) {
     return;
   }
   const Agent* agent = PickAgent(state, target->accelerators, {});
@@ -301,7 +308,7 @@
     Join(state, call, *request, send);
     return;
   }
-  if (!Admit(state, call)) {
+  if (!Admit(state, call, api::ErrorCode::kOutcomeUnknown)) {
     return;
   }
   Agent* agent = FindLinked(state, send.id.agent);
@@ -320,7 +327,7 @@
 void OnOneShot(State& state, CallId call, const api::OneShotCall& one_shot) {
   const ClassTarget* target =
       FindLiveClass(state, call, one_shot.customer, one_shot.request_class);
-  if (target == nullptr || !Admit(state, call)) {
+  if (target == nullptr || !Admit(state, call, api::ErrorCode::kNotRun)) {
     return;
   }
   Agent* agent = PickAgent(state, target->accelerators, {});
--- a/packages/entry/src/routing.cc
+++ b/packages/entry/src/routing.cc
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 
-#include "random.h"
-
 namespace shallotlug::entry {
 namespace {
 
+// Picks that hit a worker with too few accelerators are repeated.
+constexpr int kMaxPicks = 8;
+
 int LiveCapacity(const AgentReport& report) {
   return static_cast<int>(
       std::count_if(report.accelerators.begin(), report.accelerators.end(),
@@ -17,49 +18,84 @@
 }
 
 decision::LiveCandidate MakeCandidate(const State& state, const Agent& agent) {
+  const decision::HealthState health =
+      decision::StateOf(state.health, agent.ref.name);
   decision::LiveCandidate candidate;
-  const bool heard =
-      state.now - agent.last_heard < state.options.link_silence_limit;
-  candidate.usable = agent.linked && agent.reported && heard &&
-                     !agent.report.leaving && agent.report.backend_reachable;
+  candidate.usable = agent.linked && agent.reported && !agent.report.leaving &&
+                     agent.report.backend_reachable &&
+                     health != decision::HealthState::kQuarantined;
+  candidate.probing = health == decision::HealthState::kProbing;
   candidate.live_capacity = LiveCapacity(agent.report);
   candidate.in_flight = agent.in_flight;
   candidate.expected_wait = agent.report.expected_wait;
   return candidate;
 }
 
-// Stands in for decision::RouteLive until that package has its bodies.
-std::optional<std::size_t> Route(
-    const std::vector<decision::LiveCandidate>& candidates,
-    std::uint64_t& random) {
-  std::vector<std::size_t> usable;
-  for (std::size_t n = 0; n < candidates.size(); ++n) {
-    if (candidates[n].usable) {
-      usable.push_back(n);
+// Makes rows unusable for one pick.
+class Exclusions {
+ public:
+  explicit Exclusions(State& state) : state_(state) {}
+  ~Exclusions() {
+    for (const std::size_t row : rows_) {
+      state_.candidates[row].usable = true;
     }
   }
-  if (usable.empty()) {
-    return std::nullopt;
+  Exclusions(const Exclusions&) = delete;
+  Exclusions& operator=(const Exclusions&) = delete;
+
+  void Add(std::size_t row) {
+    if (state_.candidates[row].usable) {
+      state_.candidates[row].usable = false;
+      rows_.push_back(row);
+    }
   }
-  return usable[NextRandom(random) % usable.size()];
-}
+
+ private:
+  State& state_;
+  std::vector<std::size_t> rows_;
+};
 
 }  // namespace
 
+void RefreshCandidate(State& state, Agent& agent) {
+  if (!agent.routing_row) {
+    agent.routing_row = state.candidates.size();
+    state.candidates.emplace_back();
+    state.candidate_agents.push_back(agent.ref.name);
+  }
+  state.candidates[*agent.routing_row] = MakeCandidate(state, agent);
+}
+
+void NoteSent(State& state, Agent& agent) {
+  ++agent.in_flight;
+  if (agent.routing_row) {
+    state.candidates[*agent.routing_row].in_flight = agent.in_flight;
+  }
+}
+
 Agent* PickAgent(State& state,
                  int accelerators,
                  const std::vector<AgentName>& excluded) {
-  std::vector<decision::LiveCandidate> candidates;
-  std::vector<Agent*> rows;
-  for (auto& [name, agent] : state.agents) {
-    if (std::find(excluded.begin(), excluded.end(), name) == excluded.end() &&
-        agent.inventory.accelerators >= accelerators) {
-      candidates.push_back(MakeCandidate(state, agent));
-      rows.push_back(&agent);
+  Exclusions exclusions(state);
+  for (const AgentName& it : excluded) {
+    const auto agent = state.agents.find(it);
+    if (agent != state.agents.end() && agent->second.routing_row) {
+      exclusions.Add(*agent->second.routing_row);
+    }
+  }
+  for (int n = 0; n < kMaxPicks; ++n) {
+    const std::optional<std::size_t> row =
+        decision::RouteLive(state.candidates, accelerators, state.random);
+    if (!row) {
+      return nullptr;
+    }
+    Agent& agent = state.agents.at(state.candidate_agents[*row]);
+    if (agent.inventory.accelerators >= accelerators) {
+      return &agent;
     }
+    exclusions.Add(*row);
   }
-  const std::optional<std::size_t> n = Route(candidates, state.random);
-  return n ? rows[*n] : nullptr;
+  return nullptr;
 }
 
 }  // namespace shallotlug::entry
--- a/packages/entry/src/routing.h
+++ b/packages/entry/src/routing.h
@@ -7,6 +7,12 @@
 
 namespace shallotlug::entry {
 
+/// @brief Brings the routing table up to date with an agent's row.
+void RefreshCandidate(State& state, Agent& agent);
+
+/// @brief Counts a request sent to an agent until its next report.
+void NoteSent(State& state, Agent& agent);
+
 /// @brief Picks an agent for a live request, or null when none is usable.
 Agent* PickAgent(State& state,
                  int accelerators,
--- a/packages/entry/src/state.h
+++ b/packages/entry/src/state.h
@@ -4,11 +4,13 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "shallotlug/decision/live_route.h"
+#include "shallotlug/decision/worker_health.h"
 #include "shallotlug/entry/entry.h"
 #include "shallotlug/stream/append_queue.h"
 #include "shallotlug/stream/config_fold.h"
@@ -28,7 +30,8 @@
   bool reported = false;  ///< `report` is from this life.
   AgentReport report;
   TimePoint last_heard{};
-  int in_flight = 0;                  ///< Live requests since the last report.
+  int in_flight = 0;  ///< Live requests since the last report.
+  std::optional<std::size_t> routing_row;
   std::uint64_t config_revision = 0;  ///< Last reported.
   std::uint64_t config_sent = 0;      ///< Last pushed on this link.
   TimePoint config_sent_at{};
@@ -105,6 +108,12 @@
   std::map<LinkId, Link> links;
   std::map<AgentName, Agent> agents;
   TimePoint next_heartbeat{};
+  TimePoint next_housekeeping{};
+  /// Routing table; `candidate_agents` names the agent of each row.
+  std::vector<decision::LiveCandidate> candidates;
+  std::vector<AgentName> candidate_agents;
+  decision::HealthTable health;
+  std::uint64_t config_pushed = 0;  ///< Revision of the last push round.
 
   std::map<RequestId, LiveRequest> requests;
   std::unordered_map<CallId, RequestId> request_of_call;
--- a/packages/entry/src/step.cc
+++ b/packages/entry/src/step.cc
@@ -12,6 +12,8 @@
 namespace shallotlug::entry {
 namespace {
 
+constexpr Millis kHousekeepingInterval{50};
+
 void Handle(State& state, LinkId link, const AgentHello& message) {
   OnAgentHello(state, link, message);
 }
@@ -113,6 +115,22 @@
   }
 }
 
+// Work over whole tables, which is not repeated for every input.
+void KeepHouse(State& state) {
+  const bool due = state.now >= state.next_housekeeping;
+  const bool newer =
+      stream::Current(state.config).revision != state.config_pushed;
+  if (due || newer) {
+    PushConfig(state);
+  }
+  if (!due) {
+    return;
+  }
+  state.next_housekeeping = state.now + kHousekeepingInterval;
+  CloseSilentLinks(state);
+  decision::UpdateHealth(state.health, state.now);
+}
+
 }  // namespace
 
 Outbox Step(State& state, const Inbox& inbox, TimePoint now) {
@@ -124,10 +142,9 @@
   }
   TakeLog(state, inbox);
   TakeCalls(state, inbox);
-  CloseSilentLinks(state);
+  KeepHouse(state);
   HandleRequestTimers(state);
   DriveLog(state);
-  PushConfig(state);
   SendHeartbeats(state);
   state.last_step = now;
   return std::move(state.out);
