--- a/packages/entry/src/live.cc
+++ b/packages/entry/src/live.cc
@@ -17,6 +17,9 @@
 
 // Wait for the answer to a ResolveRequest; a round trip plus an agent's tick.
 constexpr Millis kResolveWait{1500};
+// A caller that gives no timeout waits this much longer than the target: a
+// late answer is worth more to it than an unknown outcome.
+constexpr Millis kDefaultGrace{2000};
 // A damaged answer is requested again this many times.
 constexpr int kMaxBadAnswers = 3;
 
@@ -54,8 +57,9 @@
   return &it->target;
 }
 
-// Refuses work that this entry cannot take on. `code` is what the refusal
-// proves: an id that the caller minted may have been sent by another entry.
+// Refuses work that this entry cannot take on; this call sends nothing. For an
+// id that a caller minted, `code` must not be kNotRun, because another entry
+// may have sent the id.
 bool Admit(State& state, CallId call, api::ErrorCode code) {
   const char* reason = nullptr;
   if (state.shutting_down) {
@@ -81,7 +85,8 @@
   request.target = target.finish_within;
   request.accepted = state.now;
   request.deadline =
-      state.now + (timeout > Millis(0) ? timeout : target.finish_within);
+      state.now +
+      (timeout > Millis(0) ? timeout : target.finish_within + kDefaultGrace);
   request.callers = {call};
   return request;
 }
@@ -308,7 +313,7 @@
     Join(state, call, *request, send);
     return;
   }
-  if (!Admit(state, call, api::ErrorCode::kOutcomeUnknown)) {
+  if (!Admit(state, call, api::ErrorCode::kNotAccepted)) {
     return;
   }
   Agent* agent = FindLinked(state, send.id.agent);
