--- a/packages/entry/src/live.cc
+++ b/packages/entry/src/live.cc
@@ -100,7 +100,7 @@
   request.sent = true;
   request.sent_on = agent.link;
   request.sent_at = state.now;
-  ++agent.in_flight;
+  NoteSent(state, agent);
   Count(state, "shallotlug_entry_live_sent_total");
 }
 
@@ -220,6 +220,10 @@
   return fits ? request : nullptr;
 }
 
+void NoteLiveResult(State& state, const AgentName& agent, bool success) {
+  decision::RecordOutcome(state.health, agent, {}, success, state.now);
+}
+
 void OnDamagedAnswer(State& state, LiveRequest& request) {
   Count(state, "shallotlug_entry_damaged_answers_total");
   if (++request.bad_answers >= kMaxBadAnswers) {
@@ -241,9 +245,11 @@
   const RequestId id = request.id;
   switch (outcome.result) {
     case RequestResult::kAnswered:
+      NoteLiveResult(state, id.agent.name, true);
       FinishAnswered(state, id, outcome.answer);
       break;
     case RequestResult::kFailed:
+      NoteLiveResult(state, id.agent.name, false);
       FinishError(state, id, api::ErrorCode::kFailed,
                   outcome.reason.empty() ? "failed" : outcome.reason,
                   "the backend server ran the request and reported a failure");
