Coordinate gangs and hold accelerators for them

Cause: long jobs need several workers at once, and no member may compute while another has given up its accelerators.

Change: coordinator (sequential reservation, rounds of run_until, stop of the whole gang, repeated final updates) and member (promises, permission to compute, checkpoints), configuration, leaving and pause detection. A stop has two steps: a renewal without run_until, or Release with checkpoint, ends the computing; the accelerators are released only when no member computes.

--- a/packages/agent/src/backend_tasks.cc
+++ b/packages/agent/src/backend_tasks.cc
@@ -5,6 +5,7 @@
 
 #include "live_requests.h"
 #include "log.h"
+#include "member_tasks.h"
 
 namespace shallotlug::agent {
 namespace {
@@ -46,6 +47,8 @@
   CountEnd(state, event);
   if (const auto* id = std::get_if<RequestId>(&owner)) {
     OnRequestTaskEnd(state, *id, event, now, out);
+  } else if (const auto* member = std::get_if<MemberTask>(&owner)) {
+    OnMemberTaskEnd(state, *member, event, now, out);
   }
 }
 
@@ -118,6 +121,22 @@
   }
 }
 
+// The time until which a task may run as of now, on this agent's clock. A task
+// that nobody waits for, or that is to stop, gets no further lease.
+TimePoint LeaseLimit(const State& state, const Task& task, TimePoint now) {
+  const TimePoint longest = now + state.options.worker_lease;
+  if (task.live) {
+    return task.stopping ? now : longest;
+  }
+  const auto* owner = std::get_if<MemberTask>(&task.owner);
+  const auto it = owner == nullptr ? state.gangs.members.end()
+                                   : state.gangs.members.find(owner->attempt);
+  if (it == state.gangs.members.end()) {
+    return now;
+  }
+  return std::min(longest, ComputeLimit(state, it->second));
+}
+
 }  // namespace
 
 TaskId StartNewTask(State& state,
@@ -130,6 +149,7 @@
   task.owner = std::move(start.owner);
   task.live = start.live;
   task.accelerators = start.accelerators;
+  task.throttleable = start.throttleable;
   task.lease_until = lease;
   state.backend.tasks[id] = std::move(task);
   out.backend_commands.push_back(StartTask{
@@ -157,10 +177,6 @@
   out.backend_commands.push_back(ControlTask{task, action});
 }
 
-TimePoint LeaseFor(const State& state, const Task&, TimePoint now) {
-  return now + state.options.worker_lease;
-}
-
 void OnBackendReport(State& state,
                      const BackendReport& report,
                      TimePoint now,
@@ -200,7 +216,7 @@
   backend.next_renewal = now + state.options.renew_interval;
   for (auto& [id, task] : backend.tasks) {
     const PeerTime until =
-        ToPeerTime(backend.clock, LeaseFor(state, task, now));
+        ToPeerTime(backend.clock, LeaseLimit(state, task, now));
     if (task.reported && until > task.lease_until) {
       task.lease_until = until;
       out.backend_commands.push_back(RenewLease{id, until});
--- a/packages/agent/src/backend_tasks.h
+++ b/packages/agent/src/backend_tasks.h
@@ -13,6 +13,7 @@
   TaskOwner owner;
   bool live = false;
   AcceleratorMask accelerators = 0;
+  bool throttleable = false;
   Millis declared_run_time{};
   std::string body;
   std::string checkpoint;
@@ -31,9 +32,6 @@
                      TaskAction action,
                      Outbox& out);
 
-/// @brief The lease that a task may have now, on this agent's clock.
-TimePoint LeaseFor(const State& state, const Task& task, TimePoint now);
-
 void OnBackendReport(State& state,
                      const BackendReport& report,
                      TimePoint now,
--- a/packages/agent/src/links.cc
+++ b/packages/agent/src/links.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "gang_messages.h"
 #include "log.h"
 #include "reports.h"
 
@@ -18,6 +19,9 @@
 // Three announcements of an entry may be lost before it is no longer dialled.
 constexpr Millis kForgetEntryAfter{60'000};
 
+// Covers the last messages to a member; its link then closes as silent.
+constexpr Millis kForgetMemberAfter{1000};
+
 void Drop(State& state, LinkId link, const std::string& reason, Outbox& out) {
   const auto it = state.links.find(link);
   if (it == state.links.end()) {
@@ -86,13 +90,16 @@
   return false;
 }
 
-// Addresses are kept while no entry is linked: they may come back.
+// Addresses of entries are kept while no entry is linked: they may come back.
 void ForgetTargets(State& state, TimePoint now) {
   const bool connected = AnyEntryLink(state);
   std::erase_if(state.dial_targets, [&](const auto& item) {
     const DialTarget& target = item.second;
-    return connected && !target.seed && target.peer == PeerRole::kEntry &&
-           now - target.last_mentioned > kForgetEntryAfter;
+    const Millis unused = now - target.last_mentioned;
+    if (target.peer == PeerRole::kAgent) {
+      return unused > kForgetMemberAfter;
+    }
+    return connected && !target.seed && unused > kForgetEntryAfter;
   });
 }
 
@@ -117,6 +124,7 @@
     SendHello(state, event.link, now, out);
   } else {
     SendOn(state, event.link, PeerHello{state.options.self}, out);
+    OnMemberLinkUp(state, event.dialled, now);
   }
 }
 
--- a/packages/agent/src/live_queue.cc
+++ b/packages/agent/src/live_queue.cc
@@ -9,6 +9,7 @@
 #include "backend_tasks.h"
 #include "known_requests.h"
 #include "throttling.h"
+#include "worker_fault.h"
 
 namespace shallotlug::agent {
 namespace {
@@ -34,17 +35,6 @@
   return static_cast<std::size_t>(std::distance(state.live.queue.begin(), end));
 }
 
-// Why no live request may start now, whatever it is; empty when one may.
-std::string WorkerFault(const State& state) {
-  if (!state.backend.heard) {
-    return "starting";
-  }
-  if (Leaving(state) && state.options.guards.refuse_when_leaving) {
-    return "leaving";
-  }
-  return state.backend.reachable ? "" : "backend_unreachable";
-}
-
 bool TooLate(const State& state, const LiveRequest& request, TimePoint now) {
   return state.options.guards.check_start_before &&
          (now > request.start_before || now >= request.finish_before);
@@ -76,7 +66,7 @@
 std::string QueueFault(const State& state,
                        const LiveRequest& request,
                        TimePoint now) {
-  if (Leaving(state) && state.options.guards.refuse_when_leaving) {
+  if (RefusesAsLeaving(state)) {
     return "leaving";
   }
   return TooLate(state, request, now) ? "too_late" : "";
--- a/packages/agent/src/reports.cc
+++ b/packages/agent/src/reports.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "accelerators.h"
+#include "job_updates.h"
 #include "links.h"
 #include "live_queue.h"
 
@@ -33,6 +34,72 @@
   return report;
 }
 
+RunningAttempt Describe(const State& state,
+                        const Attempt& attempt,
+                        const Job& job) {
+  RunningAttempt it;
+  it.attempt = attempt;
+  it.coordinator = true;
+  it.phase = PhaseOf(job);
+  it.spec = job.spec;
+  it.progress = 1;
+  for (const JobMember& member : job.members) {
+    it.members.push_back(member.spec);
+    it.progress = std::min(it.progress, member.progress);
+  }
+  const auto own = state.gangs.members.find(attempt);
+  it.accelerators =
+      own == state.gangs.members.end() ? 0 : own->second.accelerators;
+  return it;
+}
+
+RunningAttempt Describe(const Attempt& attempt, const Member& member) {
+  const bool reserving = member.phase == MemberPhase::kGranted ||
+                         member.phase == MemberPhase::kReady;
+  RunningAttempt it;
+  it.attempt = attempt;
+  it.phase = reserving ? JobPhase::kReserving : JobPhase::kRunning;
+  it.accelerators = member.accelerators;
+  return it;
+}
+
+std::vector<RunningAttempt> DescribeAttempts(const State& state) {
+  std::vector<RunningAttempt> attempts;
+  for (const auto& [attempt, job] : state.gangs.jobs) {
+    attempts.push_back(Describe(state, attempt, job));
+  }
+  for (const auto& [attempt, member] : state.gangs.members) {
+    if (!state.gangs.jobs.contains(attempt)) {
+      attempts.push_back(Describe(attempt, member));
+    }
+  }
+  return attempts;
+}
+
+std::vector<ListedAttempt> ListAttempts(const State& state) {
+  std::vector<ListedAttempt> listed;
+  for (const auto& [attempt, job] : state.gangs.jobs) {
+    listed.push_back({attempt, PhaseOf(job), 0});
+  }
+  for (const auto& [attempt, member] : state.gangs.members) {
+    listed.push_back(
+        {attempt, Describe(attempt, member).phase, member.accelerators});
+  }
+  return listed;
+}
+
+// Marks the list of attempts as due on all links when it has changed.
+void NoteAttempts(State& state) {
+  std::vector<ListedAttempt> listed = ListAttempts(state);
+  if (listed == state.reporting.listed) {
+    return;
+  }
+  state.reporting.listed = std::move(listed);
+  for (auto& [id, link] : state.links) {
+    link.attempts_due = true;
+  }
+}
+
 void SendReport(State& state,
                 LinkId id,
                 Link& link,
@@ -40,6 +107,9 @@
                 Outbox& out) {
   AgentReport report = MakeReport(state, now);
   report.has_attempts = link.attempts_due;
+  if (link.attempts_due) {
+    report.attempts = DescribeAttempts(state);
+  }
   link.attempts_due = false;
   out.sends.push_back({id, std::move(report)});
 }
@@ -68,6 +138,7 @@
 }
 
 void SendDueReports(State& state, TimePoint now, Outbox& out) {
+  NoteAttempts(state);
   StartableView view = ViewOf(state);
   if (!ReportDue(state, view, now)) {
     return;
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -200,7 +200,7 @@
   /// Acknowledged attempts, and whether each was ever started.
   std::map<Attempt, bool> acknowledged;
   std::deque<Message> local;  ///< From this agent to itself.
-  bool leaving_handled = false;
+  bool leaving_announced = false;
 };
 
 /// @brief An attempt as the last report listed it.
@@ -234,6 +234,7 @@
   Options options;
   TimePoint last_step{};
   bool shutdown = false;
+  std::optional<TimePoint> drained_since;  ///< During a shutdown.
   CounterTable counters;
   std::map<LinkId, Link> links;
   std::map<std::string, DialTarget> dial_targets;
--- a/packages/agent/src/step.cc
+++ b/packages/agent/src/step.cc
@@ -1,8 +1,18 @@
+#include "attempts.h"
 #include "backend_tasks.h"
+#include "config.h"
+#include "gang_messages.h"
+#include "job_rounds.h"
+#include "job_stop.h"
+#include "job_updates.h"
+#include "jobs.h"
 #include "known_requests.h"
+#include "leaving.h"
 #include "links.h"
 #include "live_queue.h"
 #include "live_requests.h"
+#include "member.h"
+#include "pause.h"
 #include "reports.h"
 #include "state.h"
 #include "throttling.h"
@@ -20,9 +30,11 @@
   void operator()(const EntryHello& message) const {
     LearnEntries(state, message.known_entries, now);
     OnEntryIdentity(state, link, message.entry, now, out);
+    OnEntryRevision(state, link, message.config_revision, out);
   }
   void operator()(const EntryHeartbeat& message) const {
     LearnEntries(state, message.known_entries, now);
+    OnEntryRevision(state, link, message.config_revision, out);
   }
   void operator()(const StartRequest& message) const {
     OnStartRequest(state, link, message, now, out);
@@ -30,6 +42,32 @@
   void operator()(const ResolveRequest& message) const {
     OnResolveRequest(state, link, message, now, out);
   }
+  void operator()(const ConfigUpdate& message) const {
+    OnConfigUpdate(state, message, out);
+  }
+  void operator()(const ProposeJob& message) const {
+    OnProposeJob(state, message, now, out);
+  }
+  void operator()(const StopJob& message) const {
+    HearOfAttempt(state, message.attempt, now, out);
+    StopAttempt(state, message.attempt, message.reason, now, out);
+  }
+  void operator()(const JobUpdateAck& message) const {
+    OnJobUpdateAck(state, message);
+  }
+  void operator()(const PeerHello&) const {}
+  void operator()(const Reserve& message) const {
+    OnReserve(state, link, message, now, out);
+  }
+  void operator()(const Renew& message) const {
+    OnRenew(state, link, message, now, out);
+  }
+  void operator()(const Release& message) const {
+    OnRelease(state, link, message, now, out);
+  }
+  void operator()(const MemberStatus& message) const {
+    OnMemberStatus(state, message, now);
+  }
   template <class Other>
   void operator()(const Other&) const {
     state.counters.AddTo("shallotlug_agent_unexpected_messages_total");
@@ -50,6 +88,25 @@
   }
 }
 
+void DeliverLocal(State& state, TimePoint now, Outbox& out) {
+  while (!state.gangs.local.empty()) {
+    const Message message = std::move(state.gangs.local.front());
+    state.gangs.local.pop_front();
+    std::visit(MessageHandler{state, kLocalLink, now, out}, message);
+  }
+}
+
+// Coordinators and members of this agent answer each other within one step.
+// Each pass moves an attempt on by at least one stage, so that the number of
+// passes is bounded.
+void RunGangs(State& state, TimePoint now, Outbox& out) {
+  do {
+    DeliverLocal(state, now, out);
+    AdvanceMembers(state, now, out);
+    AdvanceJobs(state, now, out);
+  } while (!state.gangs.local.empty());
+}
+
 void HandleBackend(State& state,
                    const Inbox& inbox,
                    TimePoint now,
@@ -79,15 +136,22 @@
 Outbox Step(State& state, const Inbox& inbox, TimePoint now) {
   Outbox out;
   state.shutdown |= inbox.shutdown_requested;
+  CheckPause(state, now, out);
   HandleBackend(state, inbox, now, out);
   HandleLinks(state, inbox, now, out);
+  AnnounceLeaving(state, now, out);
+  ExpireLeases(state, now, out);
+  RunGangs(state, now, out);
   ForgetExpired(state, now, out);
   StartQueuedRequests(state, now, out);
   ResumeThrottledTasks(state, out);
   RenewLeases(state, now, out);
+  SendDueJobUpdates(state, now, out);
+  WantMemberLinks(state, now);
   CloseSilentLinks(state, now, out);
   DialDueTargets(state, now, out);
   SendDueReports(state, now, out);
+  out.may_exit = MayExit(state, now);
   state.last_step = now;
   return out;
 }
