Test gangs under loss, silence, pauses and stops

Cause: the coordinator and the members had no test.

Change: a fake cluster of agents with backend servers that honour leases, and an invariant checked after every tick: no member computes while another has given up its accelerators, and no accelerator computes for two tasks.

--- /dev/null
+++ b/packages/agent/src/gang_test.cc
@@ -0,0 +1,302 @@
+#include "test_gangs.h"
+
+namespace shallotlug::agent {
+namespace {
+
+// Guards against a gang that does not start on all members, whose result is
+// incomplete, or that keeps accelerators after its end.
+TEST_F(GangTest, RunsToItsResult) {
+  StartGang();
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kRunning);
+  cluster_.Run(Millis{20'000});
+  EXPECT_EQ(RunningTasks(), 3U);
+  backend(0).EndAll(TaskEventKind::kFinished, "x");
+  backend(1).EndAll(TaskEventKind::kFinished, "yy");
+  cluster_.Run(Millis{10'000});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kRunning);
+  backend(2).EndAll(TaskEventKind::kFinished, "");
+  cluster_.Run(Millis{500});
+  const JobUpdate update = LastUpdate(0);
+  EXPECT_EQ(update.phase, JobPhase::kFinished);
+  EXPECT_EQ(update.result, "1:x,2:yy,0:,");
+  EXPECT_TRUE(AllFree());
+}
+
+// Guards against a final outcome that is lost with one message, and against
+// one that is repeated forever.
+TEST_F(GangTest, RepeatsTheOutcomeUntilItIsAcknowledged) {
+  StartGang({0});
+  backend(0).EndAll(TaskEventKind::kFinished, "answer");
+  cluster_.Run(Millis{500});
+  EXPECT_EQ(LastUpdate(0).result, "answer");
+  cluster_.Run(Millis{1100});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kFinished);
+  cluster_.SendTo(0, JobUpdateAck{{JobId("j"), 1}});
+  cluster_.Run(Millis{3000});
+  EXPECT_TRUE(cluster_.Take<JobUpdate>(0).empty());
+  Propose(MakeProposal("j", 1, {0}));
+  cluster_.Run(Millis{3000});
+  EXPECT_EQ(backend(0).started.size(), 1U);
+}
+
+// Guards against a gang that stays half reserved or half running when any one
+// message of its start is lost.
+TEST_F(GangTest, AnyOneMessageOfTheStartMayBeLost) {
+  for (int lost = 0; lost < 40; ++lost) {
+    cluster_ = TestCluster(3);
+    members_.clear();
+    int n = 0;
+    cluster_.drop = [&n, lost](std::size_t, std::size_t, const Message&) {
+      return n++ == lost;
+    };
+    cluster_.after_tick = [this] { CheckInvariants(); };
+    cluster_.Start();
+    Propose(MakeProposal("j", 1, {0, 1, 2}));
+    cluster_.Run(Millis{4000});
+    ASSERT_EQ(RunningTasks(), 3U) << "message " << lost;
+    for (std::size_t i = 0; i < 3; ++i) {
+      ASSERT_EQ(backend(i).started.size(), 1U) << "message " << lost;
+    }
+  }
+}
+
+// Guards against members that compute on without one that fell silent, against
+// an outcome before their permission has ended, and against a late result.
+TEST_F(GangTest, SilentMemberEndsTheAttemptAfterRunUntil) {
+  StartGang();
+  cluster_.drop = [](std::size_t from, std::size_t to, const Message&) {
+    return from == 2 || to == 2;
+  };
+  const TimePoint silent = cluster_.now;
+  JobUpdate update;
+  while (update.phase != JobPhase::kLost &&
+         cluster_.now < silent + Millis{20'000}) {
+    cluster_.Tick();
+    update = LastUpdate(0);
+  }
+  EXPECT_EQ(update.phase, JobPhase::kLost);
+  EXPECT_EQ(update.reason, "silent at a2");
+  EXPECT_EQ(RunningTasks(), 0U);
+  EXPECT_LE(cluster_.now, silent + Millis{8000});
+  cluster_.drop = nullptr;
+  cluster_.Run(Millis{8000});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kLost);
+  EXPECT_TRUE(AllFree());
+}
+
+// Guards against a deadlock or a double grant between gangs that reserve the
+// same workers at the same time.
+TEST_F(GangTest, OfTwoGangsThatReserveAtOnceOneStarts) {
+  cluster_.Start();
+  Propose(MakeProposal("j", 1, {0, 1, 2}));
+  Propose(MakeProposal("k", 1, {1, 2}));
+  cluster_.Run(Millis{3000});
+  const JobUpdate j = LastUpdate(0, "j");
+  const JobUpdate k = LastUpdate(1, "k");
+  const bool first = j.phase == JobPhase::kRunning;
+  EXPECT_EQ((first ? j : k).phase, JobPhase::kRunning);
+  EXPECT_EQ((first ? k : j).phase, JobPhase::kNotStarted);
+  EXPECT_EQ((first ? k : j).reason.substr(0, 8), "occupied");
+  EXPECT_EQ(RunningTasks(), first ? 3U : 2U);
+}
+
+// Guards against a member that computes on after a pause longer than its
+// lease, and against its result.
+TEST_F(GangTest, MemberPausedPastItsLease) {
+  StartGang();
+  cluster_.nodes[1].paused = true;
+  cluster_.Run(Millis{9000});
+  EXPECT_EQ(RunningTasks(), 0U);
+  cluster_.nodes[1].paused = false;
+  cluster_.Tick();
+  EXPECT_TRUE(state(1).gangs.members.empty());
+  EXPECT_EQ(state(1).counters.Sum("shallotlug_agent_pauses_total"), 1);
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kLost);
+}
+
+// Guards against members that run on without their coordinator, and against a
+// coordinator that continues an attempt after its pause.
+TEST_F(GangTest, CoordinatorPausedPastItsLease) {
+  StartGang();
+  cluster_.nodes[0].paused = true;
+  cluster_.Run(Millis{9000});
+  EXPECT_EQ(RunningTasks(), 0U);
+  cluster_.nodes[0].paused = false;
+  cluster_.Run(Millis{200});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kLost);
+  cluster_.Run(Millis{8000});
+  EXPECT_TRUE(AllFree());
+}
+
+// Guards against the loss of an attempt with a link that can be replaced.
+TEST_F(GangTest, RedialsALostLinkWithinTheAttempt) {
+  StartGang();
+  for (int i = 0; i < 5; ++i) {
+    cluster_.BreakLinks(0);
+    cluster_.Run(Millis{2000});
+  }
+  EXPECT_EQ(RunningTasks(), 3U);
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kRunning);
+}
+
+// Guards against a part of a gang that runs on after a task has failed.
+TEST_F(GangTest, FailureStopsTheWholeGang) {
+  StartGang();
+  backend(2).EndAll(TaskEventKind::kFailed);
+  cluster_.Run(Millis{1000});
+  const JobUpdate update = LastUpdate(0);
+  EXPECT_EQ(update.phase, JobPhase::kFailed);
+  ASSERT_EQ(update.failed_at.size(), 1U);
+  EXPECT_EQ(update.failed_at[0].value, "a2");
+  EXPECT_TRUE(AllFree());
+}
+
+// Guards against an incomplete answer of one member in the result of a gang.
+TEST_F(GangTest, IncompleteAnswerFailsTheAttempt) {
+  StartGang({0});
+  backend(0).EndAll(TaskEventKind::kFinished, "answer");
+  backend(0).events.back().answer_length = 7;
+  cluster_.Run(Millis{500});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kFailed);
+}
+
+// Guards against preemption of a part of a gang, and against a checkpoint that
+// does not reach the task it came from.
+TEST_F(GangTest, PreemptionCheckpointsTheWholeGang) {
+  StartGang();
+  cluster_.SendTo(0, StopJob{{JobId("j"), 1}, StopReason::kPreempted});
+  cluster_.Run(Millis{1000});
+  const JobUpdate update = LastUpdate(0);
+  EXPECT_EQ(update.phase, JobPhase::kCheckpointed);
+  EXPECT_EQ(update.checkpoint, "5:saved,5:saved,5:saved,");
+  EXPECT_TRUE(AllFree());
+  ProposeJob next = MakeProposal("j", 2, {0, 1, 2});
+  next.checkpoint = update.checkpoint;
+  Propose(next);
+  cluster_.Run(Millis{2000});
+  ASSERT_EQ(backend(1).started.size(), 2U);
+  EXPECT_EQ(backend(1).started[1].checkpoint, "saved");
+}
+
+// Guards against a job that loses its progress, or is called finished, when it
+// is preempted but cannot checkpoint.
+TEST_F(GangTest, PreemptionWithoutCheckpointsKeepsTheOldState) {
+  cluster_.Start();
+  ProposeJob proposal = MakeProposal("j", 1, {0, 1});
+  proposal.spec.checkpointable = false;
+  proposal.checkpoint = "1:a,1:b,";
+  Propose(proposal);
+  cluster_.Run(Millis{1000});
+  cluster_.SendTo(0, StopJob{proposal.attempt, StopReason::kPreempted});
+  cluster_.Run(Millis{1000});
+  const JobUpdate update = LastUpdate(0);
+  EXPECT_EQ(update.phase, JobPhase::kCheckpointed);
+  EXPECT_EQ(update.checkpoint, "1:a,1:b,");
+  EXPECT_TRUE(AllFree());
+}
+
+// Guards against a start on accelerators that a victim still uses, and against
+// a wait that does not end when it has gone.
+TEST_F(GangTest, WaitsForItsVictims) {
+  StartGang({1, 2});
+  ProposeJob urgent = MakeProposal("k", 1, {0, 1});
+  urgent.victims = {{JobId("j"), 1}};
+  Propose(urgent);
+  cluster_.Run(Millis{3000});
+  EXPECT_EQ(RunningTasks(), 2U);
+  cluster_.SendTo(1, StopJob{{JobId("j"), 1}, StopReason::kPreempted});
+  cluster_.Run(Millis{1700});
+  EXPECT_EQ(LastUpdate(0, "k").phase, JobPhase::kRunning);
+  EXPECT_EQ(RunningTasks(), 2U);
+}
+
+// Guards against an attempt that starts after it was reported as not started.
+TEST_F(GangTest, NeverStartsAResolvedAttempt) {
+  cluster_.Start();
+  cluster_.SendTo(0, StopJob{{JobId("j"), 2}, StopReason::kSuperseded});
+  cluster_.Run(Millis{200});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kNotStarted);
+  for (const std::uint32_t number : {2U, 1U}) {
+    Propose(MakeProposal("j", number, {0, 1}));
+    cluster_.Run(Millis{2000});
+    EXPECT_EQ(LastUpdate(0).phase, JobPhase::kNotStarted);
+  }
+  EXPECT_EQ(RunningTasks(), 0U);
+}
+
+// Guards against two attempts of one job that run at once.
+TEST_F(GangTest, HigherAttemptSupersedesALowerOne) {
+  StartGang({0, 1});
+  Propose(MakeProposal("j", 2, {0, 2}));
+  cluster_.Run(Millis{3000});
+  bool lost = false;
+  for (const JobUpdate& update : cluster_.Take<JobUpdate>(0)) {
+    lost = lost ||
+           (update.attempt.number == 1 && update.phase == JobPhase::kLost &&
+            update.reason == "superseded");
+  }
+  EXPECT_TRUE(lost);
+  EXPECT_EQ(RunningTasks(), 2U);
+  EXPECT_TRUE(backend(1).running.empty());
+}
+
+// Guards against a cancelled gang that keeps running in part.
+TEST_F(GangTest, CancelStopsTheWholeGang) {
+  StartGang();
+  cluster_.SendTo(0, StopJob{{JobId("j"), 1}, StopReason::kCancelled});
+  cluster_.Run(Millis{1000});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kFailed);
+  EXPECT_TRUE(AllFree());
+}
+
+// Guards against releases that free one member while another that has not
+// heard of the stop still computes.
+TEST_F(GangTest, StopHoldsAcceleratorsUntilNoMemberComputes) {
+  StartGang();
+  cluster_.drop = [](std::size_t from, std::size_t to, const Message&) {
+    return from == 2 || to == 2;
+  };
+  cluster_.SendTo(0, StopJob{{JobId("j"), 1}, StopReason::kCancelled});
+  cluster_.Run(Millis{1000});
+  EXPECT_EQ(RunningTasks(), 1U);
+  EXPECT_EQ(state(1).gangs.members.size(), 1U);
+  cluster_.Run(Millis{8000});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kFailed);
+  EXPECT_TRUE(AllFree());
+}
+
+// Guards against a gang that runs on without a member whose backend server was
+// restarted or cannot be reached.
+TEST_F(GangTest, LossOfABackendServerStopsTheWholeGang) {
+  StartGang();
+  backend(1).Restart();
+  cluster_.Run(Millis{1000});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kLost);
+  EXPECT_TRUE(AllFree());
+  cluster_.SendTo(0, JobUpdateAck{{JobId("j"), 1}});
+  Propose(MakeProposal("j", 2, {0, 1, 2}));
+  cluster_.Run(Millis{2000});
+  ASSERT_EQ(RunningTasks(), 3U);
+  backend(1).reachable = false;
+  cluster_.Run(Millis{9000});
+  EXPECT_EQ(RunningTasks(), 0U);
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kLost);
+}
+
+// Guards against a gang that runs on without a member whose agent was
+// replaced.
+TEST_F(GangTest, ReplacedAgentEndsTheAttempt) {
+  StartGang();
+  members_.clear();
+  auto& node = cluster_.nodes[1];
+  cluster_.BreakLinks(1);
+  node.options.self.incarnation = Incarnation{999};
+  node.state = MakeState(node.options, cluster_.NodeNow(1));
+  cluster_.after_tick = [] {};
+  cluster_.Run(Millis{8000});
+  EXPECT_EQ(LastUpdate(0).phase, JobPhase::kLost);
+  EXPECT_TRUE(AllFree());
+}
+
+}  // namespace
+}  // namespace shallotlug::agent
--- /dev/null
+++ b/packages/agent/src/test_gangs.h
@@ -0,0 +1,138 @@
+#ifndef SHALLOTLUG_AGENT_SRC_TEST_GANGS_H_
+#define SHALLOTLUG_AGENT_SRC_TEST_GANGS_H_
+
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "log.h"
+#include "test_cluster.h"
+
+namespace shallotlug::agent {
+
+/// @brief Agents that run gangs. After every tick it checks that no member
+/// computes while another has given up its accelerators, and that no
+/// accelerator computes for two tasks.
+class GangTest : public ::testing::Test {
+ protected:
+  GangTest() : cluster_(3) {
+    cluster_.after_tick = [this] { CheckInvariants(); };
+  }
+
+  ProposeJob MakeProposal(const std::string& job,
+                          std::uint32_t number,
+                          const std::vector<std::size_t>& agents,
+                          AcceleratorMask mask = 0xFF) {
+    ProposeJob proposal;
+    proposal.attempt = {JobId(job), number};
+    proposal.spec.id = proposal.attempt.job;
+    proposal.spec.shape.tasks = static_cast<int>(agents.size());
+    proposal.spec.checkpointable = true;
+    proposal.spec.body = ToText(proposal.attempt);
+    for (const std::size_t i : agents) {
+      proposal.members.push_back(
+          {cluster_.nodes[i].options.self, TestCluster::Address(i), {mask}});
+    }
+    return proposal;
+  }
+
+  void Propose(const ProposeJob& proposal) {
+    const AgentName& name = proposal.members.front().agent.name;
+    cluster_.SendTo(static_cast<std::size_t>(name.value[1] - '0'), proposal);
+  }
+
+  FakeBackend& backend(std::size_t i) { return cluster_.nodes[i].backend; }
+  State& state(std::size_t i) { return *cluster_.nodes[i].state; }
+
+  std::size_t RunningTasks() const {
+    std::size_t n = 0;
+    for (const auto& node : cluster_.nodes) {
+      n += node.backend.running.size();
+    }
+    return n;
+  }
+
+  bool AllFree() {
+    for (std::size_t i = 0; i < cluster_.nodes.size(); ++i) {
+      if (!state(i).gangs.members.empty() || !state(i).backend.tasks.empty()) {
+        return false;
+      }
+    }
+    return RunningTasks() == 0;
+  }
+
+  /// @brief The last update of an attempt that a coordinator sent since the
+  /// last call; kReserving when there is none.
+  JobUpdate LastUpdate(std::size_t i, const std::string& job = "j") {
+    JobUpdate last;
+    for (const JobUpdate& update : cluster_.Take<JobUpdate>(i)) {
+      if (update.attempt.job.value == job) {
+        last = update;
+      }
+    }
+    return last;
+  }
+
+  void StartGang(const std::vector<std::size_t>& agents = {0, 1, 2}) {
+    cluster_.Start();
+    Propose(MakeProposal("j", 1, agents));
+    cluster_.Run(Millis{2000});
+    ASSERT_EQ(RunningTasks(), agents.size());
+  }
+
+  void CheckInvariants() {
+    for (std::size_t i = 0; i < cluster_.nodes.size(); ++i) {
+      NoteMembers(i);
+    }
+    for (std::size_t i = 0; i < cluster_.nodes.size(); ++i) {
+      CheckNode(i);
+    }
+  }
+
+  TestCluster cluster_;
+  std::map<std::string, std::set<std::size_t>> members_;
+
+ private:
+  void NoteMembers(std::size_t i) {
+    if (cluster_.nodes[i].dead) {
+      return;
+    }
+    for (const auto& [attempt, member] : state(i).gangs.members) {
+      members_[ToText(attempt)].insert(i);
+    }
+  }
+
+  void CheckNode(std::size_t i) {
+    AcceleratorMask used = 0;
+    for (const auto& [id, it] : backend(i).running) {
+      if (!it.throttled) {
+        EXPECT_EQ(used & it.start.accelerators, 0U) << "two holders";
+        used |= it.start.accelerators;
+      }
+      if (!it.start.live) {
+        CheckHeldEverywhere(it.start.body);
+      }
+    }
+  }
+
+  void CheckHeldEverywhere(const std::string& attempt) {
+    for (const std::size_t j : members_[attempt]) {
+      if (cluster_.nodes[j].dead) {
+        continue;
+      }
+      bool held = false;
+      for (const auto& [other, member] : state(j).gangs.members) {
+        held = held || ToText(other) == attempt;
+      }
+      EXPECT_TRUE(held) << attempt << " given up at a" << j << " at "
+                        << cluster_.now.time_since_epoch().count();
+    }
+  }
+};
+
+}  // namespace shallotlug::agent
+
+#endif  // SHALLOTLUG_AGENT_SRC_TEST_GANGS_H_
