--- a/packages/decision/include/shallotlug/decision/blocks.h
+++ b/packages/decision/include/shallotlug/decision/blocks.h
@@ -15,9 +15,9 @@
 
 /// @brief The smallest level whose block holds `accelerators`.
 constexpr int LevelFor(int accelerators) {
-  return accelerators <= 1
-             ? 0
-             : std::bit_width(static_cast<unsigned>(accelerators - 1));
+  return accelerators <= 1 ? 0
+                           : static_cast<int>(std::bit_width(
+                                 static_cast<unsigned>(accelerators - 1)));
 }
 
 constexpr int BlockSize(int level) {
--- a/packages/decision/include/shallotlug/decision/cluster.h
+++ b/packages/decision/include/shallotlug/decision/cluster.h
@@ -76,12 +76,16 @@
   const RunningJob* FindJob(const JobId& job) const;
   const WorkerInfo& Info(WorkerIndex worker) const;
   AcceleratorMask Free(WorkerIndex worker) const;
+  // NOLINTBEGIN(readability-identifier-naming): accessors.
   std::size_t worker_count() const;
   std::size_t job_count() const;
+  // NOLINTEND(readability-identifier-naming)
 
   struct Tables;
+  // NOLINTBEGIN(readability-identifier-naming): accessors.
   const Tables& tables() const { return *tables_; }
   Tables& tables() { return *tables_; }
+  // NOLINTEND(readability-identifier-naming)
 
  private:
   std::unique_ptr<Tables> tables_;
--- a/packages/decision/include/shallotlug/decision/plan.h
+++ b/packages/decision/include/shallotlug/decision/plan.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_DECISION_PLAN_H_
 #define SHALLOTLUG_DECISION_PLAN_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -51,11 +52,16 @@
   /// that can be throttled.
   int live_headroom = 1;
   bool keep_guarantees = true;  ///< Tests disable it to show that it matters.
+  /// Waiting jobs for which blocks are kept free in one plan.
+  std::size_t reservation_limit = 4;
+  /// Waiting jobs for which one plan tries to open a shape.
+  std::size_t opening_limit = 8;
 };
 
 struct Plan {
   std::vector<Placement> placements;
   std::vector<Preemption> preemptions;
+  std::uint64_t rows_examined = 0;  ///< Work that the plan took.
 };
 
 /// @brief Chooses what starts and what stops now. Does not change `cluster`;
--- a/packages/decision/src/capacity.cc
+++ b/packages/decision/src/capacity.cc
@@ -107,7 +107,7 @@
              int fit) const {
     const std::uint32_t centre =
         need.within == Adjacency::kRack
-            ? layout_.rack(static_cast<std::uint32_t>(domain)).data_centre
+            ? layout_.Rack(static_cast<std::uint32_t>(domain)).data_centre
             : 0;
     const std::pair key(fit, centre);
     if (std::find(tried.begin(), tried.end(), key) != tried.end()) {
@@ -121,7 +121,7 @@
     const DomainNeed need = needs_[n];
     const std::size_t centre =
         need.within == Adjacency::kRack
-            ? layout_.rack(static_cast<std::uint32_t>(domain)).data_centre
+            ? layout_.Rack(static_cast<std::uint32_t>(domain)).data_centre
             : domain;
     if (RoomOf(need)[domain] < need.units || centres_[centre] < need.units) {
       return false;
@@ -155,9 +155,9 @@
 
 Capacity::Capacity(const FreeIndex& layout)
     : layout_(&layout),
-      masks_(layout.rows().size()),
-      rack_workers_(layout.racks().size()),
-      centre_workers_(layout.data_centre_count()) {}
+      masks_(layout.Rows().size()),
+      rack_workers_(layout.Racks().size()),
+      centre_workers_(layout.DataCentreCount()) {}
 
 void Capacity::Set(std::uint32_t worker, AcceleratorMask mask) {
   const Counts& before = BlocksIn(masks_[worker]);
@@ -166,13 +166,13 @@
     totals_[level] += after[level] - before[level];
   }
   const int whole = after[kWholeLevel] - before[kWholeLevel];
-  const FreeRow& row = layout_->row(worker);
+  const FreeRow& row = layout_->Row(worker);
   rack_workers_[row.rack] += whole;
   centre_workers_[row.data_centre] += whole;
   masks_[worker] = mask;
 }
 
-int Capacity::accelerators() const {
+int Capacity::Accelerators() const {
   return std::accumulate(
       masks_.begin(), masks_.end(), 0,
       [](int sum, AcceleratorMask mask) { return sum + std::popcount(mask); });
--- a/packages/decision/src/capacity.h
+++ b/packages/decision/src/capacity.h
@@ -32,9 +32,9 @@
   explicit Capacity(const FreeIndex& layout);
 
   void Set(std::uint32_t worker, AcceleratorMask mask);
-  AcceleratorMask mask(std::uint32_t worker) const { return masks_[worker]; }
-  std::size_t worker_count() const { return masks_.size(); }
-  int accelerators() const;
+  AcceleratorMask Mask(std::uint32_t worker) const { return masks_[worker]; }
+  std::size_t WorkerCount() const { return masks_.size(); }
+  int Accelerators() const;
 
   /// @brief Whether all needs can be placed at once on disjoint blocks.
   ///
--- a/packages/decision/src/cluster.cc
+++ b/packages/decision/src/cluster.cc
@@ -7,9 +7,26 @@
 namespace shallotlug::decision {
 namespace {
 
+/// Whether another task waits for these accelerators of a stopping job; it
+/// takes over the slot as well.
+bool IsTakenOver(const WorkerRow& row, const Occupant& task) {
+  return task.job->stopping &&
+         std::any_of(row.occupants.begin(), row.occupants.end(),
+                     [&](const Occupant& it) {
+                       return it.job != task.job && (it.mask & task.mask) != 0;
+                     });
+}
+
+int FreeSlotsOf(const WorkerRow& row) {
+  const auto used =
+      std::count_if(row.occupants.begin(), row.occupants.end(),
+                    [&](const Occupant& it) { return !IsTakenOver(row, it); });
+  return row.info.slots - static_cast<int>(used);
+}
+
 void Refresh(Cluster::Tables& tables, std::uint32_t worker) {
   const WorkerRow& row = tables.workers[worker];
-  const int slots = row.info.slots - static_cast<int>(row.occupants.size());
+  const int slots = FreeSlotsOf(row);
   tables.free->Update(worker, FreeOf(row), slots, row.alive && row.schedulable);
 }
 
--- a/packages/decision/src/free_index.cc
+++ b/packages/decision/src/free_index.cc
@@ -103,26 +103,14 @@
 }
 
 void Trial::Record(std::uint32_t worker) {
-  const FreeRow& row = index_.row(worker);
+  const FreeRow& row = index_.Row(worker);
   journal_.push_back({worker, row.free, row.free_slots, row.usable});
 }
 
-void Trial::Take(std::uint32_t worker, AcceleratorMask mask) {
+void Trial::Take(std::uint32_t worker, AcceleratorMask mask, int slots) {
   Record(worker);
-  const FreeRow row = index_.row(worker);
-  index_.Update(worker, row.free & ~mask, row.free_slots - 1, row.usable);
-}
-
-void Trial::Release(std::uint32_t worker, AcceleratorMask mask) {
-  Record(worker);
-  const FreeRow row = index_.row(worker);
-  index_.Update(worker, row.free | mask, row.free_slots + 1, row.usable);
-}
-
-void Trial::Hide(std::uint32_t worker) {
-  Record(worker);
-  const FreeRow row = index_.row(worker);
-  index_.Update(worker, row.free, row.free_slots, false);
+  const FreeRow row = index_.Row(worker);
+  index_.Update(worker, row.free & ~mask, row.free_slots - slots, row.usable);
 }
 
 void Trial::RollBackTo(std::size_t mark) {
--- a/packages/decision/src/free_index.h
+++ b/packages/decision/src/free_index.h
@@ -53,19 +53,19 @@
               int free_slots,
               bool usable);
 
-  const FreeRow& row(std::uint32_t worker) const { return rows_[worker]; }
-  const std::vector<FreeRow>& rows() const { return rows_; }
-  const RackRow& rack(std::uint32_t n) const { return racks_[n]; }
-  const std::vector<RackRow>& racks() const { return racks_; }
-  const MaskBuckets& data_centre(std::uint32_t n) const { return centres_[n]; }
-  std::size_t data_centre_count() const { return centres_.size(); }
-  const MaskBuckets& all() const { return all_; }
+  const FreeRow& Row(std::uint32_t worker) const { return rows_[worker]; }
+  const std::vector<FreeRow>& Rows() const { return rows_; }
+  const RackRow& Rack(std::uint32_t n) const { return racks_[n]; }
+  const std::vector<RackRow>& Racks() const { return racks_; }
+  const MaskBuckets& DataCentre(std::uint32_t n) const { return centres_[n]; }
+  std::size_t DataCentreCount() const { return centres_.size(); }
+  const MaskBuckets& All() const { return all_; }
 
   /// @brief Racks and data centres ordered by free blocks of a level.
-  const std::set<CountKey>& racks_by_blocks(int level) const {
+  const std::set<CountKey>& RacksByBlocks(int level) const {
     return racks_by_blocks_[static_cast<std::size_t>(level)];
   }
-  const std::set<CountKey>& centres_by_blocks(int level) const {
+  const std::set<CountKey>& CentresByBlocks(int level) const {
     return centres_by_blocks_[static_cast<std::size_t>(level)];
   }
 
@@ -90,14 +90,10 @@
   Trial(const Trial&) = delete;
   Trial& operator=(const Trial&) = delete;
 
-  void Take(std::uint32_t worker, AcceleratorMask mask);
-  /// @brief Treats accelerators as free, and one slot with them.
-  void Release(std::uint32_t worker, AcceleratorMask mask);
-  /// @brief Takes a worker out of the index.
-  void Hide(std::uint32_t worker);
+  void Take(std::uint32_t worker, AcceleratorMask mask, int slots = 1);
   std::size_t Mark() const { return journal_.size(); }
   void RollBackTo(std::size_t mark);
-  const FreeIndex& index() const { return index_; }
+  const FreeIndex& Index() const { return index_; }
 
  private:
   struct Entry {
--- a/packages/decision/src/guarantee_state.cc
+++ b/packages/decision/src/guarantee_state.cc
@@ -5,6 +5,17 @@
 namespace shallotlug::decision {
 namespace {
 
+/// Bounds of the search for an assignment of pinned work to guarantees. They
+/// are reached only when workers have failed.
+constexpr int kMaxDifferences = 4;
+constexpr std::size_t kBindingWork = 100'000;
+
+/// Each try costs as much as there are groups.
+int BindingTries(std::size_t groups) {
+  return static_cast<int>(std::min(
+      std::size_t{2000}, kBindingWork / std::max(groups, std::size_t{1})));
+}
+
 int CeilDivide(int a, int b) {
   return (a + b - 1) / b;
 }
@@ -47,6 +58,9 @@
     add(line.units, -1);
   }
   for (const auto& [domain, bound] : state.bound_by_domain) {
+    if (!state.keeps_group_whole) {
+      continue;
+    }
     const int missing = CeilDivide(bound, line.units) * line.units - bound;
     add(missing, static_cast<int>(domain));
   }
@@ -71,7 +85,7 @@
       open_(*tables.free) {
   for (GuaranteeLine& it : lines) {
     by_customer_[it.customer].push_back(lines_.size());
-    lines_.push_back({std::move(it), {}, {}});
+    lines_.push_back({std::move(it), {}, {}, true});
   }
   for (std::uint32_t n = 0; n < tables.workers.size(); ++n) {
     base_[n] = BaseOf(tables.workers[n]);
@@ -81,22 +95,123 @@
 
 void GuaranteeState::Derive() {
   BindPinned();
-  const bool sound = Feasible();
+  GiveUpShortGroups();
   const GuaranteeState before = *this;
-  if (HoldAll() || !sound) {
+  if (HoldAll(false)) {
     return;
   }
   *this = before;
-  HoldEach();
+  HoldAll(true);
+}
+
+/// When workers have failed, takes groups from the customer that has the most
+/// unused accelerators, until the rest fits again.
+void GuaranteeState::GiveUpShortGroups() {
+  const auto unused = [](const LineState& it) {
+    return (it.line.groups - it.GroupsUsed()) * it.line.units *
+           BlockSize(it.line.level);
+  };
+  while (!Feasible()) {
+    const auto most =
+        std::max_element(lines_.begin(), lines_.end(),
+                         [&](const LineState& a, const LineState& b) {
+                           return unused(a) < unused(b);
+                         });
+    if (most == lines_.end()) {
+      return;
+    }
+    if (unused(*most) <= 0) {
+      for (LineState& it : lines_) {
+        it.keeps_group_whole = false;
+      }
+      return;
+    }
+    --most->line.groups;
+  }
 }
 
 void GuaranteeState::BindPinned() {
-  for (const JobId& id : tables_->pinned) {
-    Protect(tables_->jobs.at(id).tasks);
+  std::vector<PinnedGroup> groups = PinnedGroups();
+  for (const PinnedGroup& group : groups) {
+    for (const RunningJob* it : group.jobs) {
+      Protect(it->tasks);
+    }
+  }
+  if (BindGroups(groups)) {
+    return;
+  }
+  // Some assignment of this work to lines was feasible when the last of it was
+  // placed. It differs from the preferred one in few places, so those with the
+  // fewest differences are tried first.
+  int tries = 0;
+  for (int differences = 1; differences <= kMaxDifferences; ++differences) {
+    if (SearchBinding(groups, 0, differences, tries)) {
+      return;
+    }
   }
+  BindGroups(groups);
+}
+
+/// Jobs of one customer on one worker are assigned together.
+std::vector<GuaranteeState::PinnedGroup> GuaranteeState::PinnedGroups() const {
+  std::vector<const RunningJob*> jobs;
   for (const JobId& id : tables_->pinned) {
-    TryHold(tables_->jobs.at(id));
+    jobs.push_back(&tables_->jobs.at(id));
+  }
+  std::stable_sort(jobs.begin(), jobs.end(),
+                   [](const RunningJob* a, const RunningJob* b) {
+                     return a->started < b->started;
+                   });
+  std::vector<PinnedGroup> groups;
+  std::map<std::pair<CustomerName, std::uint32_t>, std::size_t> rows;
+  for (const RunningJob* it : jobs) {
+    const std::uint32_t worker =
+        it->tasks.empty() ? 0 : RowOf(it->tasks.front().worker);
+    const auto [row, is_new] =
+        rows.try_emplace({it->customer, worker}, groups.size());
+    if (is_new) {
+      groups.push_back({{}, LinesOfCustomer(it->customer).size(), 0});
+    }
+    groups[row->second].jobs.push_back(it);
+  }
+  return groups;
+}
+
+bool GuaranteeState::SearchBinding(std::vector<PinnedGroup>& groups,
+                                   std::size_t first,
+                                   int differences,
+                                   int& tries) {
+  if (differences == 0) {
+    return ++tries <= BindingTries(groups.size()) && BindGroups(groups);
+  }
+  for (std::size_t n = first;
+       n < groups.size() && tries <= BindingTries(groups.size()); ++n) {
+    for (std::size_t choice = 1; choice <= groups[n].lines; ++choice) {
+      groups[n].choice = choice;
+      if (SearchBinding(groups, n + 1, differences - 1, tries)) {
+        return true;
+      }
+    }
+    groups[n].choice = 0;
   }
+  return false;
+}
+
+bool GuaranteeState::BindGroups(const std::vector<PinnedGroup>& groups) {
+  for (LineState& it : lines_) {
+    const std::vector<BlockRef> bound(it.bound.begin(), it.bound.end());
+    RemoveBlocks(it, bound);
+    it.bound_by_domain.clear();
+  }
+  held_.clear();
+  for (const PinnedGroup& group : groups) {
+    if (group.choice < group.lines) {
+      for (const RunningJob* it : group.jobs) {
+        TryHold(*it, group.choice, false);
+      }
+    }
+  }
+  return Feasible();
 }
 
 std::vector<const RunningJob*> GuaranteeState::HoldCandidates() const {
@@ -116,38 +231,28 @@
   return jobs;
 }
 
-bool GuaranteeState::HoldAll() {
+bool GuaranteeState::HoldAll(bool safely) {
   for (const RunningJob* job : HoldCandidates()) {
-    TryHold(*job);
+    TryHold(*job, 0, safely);
   }
   return Feasible();
 }
 
-void GuaranteeState::HoldEach() {
-  for (const RunningJob* job : HoldCandidates()) {
-    const GuaranteeState before = *this;
-    TryHold(*job);
-    if (!Feasible()) {
-      *this = before;
-    }
-  }
-}
-
-bool GuaranteeState::TryHold(const RunningJob& job) {
-  const std::vector<std::size_t>& lines = LinesOfCustomer(job.customer);
-  const auto try_line = [&](std::size_t n) {
-    if (!TryBind(n, job.tasks)) {
-      return false;
-    }
-    held_.insert(&job);
-    return true;
-  };
-  for (const std::size_t n : lines) {
-    if (lines_[n].line.name == job.job_class && try_line(n)) {
+bool GuaranteeState::TryHold(const RunningJob& job,
+                             std::size_t choice,
+                             bool safely) {
+  std::vector<std::size_t> lines = LinesOfCustomer(job.customer);
+  std::stable_partition(lines.begin(), lines.end(), [&](std::size_t n) {
+    return lines_[n].line.name == job.job_class;
+  });
+  for (std::size_t n = 0; n < lines.size(); ++n) {
+    const std::size_t line = lines[(n + choice) % lines.size()];
+    if (safely ? TryBindSafely(line, job.tasks) : TryBind(line, job.tasks)) {
+      held_.insert(&job);
       return true;
     }
   }
-  return std::any_of(lines.begin(), lines.end(), try_line);
+  return false;
 }
 
 bool GuaranteeState::BlockIsAvailable(const CustomerName& customer,
@@ -168,39 +273,86 @@
   });
 }
 
-bool GuaranteeState::TryBind(std::size_t line,
-                             const std::vector<Allocation>& tasks) {
-  LineState& state = lines_[line];
-  std::set<BlockRef> blocks;
+bool GuaranteeState::CollectBlocks(std::size_t line,
+                                   const std::vector<Allocation>& tasks,
+                                   std::vector<BlockRef>& blocks) const {
+  const LineState& state = lines_[line];
   for (const Allocation& it : tasks) {
     const BlockRef block{RowOf(it.worker),
                          BlockAround(it.mask, state.line.level)};
     if (block.mask == 0) {
       return false;
     }
-    if (!state.bound.contains(block)) {
-      if (!BlockIsAvailable(state.line.customer, block, it.mask)) {
-        return false;
-      }
-      blocks.insert(block);
+    if (state.bound.contains(block) ||
+        std::find(blocks.begin(), blocks.end(), block) != blocks.end()) {
+      continue;
     }
+    if (!BlockIsAvailable(state.line.customer, block, it.mask)) {
+      return false;
+    }
+    blocks.push_back(block);
+  }
+  return true;
+}
+
+void GuaranteeState::AddBlocks(LineState& state,
+                               const std::vector<BlockRef>& blocks) {
+  for (const BlockRef& it : blocks) {
+    state.bound.insert(it);
+    ++state.bound_by_domain[DomainOf(state.line, it.worker)];
+    bound_[it.worker] |= it.mask;
+    SetOpen(it.worker);
   }
-  LineState after = state;
+}
+
+void GuaranteeState::RemoveBlocks(LineState& state,
+                                  const std::vector<BlockRef>& blocks) {
   for (const BlockRef& it : blocks) {
-    after.bound.insert(it);
-    ++after.bound_by_domain[DomainOf(state.line, it.worker)];
+    state.bound.erase(it);
+    --state.bound_by_domain[DomainOf(state.line, it.worker)];
+    bound_[it.worker] &= ~it.mask;
+    SetOpen(it.worker);
   }
-  if (after.GroupsUsed() > state.line.groups) {
+}
+
+bool GuaranteeState::TryBind(std::size_t line,
+                             const std::vector<Allocation>& tasks) {
+  std::vector<BlockRef> blocks;
+  if (!CollectBlocks(line, tasks, blocks)) {
     return false;
   }
-  state = std::move(after);
-  for (const BlockRef& it : blocks) {
-    bound_[it.worker] |= it.mask;
+  LineState& state = lines_[line];
+  AddBlocks(state, blocks);
+  if (state.GroupsUsed() > state.line.groups) {
+    RemoveBlocks(state, blocks);
+    return false;
   }
   Protect(tasks);
   return true;
 }
 
+bool GuaranteeState::TryBindSafely(std::size_t line,
+                                   const std::vector<Allocation>& tasks) {
+  std::vector<BlockRef> blocks;
+  if (!CollectBlocks(line, tasks, blocks)) {
+    return false;
+  }
+  // A task in a block that is bound already takes nothing from the others.
+  if (blocks.empty()) {
+    Protect(tasks);
+    return true;
+  }
+  if (!TryBind(line, tasks)) {
+    return false;
+  }
+  if (Feasible()) {
+    return true;
+  }
+  Unprotect(tasks);
+  RemoveBlocks(lines_[line], blocks);
+  return false;
+}
+
 void GuaranteeState::Protect(const std::vector<Allocation>& tasks) {
   for (const Allocation& it : tasks) {
     protected_[RowOf(it.worker)] |= it.mask;
@@ -228,7 +380,7 @@
 
 std::uint32_t GuaranteeState::DomainOf(const GuaranteeLine& line,
                                        std::uint32_t worker) const {
-  const FreeRow& row = tables_->free->row(worker);
+  const FreeRow& row = tables_->free->Row(worker);
   switch (line.within) {
     case Adjacency::kRack:
       return row.rack;
--- a/packages/decision/src/guarantee_state.h
+++ b/packages/decision/src/guarantee_state.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_set>
 #include <vector>
 
@@ -17,7 +18,10 @@
   std::uint32_t worker = 0;
   AcceleratorMask mask = 0;
 
-  auto operator<=>(const BlockRef&) const = default;
+  bool operator==(const BlockRef&) const = default;
+  bool operator<(const BlockRef& other) const {
+    return std::tie(worker, mask) < std::tie(other.worker, other.mask);
+  }
 };
 
 /// @brief One guarantee with the blocks that its customer's work occupies. A
@@ -26,6 +30,8 @@
   GuaranteeLine line;
   std::set<BlockRef> bound;
   std::map<std::uint32_t, int> bound_by_domain;
+  /// Cleared when failed workers leave no room for the rest of a group.
+  bool keeps_group_whole = true;
 
   int GroupsUsed() const;
 };
@@ -46,14 +52,14 @@
 
   bool Feasible() const { return open_.Holds(Unused()); }
   Needs Unused() const;
-  const Capacity& open() const { return open_; }
-  const std::vector<LineState>& lines() const { return lines_; }
+  const Capacity& Open() const { return open_; }
+  const std::vector<LineState>& Lines() const { return lines_; }
   const std::vector<std::size_t>& LinesOfCustomer(
       const CustomerName& customer) const;
 
   bool IsHeld(const RunningJob& job) const { return held_.contains(&job); }
   /// @brief Accelerators that may not be reclaimed.
-  AcceleratorMask protected_mask(std::uint32_t worker) const {
+  AcceleratorMask ProtectedMask(std::uint32_t worker) const {
     return protected_[worker];
   }
   std::uint32_t DomainOf(const GuaranteeLine& line, std::uint32_t worker) const;
@@ -62,20 +68,41 @@
   /// the tasks. Changes nothing and returns false if a block is not available
   /// or the line has no group left.
   bool TryBind(std::size_t line, const std::vector<Allocation>& tasks);
+  /// @brief TryBind, undone unless the unused groups of all lines still fit.
+  bool TryBindSafely(std::size_t line, const std::vector<Allocation>& tasks);
   /// @brief Protects tasks outside every guarantee.
   void Protect(const std::vector<Allocation>& tasks);
   /// @brief Undoes Protect.
   void Unprotect(const std::vector<Allocation>& tasks);
 
  private:
+  /// Work that cannot be stopped, with the line that is tried first; a choice
+  /// past the last line binds it to none.
+  struct PinnedGroup {
+    std::vector<const RunningJob*> jobs;
+    std::size_t lines = 0;
+    std::size_t choice = 0;
+  };
+
   void BindPinned();
-  bool HoldAll();
-  void HoldEach();
-  bool TryHold(const RunningJob& job);
+  void GiveUpShortGroups();
+  std::vector<PinnedGroup> PinnedGroups() const;
+  bool BindGroups(const std::vector<PinnedGroup>& groups);
+  bool SearchBinding(std::vector<PinnedGroup>& groups,
+                     std::size_t first,
+                     int differences,
+                     int& tries);
+  bool HoldAll(bool safely);
+  bool TryHold(const RunningJob& job, std::size_t choice, bool safely);
   bool BlockIsAvailable(const CustomerName& customer,
                         const BlockRef& block,
                         AcceleratorMask task) const;
   void SetOpen(std::uint32_t worker);
+  bool CollectBlocks(std::size_t line,
+                     const std::vector<Allocation>& tasks,
+                     std::vector<BlockRef>& blocks) const;
+  void AddBlocks(LineState& state, const std::vector<BlockRef>& blocks);
+  void RemoveBlocks(LineState& state, const std::vector<BlockRef>& blocks);
   std::vector<const RunningJob*> HoldCandidates() const;
 
   const Cluster::Tables* tables_;
--- /dev/null
+++ b/packages/decision/src/guaranteed.cc
@@ -0,0 +1,281 @@
+#include "guaranteed.h"
+
+#include <algorithm>
+
+#include "victims.h"
+
+namespace shallotlug::decision {
+namespace {
+
+/// A group of the line lies within one domain of the job's adjacency.
+bool IsAsNarrow(Adjacency line, Adjacency job) {
+  return static_cast<int>(line) <= static_cast<int>(job);
+}
+
+/// Prefers blocks that the customer holds already, which take nothing from
+/// anyone else.
+constexpr double kBoundBonus = 1e-6;
+
+}  // namespace
+
+std::optional<GuaranteedPlacer::Request> GuaranteedPlacer::Match(
+    const WaitingJob& job,
+    std::size_t line) const {
+  const LineState& state = state_.Lines()[line];
+  const int level = LevelFor(job.shape.accelerators_per_task);
+  if (job.shape.accelerators_per_task == 0 || level > state.line.level) {
+    return std::nullopt;
+  }
+  Request request{&job, nullptr, line,
+                  BlockSize(state.line.level) / BlockSize(level), 1};
+  request.blocks =
+      (job.shape.tasks + request.per_block - 1) / request.per_block;
+  if (request.blocks == 1 || job.shape.adjacency == Adjacency::kAny) {
+    return request;
+  }
+  const bool one_group = request.blocks <= state.line.units &&
+                         state.line.units > 1 &&
+                         IsAsNarrow(state.line.within, job.shape.adjacency);
+  return one_group ? std::optional(request) : std::nullopt;
+}
+
+std::optional<Placement> GuaranteedPlacer::Place(
+    const WaitingJob& job,
+    const std::set<std::uint32_t>& avoid) {
+  std::vector<std::size_t> lines = state_.LinesOfCustomer(job.customer);
+  std::stable_partition(lines.begin(), lines.end(), [&](std::size_t n) {
+    return state_.Lines()[n].line.name == job.job_class;
+  });
+  for (const std::size_t n : lines) {
+    std::optional<Request> request = Match(job, n);
+    if (!request) {
+      continue;
+    }
+    request->avoid = &avoid;
+    if (std::optional<Placement> placement = PlaceOn(*request)) {
+      return placement;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<int> GuaranteedPlacer::DomainsFor(const Request& request) const {
+  const GuaranteeLine& line = state_.Lines()[request.line].line;
+  const bool grouped = request.blocks > 1 && line.units > 1;
+  std::size_t count = 0;
+  if (grouped && line.within == Adjacency::kRack) {
+    count = tables_.free->Racks().size();
+  } else if (grouped && line.within == Adjacency::kDataCentre) {
+    count = tables_.free->DataCentreCount();
+  }
+  std::vector<int> domains;
+  for (std::size_t n = 0; n < count; ++n) {
+    domains.push_back(static_cast<int>(n));
+  }
+  if (count == 0 || (request.job->shape.adjacency == Adjacency::kAny &&
+                     request.blocks > line.units)) {
+    domains.push_back(-1);
+  }
+  return domains;
+}
+
+/// Tries every domain and keeps the cheapest in which all tasks fit.
+std::optional<Placement> GuaranteedPlacer::PlaceOn(const Request& request) {
+  struct Option {
+    double cost = 0;
+    std::vector<Candidate> candidates;
+  };
+  std::vector<Option> options;
+  for (const int domain : DomainsFor(request)) {
+    std::vector<Candidate> rows = Candidates(request, domain);
+    if (rows.empty()) {
+      continue;
+    }
+    double cost = 0;
+    int tasks = 0;
+    for (const Candidate& it : rows) {
+      if (tasks >= request.job->shape.tasks) {
+        break;
+      }
+      cost += it.cost;
+      tasks += request.per_block;
+    }
+    options.push_back({cost, std::move(rows)});
+  }
+  std::stable_sort(
+      options.begin(), options.end(),
+      [](const Option& a, const Option& b) { return a.cost < b.cost; });
+  for (const Option& it : options) {
+    const GuaranteeState before = state_;
+    std::vector<Allocation> tasks;
+    if (Fill(request, it.candidates, tasks)) {
+      return Finish(request, std::move(tasks));
+    }
+    state_ = before;
+  }
+  return std::nullopt;
+}
+
+bool GuaranteedPlacer::Fill(const Request& request,
+                            const std::vector<Candidate>& candidates,
+                            std::vector<Allocation>& tasks) {
+  const int wanted = request.job->shape.tasks;
+  for (const Candidate& it : candidates) {
+    ++examined_;
+    const int missing = wanted - static_cast<int>(tasks.size());
+    const std::vector<Allocation> part =
+        TasksIn(request, it.block, std::min(missing, request.per_block));
+    const bool all_here =
+        request.blocks > 1 || static_cast<int>(part.size()) == wanted;
+    if (part.empty() || !all_here ||
+        !state_.TryBindSafely(request.line, part)) {
+      continue;
+    }
+    tasks.insert(tasks.end(), part.begin(), part.end());
+    if (static_cast<int>(tasks.size()) == wanted) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<GuaranteedPlacer::Candidate> GuaranteedPlacer::Candidates(
+    const Request& request,
+    int domain) {
+  std::vector<Candidate> rows;
+  const GuaranteeLine& line = state_.Lines()[request.line].line;
+  const auto count = static_cast<std::uint32_t>(tables_.workers.size());
+  if (domain >= 0 && line.within == Adjacency::kRack) {
+    const auto rack = static_cast<std::uint32_t>(domain);
+    for (const std::uint32_t n : tables_.free->Rack(rack).workers) {
+      AddCandidates(request, n, rows);
+    }
+  } else {
+    for (std::uint32_t n = 0; n < count; ++n) {
+      if (domain < 0 ||
+          state_.DomainOf(line, n) == static_cast<std::uint32_t>(domain)) {
+        AddCandidates(request, n, rows);
+      }
+    }
+  }
+  std::stable_sort(
+      rows.begin(), rows.end(),
+      [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
+  return rows;
+}
+
+void GuaranteedPlacer::AddCandidates(const Request& request,
+                                     std::uint32_t worker,
+                                     std::vector<Candidate>& rows) {
+  ++examined_;
+  const WorkerRow& row = tables_.workers[worker];
+  if (!row.alive || !row.schedulable || request.avoid->contains(worker)) {
+    return;
+  }
+  const LineState& state = state_.Lines()[request.line];
+  const int level = state.line.level;
+  for (int n = 0; n < kLargestBlock / BlockSize(level); ++n) {
+    const BlockRef block{worker, BlockAt(level, n)};
+    const bool bound = state.bound.contains(block);
+    const bool open = (block.mask & ~state_.Open().Mask(worker)) == 0;
+    if (bound || open) {
+      const double cost = CostOf(request, block);
+      rows.push_back({block, bound, bound ? cost - kBoundBonus : cost});
+    }
+  }
+}
+
+AcceleratorMask GuaranteedPlacer::Takeable(std::uint32_t worker) const {
+  const WorkerRow& row = tables_.workers[worker];
+  return AllOf(row) & ~row.other & ~row.faulty & ~state_.ProtectedMask(worker);
+}
+
+double GuaranteedPlacer::StopCost(std::uint32_t worker,
+                                  AcceleratorMask mask) const {
+  double cost = 0;
+  for (const RunningJob* job : JobsOn(tables_.workers[worker], mask)) {
+    if (!stopped_.contains(job->attempt.job)) {
+      cost += LossOfStopping(*job, now_);
+    }
+  }
+  return cost;
+}
+
+int GuaranteedPlacer::FreeSlots(std::uint32_t worker,
+                                AcceleratorMask mask) const {
+  const auto victims = JobsOn(tables_.workers[worker], mask).size();
+  return std::max(0, trial_.Index().Row(worker).free_slots) +
+         static_cast<int>(victims);
+}
+
+std::vector<Allocation> GuaranteedPlacer::TasksIn(const Request& request,
+                                                  const BlockRef& block,
+                                                  int wanted) const {
+  struct Spot {
+    AcceleratorMask mask = 0;
+    double cost = 0;
+  };
+  const int size = request.job->shape.accelerators_per_task;
+  const int level = LevelFor(size);
+  const AcceleratorMask takeable = Takeable(block.worker);
+  std::vector<Spot> spots;
+  for (int n = 0; n < kLargestBlock / BlockSize(level); ++n) {
+    const AcceleratorMask mask = LowMask(size) << (n * BlockSize(level));
+    if ((mask & ~block.mask) == 0 && (mask & ~takeable) == 0) {
+      spots.push_back({mask, StopCost(block.worker, mask)});
+    }
+  }
+  std::stable_sort(
+      spots.begin(), spots.end(),
+      [](const Spot& a, const Spot& b) { return a.cost < b.cost; });
+  std::vector<Allocation> tasks;
+  AcceleratorMask taken = 0;
+  for (const Spot& it : spots) {
+    const int slots = FreeSlots(block.worker, taken | it.mask);
+    if (static_cast<int>(tasks.size()) < std::min(wanted, slots)) {
+      tasks.push_back({WorkerIndex{block.worker}, it.mask});
+      taken |= it.mask;
+    }
+  }
+  return tasks;
+}
+
+double GuaranteedPlacer::CostOf(const Request& request,
+                                const BlockRef& block) const {
+  const std::vector<Allocation> tasks = TasksIn(
+      request, block, std::min(request.per_block, request.job->shape.tasks));
+  AcceleratorMask mask = 0;
+  for (const Allocation& it : tasks) {
+    mask |= it.mask;
+  }
+  const AcceleratorMask free =
+      trial_.Index().Row(block.worker).free & LowMask(kLargestBlock);
+  // Among blocks that stop the same work, take the one that fragments least.
+  const double fragments =
+      costs_.Cost(free, request.job->shape.accelerators_per_task);
+  const double tie = fragments < 1e9 ? fragments * 1e-9 : 0;
+  return StopCost(block.worker, mask) + tie;
+}
+
+Placement GuaranteedPlacer::Finish(const Request& request,
+                                   std::vector<Allocation> tasks) {
+  Placement placement{request.job->id, {}, {}};
+  std::set<JobId> victims;
+  for (const Allocation& it : tasks) {
+    const std::uint32_t worker = RowOf(it.worker);
+    const auto jobs = JobsOn(tables_.workers[worker], it.mask);
+    for (const RunningJob* job : jobs) {
+      victims.insert(job->attempt.job);
+      if (!job->stopping) {
+        stopped_.insert(job->attempt.job);
+      }
+    }
+    // A task takes over the slot of the work that it replaces.
+    trial_.Take(worker, it.mask, jobs.empty() ? 1 : 0);
+  }
+  placement.victims.assign(victims.begin(), victims.end());
+  placement.tasks = std::move(tasks);
+  return placement;
+}
+
+}  // namespace shallotlug::decision
--- a/packages/decision/src/guarantees.cc
+++ b/packages/decision/src/guarantees.cc
@@ -82,7 +82,7 @@
     for (const Occupant& it : tables.workers[n].occupants) {
       used |= with_stopping && it.job->stopping ? 0 : it.mask;
     }
-    free.Set(n, state.open().mask(n) & ~used);
+    free.Set(n, state.Open().Mask(n) & ~used);
   }
   return free.Holds(state.Unused());
 }
@@ -102,7 +102,7 @@
                                          const Targets& targets) {
   std::vector<std::string> findings;
   const Cluster::Tables& tables = cluster.tables();
-  const int all = GuaranteeState(tables, {}).open().accelerators();
+  const int all = GuaranteeState(tables, {}).Open().Accelerators();
   std::vector<GuaranteeLine> accepted;
   for (GuaranteeLine line : LinesOf(targets)) {
     const int fit = GroupsThatFit(tables, accepted, line);
@@ -129,7 +129,7 @@
                       GuaranteeStanding::kNone, it.target.guarantee.groups, 0});
     }
   }
-  for (const LineState& it : state.lines()) {
+  for (const LineState& it : state.Lines()) {
     const auto row = std::find_if(
         rows.begin(), rows.end(),
         [&](const GuaranteeStatus& r) { return r.name == it.line.name; });
--- /dev/null
+++ b/packages/decision/src/migration.cc
@@ -0,0 +1,110 @@
+#include "migration.h"
+
+#include <algorithm>
+#include <bit>
+
+#include "block_choice.h"
+#include "victims.h"
+
+namespace shallotlug::decision {
+namespace {
+
+/// A job that has just been moved or started stays, so that two waiting shapes
+/// do not push it back and forth.
+constexpr Millis kMinStay{30'000};
+
+bool MayMove(const MigrationContext& context, const RunningJob& job) {
+  return job.checkpointable && MayStop(job) && !job.stopping &&
+         job.tasks.size() == 1 && context.now - job.started >= kMinStay &&
+         !context.stopped.contains(job.attempt.job) &&
+         (context.guarantees == nullptr || !context.guarantees->IsHeld(job));
+}
+
+std::optional<double> MoveCost(const MigrationContext& context,
+                               std::uint32_t worker,
+                               AcceleratorMask mask) {
+  const WorkerRow& row = context.tables.workers[worker];
+  const AcceleratorMask usable = AllOf(row) & ~row.faulty & ~row.other;
+  if ((mask & ~usable) != 0 ||
+      (context.reservations.Blocked(worker, TimePoint::max()) & mask) != 0) {
+    return std::nullopt;
+  }
+  AcceleratorMask movable = 0;
+  double cost = 0;
+  for (const RunningJob* it : JobsOn(row, mask)) {
+    if (!MayMove(context, *it)) {
+      return std::nullopt;
+    }
+    movable |= it->tasks.front().mask;
+    cost += std::popcount(it->tasks.front().mask);
+  }
+  // Covers accelerators that this plan has taken already.
+  const AcceleratorMask free = context.trial.Index().Row(worker).free;
+  if ((mask & ~(free | movable)) != 0) {
+    return std::nullopt;
+  }
+  return cost;
+}
+
+std::vector<const RunningJob*> JobsToMove(const MigrationContext& context,
+                                          const BlockChoice& choice) {
+  std::vector<const RunningJob*> jobs;
+  for (const Allocation& task : choice.tasks) {
+    const WorkerRow& row = context.tables.workers[RowOf(task.worker)];
+    for (const RunningJob* it : JobsOn(row, task.mask)) {
+      if (std::find(jobs.begin(), jobs.end(), it) == jobs.end()) {
+        jobs.push_back(it);
+      }
+    }
+  }
+  return jobs;
+}
+
+/// Takes the shape and a new place for every job that moves, or nothing.
+bool TryChoice(const MigrationContext& context,
+               const BlockChoice& choice,
+               const std::vector<const RunningJob*>& jobs) {
+  const std::size_t mark = context.trial.Mark();
+  for (const Allocation& it : choice.tasks) {
+    context.trial.Take(RowOf(it.worker), it.mask);
+  }
+  const AllowedMask allowed = [&](std::uint32_t worker) {
+    return ~context.reservations.Blocked(worker, TimePoint::max());
+  };
+  for (const RunningJob* it : jobs) {
+    if (context.packer.Place(it->shape, allowed).empty()) {
+      context.trial.RollBackTo(mark);
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+std::optional<Placement> OpenShape(const MigrationContext& context,
+                                   const WaitingJob& job) {
+  std::vector<BlockChoice> choices =
+      CheapestBlocks(context.tables, job.shape,
+                     [&](std::uint32_t worker, AcceleratorMask mask) {
+                       return MoveCost(context, worker, mask);
+                     });
+  std::stable_sort(
+      choices.begin(), choices.end(),
+      [](const BlockChoice& a, const BlockChoice& b) { return a.sum < b.sum; });
+  for (const BlockChoice& choice : choices) {
+    const auto jobs = JobsToMove(context, choice);
+    if (jobs.empty() || jobs.size() > context.budget ||
+        !TryChoice(context, choice, jobs)) {
+      continue;
+    }
+    Placement placement{job.id, choice.tasks, {}};
+    for (const RunningJob* it : jobs) {
+      placement.victims.push_back(it->attempt.job);
+    }
+    return placement;
+  }
+  return std::nullopt;
+}
+
+}  // namespace shallotlug::decision
--- /dev/null
+++ b/packages/decision/src/migration.h
@@ -0,0 +1,35 @@
+#ifndef SHALLOTLUG_DECISION_MIGRATION_H_
+#define SHALLOTLUG_DECISION_MIGRATION_H_
+
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "guarantee_state.h"
+#include "packer.h"
+#include "reservation.h"
+#include "shallotlug/decision/plan.h"
+
+namespace shallotlug::decision {
+
+/// @brief What a migration needs to know of the plan so far.
+struct MigrationContext {
+  const Cluster::Tables& tables;
+  const GuaranteeState* guarantees = nullptr;
+  Trial& trial;
+  Packer& packer;
+  const Reservations& reservations;
+  const std::set<JobId>& stopped;  ///< Jobs that the plan stops already.
+  std::size_t budget = 0;          ///< Jobs that may still be moved.
+  TimePoint now{};
+};
+
+/// @brief Opens a shape by moving single-worker checkpointable jobs that fit
+/// elsewhere now. Takes the shape's free accelerators and the new places of
+/// the moved jobs in the trial, so that nothing else is planned there.
+std::optional<Placement> OpenShape(const MigrationContext& context,
+                                   const WaitingJob& job);
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_MIGRATION_H_
--- a/packages/decision/src/never_placeable.cc
+++ b/packages/decision/src/never_placeable.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "never_placeable.h"
 #include "shallotlug/decision/plan.h"
 #include "tables.h"
 
@@ -27,9 +28,9 @@
     case Adjacency::kWorker:
       return worker;
     case Adjacency::kRack:
-      return tables.free->row(worker).rack;
+      return tables.free->Row(worker).rack;
     case Adjacency::kDataCentre:
-      return tables.free->row(worker).data_centre;
+      return tables.free->Row(worker).data_centre;
     case Adjacency::kAny:
       return 0;
   }
@@ -52,18 +53,25 @@
 
 }  // namespace
 
+int MostTasks(const Cluster::Tables& tables,
+              const JobShape& shape,
+              const std::set<std::uint32_t>& avoid) {
+  std::vector<int> tasks(std::max(tables.workers.size(), std::size_t{1}));
+  for (std::uint32_t n = 0; n < tables.workers.size(); ++n) {
+    if (!avoid.contains(n)) {
+      tasks[DomainOf(tables, shape.adjacency, n)] +=
+          TasksThatFit(tables.workers[n], shape);
+    }
+  }
+  return *std::max_element(tasks.begin(), tasks.end());
+}
+
 std::string WhyNeverPlaceable(const Cluster& cluster, const JobShape& shape) {
   if (shape.tasks < 1 || shape.accelerators_per_task < 0 ||
       shape.accelerators_per_task > kLargestBlock) {
     return "a shape needs at least 1 task and 0 to 8 accelerators for each";
   }
-  const Cluster::Tables& tables = cluster.tables();
-  std::vector<int> tasks(std::max(tables.workers.size(), std::size_t{1}));
-  for (std::uint32_t n = 0; n < tables.workers.size(); ++n) {
-    tasks[DomainOf(tables, shape.adjacency, n)] +=
-        TasksThatFit(tables.workers[n], shape);
-  }
-  const int most = *std::max_element(tasks.begin(), tasks.end());
+  const int most = MostTasks(cluster.tables(), shape, {});
   if (most >= shape.tasks) {
     return "";
   }
--- /dev/null
+++ b/packages/decision/src/packer.h
@@ -0,0 +1,96 @@
+#ifndef SHALLOTLUG_DECISION_PACKER_H_
+#define SHALLOTLUG_DECISION_PACKER_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "free_index.h"
+#include "shallotlug/decision/cluster.h"
+
+namespace shallotlug::decision {
+
+/// @brief Accelerators that are waited for or guaranteed, by block level.
+using Demand = std::array<double, kLevels>;
+
+/// @brief What a placement would take away from other shapes, for every free
+/// mask and task size.
+class MaskCosts {
+ public:
+  explicit MaskCosts(const Demand& demand) : demand_(demand) {}
+
+  /// @brief The block to take from this free mask; 0 when none fits.
+  AcceleratorMask Block(AcceleratorMask free, int accelerators) const {
+    return RowFor(accelerators).block[free];
+  }
+  double Cost(AcceleratorMask free, int accelerators) const {
+    return RowFor(accelerators).cost[free];
+  }
+  /// @brief Free masks on which the task fits, least cost first.
+  const std::vector<AcceleratorMask>& Order(int accelerators) const {
+    return RowFor(accelerators).order;
+  }
+
+ private:
+  struct SizeRow {
+    std::array<AcceleratorMask, kMasks> block{};
+    std::array<double, kMasks> cost{};
+    std::vector<AcceleratorMask> order;
+  };
+  /// Rows are filled on first use; most plans need few task sizes.
+  const SizeRow& RowFor(int accelerators) const;
+  void Fill(SizeRow& row, int accelerators) const;
+
+  Demand demand_;
+  mutable std::array<SizeRow, kLargestBlock + 1> rows_;
+};
+
+/// @brief Returns the accelerators of a worker that a job may use.
+using AllowedMask = std::function<AcceleratorMask(std::uint32_t worker)>;
+
+/// @brief Places shapes on free accelerators, best fit first.
+class Packer {
+ public:
+  Packer(Trial& trial, const MaskCosts& costs) : trial_(trial), costs_(costs) {}
+
+  /// @brief Takes the accelerators in the trial; empty when the shape does not
+  /// fit. A null `allowed` allows everything.
+  std::vector<Allocation> Place(const JobShape& shape,
+                                const AllowedMask& allowed);
+
+  /// @brief Rows of the tables that were looked at.
+  std::uint64_t Examined() const { return examined_; }
+
+ private:
+  using Tasks = std::vector<Allocation>;
+
+  Tasks PlaceOnOneWorker(const JobShape& shape, const AllowedMask& allowed);
+  Tasks PlaceInRack(const JobShape& shape, const AllowedMask& allowed);
+  Tasks PlaceInCentre(const JobShape& shape, const AllowedMask& allowed);
+  Tasks PlaceIn(const MaskBuckets& buckets,
+                const JobShape& shape,
+                const AllowedMask& allowed);
+  bool PlaceTask(const MaskBuckets& buckets,
+                 int accelerators,
+                 const AllowedMask& allowed,
+                 Tasks& tasks);
+  bool PlaceTaskInRack(const RackRow& rack,
+                       int accelerators,
+                       const AllowedMask& allowed,
+                       Tasks& tasks);
+  bool TryWorker(std::uint32_t worker,
+                 int accelerators,
+                 const AllowedMask& allowed,
+                 Tasks& tasks);
+  AcceleratorMask Usable(std::uint32_t worker,
+                         const AllowedMask& allowed) const;
+
+  Trial& trial_;
+  const MaskCosts& costs_;
+  std::uint64_t examined_ = 0;
+};
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_PACKER_H_
--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -1,89 +1,267 @@
 #include "shallotlug/decision/plan.h"
 
 #include <algorithm>
+#include <cmath>
 
-#include "tables.h"
+#include "guaranteed.h"
+#include "migration.h"
+#include "never_placeable.h"
+#include "packer.h"
+#include "priority.h"
+#include "reservation.h"
 
 namespace shallotlug::decision {
 namespace {
 
-AcceleratorMask FirstFit(AcceleratorMask free, int accelerators) {
-  const int level = LevelFor(accelerators);
-  for (int n = 0; n < kLargestBlock / BlockSize(level); ++n) {
-    const AcceleratorMask block = BlockAt(level, n);
-    if ((free & block) == block) {
-      return LowMask(accelerators) << (n * BlockSize(level));
-    }
+/// Candidate sets tried for work that cannot be stopped, before it waits.
+constexpr int kPinnedTries = 16;
+
+void AddDemand(Demand& demand, int accelerators_per_task, int tasks) {
+  demand[static_cast<std::size_t>(LevelFor(accelerators_per_task))] +=
+      accelerators_per_task * tasks;
+}
+
+/// Shares of the accelerators that waiting jobs and guarantees ask for.
+Demand DemandOf(const std::vector<RankedJob>& ranked,
+                const std::vector<GuaranteeLine>& lines) {
+  Demand demand{};
+  for (const RankedJob& it : ranked) {
+    AddDemand(demand, it.job->shape.accelerators_per_task, it.job->shape.tasks);
+  }
+  for (const GuaranteeLine& it : lines) {
+    AddDemand(demand, BlockSize(it.level), it.groups * it.units);
+  }
+  double sum = 0;
+  for (const double it : demand) {
+    sum += it;
+  }
+  for (double& it : demand) {
+    it = sum > 0 ? it / sum : 0;
   }
-  return 0;
+  return demand;
 }
 
-bool SameDomain(const FreeRow& a, const FreeRow& b, Adjacency adjacency) {
-  return adjacency == Adjacency::kAny ||
-         (adjacency == Adjacency::kDataCentre ? a.data_centre == b.data_centre
-                                              : a.rack == b.rack);
+std::set<std::uint32_t> WorkersToAvoid(const Cluster::Tables& tables,
+                                       const WaitingJob& job) {
+  std::set<std::uint32_t> workers;
+  for (const AgentName& it : job.failed_at) {
+    const auto row = tables.by_agent.find(it);
+    if (row != tables.by_agent.end()) {
+      workers.insert(row->second);
+    }
+  }
+  if (!workers.empty() &&
+      MostTasks(tables, job.shape, workers) < job.shape.tasks) {
+    workers.clear();
+  }
+  return workers;
 }
 
-std::vector<Allocation> FirstFitFrom(Trial& trial,
-                                     const JobShape& shape,
-                                     std::uint32_t start) {
-  std::vector<Allocation> tasks;
-  const FreeIndex& index = trial.index();
-  for (std::uint32_t n = start; n < index.rows().size(); ++n) {
-    if (!SameDomain(index.row(start), index.row(n), shape.adjacency) ||
-        (shape.adjacency == Adjacency::kWorker && n != start)) {
-      continue;
+/// One run of the planner.
+class Planner {
+ public:
+  Planner(const Cluster::Tables& tables,
+          const Targets& targets,
+          const RunTimes& run_times,
+          const PlanOptions& options,
+          TimePoint now,
+          std::vector<RankedJob> ranked)
+      : tables_(tables),
+        run_times_(run_times),
+        options_(options),
+        now_(now),
+        ranked_(std::move(ranked)),
+        lines_(options.keep_guarantees ? LinesOf(targets)
+                                       : std::vector<GuaranteeLine>{}),
+        costs_(DemandOf(ranked_, lines_)),
+        trial_(*tables.free),
+        packer_(trial_, costs_) {}
+
+  Plan Run() {
+    PlaceGuaranteed();
+    for (const RankedJob& it : ranked_) {
+      if (!placed_.contains(it.job->id)) {
+        PlaceOther(it);
+      }
     }
-    while (index.row(n).listed) {
-      const AcceleratorMask mask =
-          FirstFit(index.row(n).free, shape.accelerators_per_task);
-      if (mask == 0 && shape.accelerators_per_task > 0) {
-        break;
+    plan_.rows_examined += packer_.Examined();
+    return std::move(plan_);
+  }
+
+ private:
+  bool HasGuarantee(const CustomerName& customer) const {
+    return std::any_of(
+        lines_.begin(), lines_.end(),
+        [&](const GuaranteeLine& it) { return it.customer == customer; });
+  }
+
+  /// Derived on first use: work without a guarantee that may be stopped needs
+  /// none of it.
+  GuaranteeState& Guarantees() {
+    if (!guarantees_) {
+      guarantees_.emplace(tables_, lines_);
+      guarantees_->Derive();
+      plan_.rows_examined += tables_.workers.size();
+    }
+    return *guarantees_;
+  }
+
+  void PlaceGuaranteed() {
+    std::optional<GuaranteedPlacer> placer;
+    for (const RankedJob& it : ranked_) {
+      if (!HasGuarantee(it.job->customer)) {
+        continue;
       }
-      trial.Take(n, mask);
-      tasks.push_back({WorkerIndex{n}, mask});
-      if (static_cast<int>(tasks.size()) == shape.tasks) {
-        return tasks;
+      if (!placer) {
+        placer.emplace(tables_, Guarantees(), trial_, costs_, now_);
+      }
+      if (auto placement =
+              placer->Place(*it.job, WorkersToAvoid(tables_, *it.job))) {
+        placed_.insert(it.job->id);
+        plan_.placements.push_back(std::move(*placement));
+      }
+    }
+    if (placer) {
+      plan_.rows_examined += placer->Examined();
+      for (const JobId& it : placer->Stopped()) {
+        Stop(it, false);
       }
     }
   }
-  return {};
-}
 
-std::vector<Allocation> FirstFit(Trial& trial, const JobShape& shape) {
-  const std::size_t mark = trial.Mark();
-  for (std::uint32_t n = 0; n < trial.index().rows().size(); ++n) {
-    std::vector<Allocation> tasks = FirstFitFrom(trial, shape, n);
+  void Stop(const JobId& job, bool for_migration) {
+    stopped_.insert(job);
+    plan_.preemptions.push_back({job, for_migration});
+  }
+
+  void PlaceOther(const RankedJob& it) {
+    const WaitingJob& job = *it.job;
+    const std::set<std::uint32_t> avoid = WorkersToAvoid(tables_, job);
+    const AllowedMask allowed = Allowed(it, avoid);
+    std::vector<Allocation> tasks = job.repeatable || lines_.empty()
+                                        ? packer_.Place(job.shape, allowed)
+                                        : PlacePinned(job.shape, allowed);
     if (!tasks.empty()) {
-      return tasks;
+      plan_.placements.push_back({job.id, std::move(tasks), {}});
+      return;
     }
-    trial.RollBackTo(mark);
+    Wait(it);
   }
-  return {};
-}
+
+  AllowedMask Allowed(const RankedJob& it,
+                      const std::set<std::uint32_t>& avoid) const {
+    if (avoid.empty() && reservations_.empty()) {
+      return nullptr;
+    }
+    const TimePoint end = now_ + it.remaining;
+    return [this, avoid, end](std::uint32_t worker) {
+      return avoid.contains(worker) ? AcceleratorMask{0}
+                                    : ~reservations_.Blocked(worker, end);
+    };
+  }
+
+  /// Work that cannot be stopped goes only where it leaves all unused
+  /// guarantees placeable.
+  std::vector<Allocation> PlacePinned(const JobShape& shape,
+                                      const AllowedMask& allowed) {
+    std::set<std::uint32_t> rejected;
+    const std::size_t mark = trial_.Mark();
+    const AllowedMask open = [&](std::uint32_t worker) {
+      const AcceleratorMask mask = allowed ? allowed(worker) : ~0U;
+      return rejected.contains(worker)
+                 ? AcceleratorMask{0}
+                 : mask & Guarantees().Open().Mask(worker);
+    };
+    for (int n = 0; n < kPinnedTries; ++n) {
+      std::vector<Allocation> tasks = packer_.Place(shape, open);
+      if (tasks.empty()) {
+        return {};
+      }
+      Guarantees().Protect(tasks);
+      if (Guarantees().Feasible()) {
+        return tasks;
+      }
+      Guarantees().Unprotect(tasks);
+      trial_.RollBackTo(mark);
+      rejected.insert(RowOf(tasks.front().worker));
+    }
+    return {};
+  }
+
+  /// The job does not fit now: moves other work away or keeps a place for it.
+  void Wait(const RankedJob& it) {
+    const WaitingJob& job = *it.job;
+    if (job.shape.accelerators_per_task == 0 ||
+        opened_ >= options_.opening_limit) {
+      return;
+    }
+    ++opened_;
+    if (job.repeatable && TryMigration(job)) {
+      return;
+    }
+    if (reservations_.size() < options_.reservation_limit) {
+      reservations_.Add(tables_, run_times_, job.shape, now_);
+    }
+  }
+
+  std::size_t MigrationBudget() const {
+    const double share =
+        options_.migration_budget * static_cast<double>(tables_.jobs.size());
+    const auto limit = static_cast<std::size_t>(std::ceil(share));
+    const std::size_t under_way = tables_.stopping.size() + stopped_.size();
+    return limit > under_way ? limit - under_way : 0;
+  }
+
+  bool TryMigration(const WaitingJob& job) {
+    const std::size_t budget = MigrationBudget();
+    if (budget == 0) {
+      return false;
+    }
+    const GuaranteeState* guarantees = lines_.empty() ? nullptr : &Guarantees();
+    plan_.rows_examined += tables_.workers.size();
+    std::optional<Placement> placement =
+        OpenShape({tables_, guarantees, trial_, packer_, reservations_,
+                   stopped_, budget, now_},
+                  job);
+    if (!placement) {
+      return false;
+    }
+    for (const JobId& victim : placement->victims) {
+      Stop(victim, true);
+    }
+    plan_.placements.push_back(std::move(*placement));
+    return true;
+  }
+
+  const Cluster::Tables& tables_;
+  const RunTimes& run_times_;
+  const PlanOptions& options_;
+  TimePoint now_;
+  std::vector<RankedJob> ranked_;
+  std::vector<GuaranteeLine> lines_;
+  MaskCosts costs_;
+  Trial trial_;
+  Packer packer_;
+  std::optional<GuaranteeState> guarantees_;
+  Reservations reservations_;
+  std::set<JobId> placed_;
+  std::set<JobId> stopped_;
+  std::size_t opened_ = 0;
+  Plan plan_;
+};
 
 }  // namespace
 
 Plan MakePlan(const Cluster& cluster,
               const std::vector<WaitingJob>& waiting,
-              const Targets& /*targets*/,
-              const RunTimes& /*run_times*/,
+              const Targets& targets,
+              const RunTimes& run_times,
               const PlanOptions& options,
               TimePoint now) {
-  Plan plan;
-  Trial trial(*cluster.tables().free);
-  const std::size_t count = std::min(waiting.size(), options.scan_limit);
-  for (std::size_t n = 0; n < count; ++n) {
-    const WaitingJob& job = waiting[n];
-    if (job.not_before > now) {
-      continue;
-    }
-    std::vector<Allocation> tasks = FirstFit(trial, job.shape);
-    if (!tasks.empty()) {
-      plan.placements.push_back({job.id, std::move(tasks), {}});
-    }
-  }
-  return plan;
+  return Planner(
+             cluster.tables(), targets, run_times, options, now,
+             RankWaiting(waiting, targets, run_times, options.scan_limit, now))
+      .Run();
 }
 
 }  // namespace shallotlug::decision
--- /dev/null
+++ b/packages/decision/src/priority.cc
@@ -0,0 +1,82 @@
+#include "priority.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotlug::decision {
+namespace {
+
+/// Target of a class that has none, which ranks it behind all others.
+constexpr Millis kNoTarget = std::chrono::hours(24 * 7);
+
+using Periods = std::unordered_map<ClassName, Millis>;
+
+Periods PeriodsOf(const Targets& targets) {
+  Periods periods;
+  for (const VersionedTarget& it : targets.entries) {
+    if (!it.removed && it.target.finish_within.count() > 0) {
+      periods[it.target.name] = it.target.finish_within;
+    }
+  }
+  return periods;
+}
+
+Millis RemainingTime(const WaitingJob& job, const RunTimes& run_times) {
+  const Millis whole =
+      ExpectedRunTime(run_times, job.job_class, job.declared_run_time);
+  const double left = 1 - std::clamp(job.progress, 0.0, 1.0);
+  return Millis(std::llround(static_cast<double>(whole.count()) * left));
+}
+
+Millis SlackOf(const WaitingJob& job,
+               Millis period,
+               Millis remaining,
+               TimePoint now) {
+  const Millis slack = job.submitted + period - now - remaining;
+  if (slack.count() >= 0) {
+    return slack;
+  }
+  const std::int64_t missed = (-slack.count()) / period.count() + 1;
+  return slack + period * missed;
+}
+
+bool MoreUrgent(const RankedJob& a, const RankedJob& b) {
+  if (a.slack != b.slack) {
+    return a.slack < b.slack;
+  }
+  if (a.job->submitted != b.job->submitted) {
+    return a.job->submitted < b.job->submitted;
+  }
+  return a.job->id.value < b.job->id.value;
+}
+
+}  // namespace
+
+std::vector<RankedJob> RankWaiting(const std::vector<WaitingJob>& waiting,
+                                   const Targets& targets,
+                                   const RunTimes& run_times,
+                                   std::size_t limit,
+                                   TimePoint now) {
+  const Periods periods = PeriodsOf(targets);
+  std::vector<RankedJob> ranked;
+  ranked.reserve(waiting.size());
+  for (const WaitingJob& it : waiting) {
+    if (it.not_before > now) {
+      continue;
+    }
+    const auto period = periods.find(it.job_class);
+    const Millis remaining = RemainingTime(it, run_times);
+    const Millis slack =
+        SlackOf(it, period == periods.end() ? kNoTarget : period->second,
+                remaining, now);
+    ranked.push_back({&it, remaining, slack});
+  }
+  const std::size_t count = std::min(limit, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), MoreUrgent);
+  ranked.resize(count);
+  return ranked;
+}
+
+}  // namespace shallotlug::decision
--- a/packages/decision/src/tables.h
+++ b/packages/decision/src/tables.h
@@ -1,9 +1,9 @@
 #ifndef SHALLOTLUG_DECISION_TABLES_H_
 #define SHALLOTLUG_DECISION_TABLES_H_
 
-#include <compare>
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -34,7 +34,10 @@
   TimePoint started{};
   JobId id;
 
-  auto operator<=>(const JobOrder&) const = default;
+  bool operator<(const JobOrder& other) const {
+    return std::tie(repeatable, started, id.value) <
+           std::tie(other.repeatable, other.started, other.id.value);
+  }
 };
 
 struct Cluster::Tables {
--- /dev/null
+++ b/packages/decision/src/victims.h
@@ -0,0 +1,22 @@
+#ifndef SHALLOTLUG_DECISION_VICTIMS_H_
+#define SHALLOTLUG_DECISION_VICTIMS_H_
+
+#include <vector>
+
+#include "shallotlug/base/clock.h"
+#include "tables.h"
+
+namespace shallotlug::decision {
+
+/// @brief Cost in accelerator milliseconds of stopping a job as a whole: the
+/// progress that its last checkpoint does not keep, and a restart.
+double LossOfStopping(const RunningJob& job, TimePoint now);
+
+/// @brief Jobs on these accelerators of a worker, in the order of the worker's
+/// table.
+std::vector<const RunningJob*> JobsOn(const WorkerRow& row,
+                                      AcceleratorMask mask);
+
+}  // namespace shallotlug::decision
+
+#endif  // SHALLOTLUG_DECISION_VICTIMS_H_
