--- a/packages/entry/src/agents.cc
+++ b/packages/entry/src/agents.cc
@@ -2,7 +2,10 @@
 
 #include <utility>
 
+#include "attempts.h"
+#include "cluster_sync.h"
 #include "live.h"
+#include "pause.h"
 #include "peers.h"
 #include "replies.h"
 #include "routing.h"
@@ -27,6 +30,7 @@
   }
   it->second.linked = false;
   RefreshCandidate(state, it->second);
+  SyncWorker(state, it->second);
   Log(state, LogLevel::kInfo, "agent_link_down", {{"agent", name.value}});
   OnAgentUnlinked(state, it->second);
 }
@@ -42,9 +46,11 @@
   const bool new_life = agent.ref != hello.agent;
   if (new_life) {
     const std::optional<std::size_t> routing_row = agent.routing_row;
+    const std::optional<decision::WorkerIndex> worker = agent.worker;
     agent = Agent{};
     agent.ref = hello.agent;
     agent.routing_row = routing_row;
+    agent.worker = worker;
   } else if (agent.linked && agent.link != link) {
     // The agent redialled before the loss of its old link was noticed.
     Close(state, agent.link, "replaced");
@@ -59,6 +65,7 @@
   agent.config_sent = 0;
   state.links[link].agent = hello.agent.name;
   RefreshCandidate(state, agent);
+  SyncWorker(state, agent);
   Log(state, LogLevel::kInfo, "agent_link_up",
       {{"agent", hello.agent.name.value}});
   OnAgentLinked(state, agent, new_life);
@@ -112,11 +119,14 @@
   if (!report.has_attempts) {
     agent->report.attempts = std::move(attempts);
   }
+  OnFreshReport(state, agent->clock, report);
   agent->reported = true;
   agent->clock = {report.now, state.now};
   agent->in_flight = 0;
   agent->config_revision = report.config_revision;
   RefreshCandidate(state, *agent);
+  SyncWorker(state, *agent);
+  OnReportedAttempts(state, *agent);
 }
 
 Agent* AgentOfLink(State& state, LinkId link) {
--- /dev/null
+++ b/packages/entry/src/attempts.h
@@ -0,0 +1,29 @@
+#ifndef SHALLOTLUG_ENTRY_SRC_ATTEMPTS_H_
+#define SHALLOTLUG_ENTRY_SRC_ATTEMPTS_H_
+
+#include "state.h"
+
+namespace shallotlug::entry {
+
+void SendProposal(State& state, const ProposeJob& proposal);
+void SendStop(State& state,
+              const AgentRef& coordinator,
+              const Attempt& attempt,
+              StopReason reason);
+
+void OnJobUpdate(State& state, LinkId link, const JobUpdate& update);
+
+/// @brief Compares the attempts that an agent coordinates with the jobs.
+void OnReportedAttempts(State& state, const Agent& agent);
+
+/// @brief Records final updates, and acknowledges those that are on the log.
+void AcknowledgeFinals(State& state);
+void RecordFinals(State& state);
+
+/// @brief Resolves claimed attempts that no agent reports, and repeats stops.
+/// For the planner only.
+void ResolveAttempts(State& state);
+
+}  // namespace shallotlug::entry
+
+#endif  // SHALLOTLUG_ENTRY_SRC_ATTEMPTS_H_
--- a/packages/entry/src/config.cc
+++ b/packages/entry/src/config.cc
@@ -1,7 +1,10 @@
 #include "config.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "shallotlug/decision/plan.h"
+
 #include "replies.h"
 
 namespace shallotlug::entry {
@@ -98,6 +101,62 @@
   return findings;
 }
 
+bool RaisesGuarantee(const State& state, const api::SetTargetCall& set) {
+  const Guarantee& wanted = set.target.guarantee;
+  if (set.remove || wanted.groups == 0) {
+    return false;
+  }
+  const VersionedTarget* now =
+      stream::FindTarget(stream::Current(state.config), set.target.name);
+  return now == nullptr || now->target.customer != set.target.customer ||
+         now->target.guarantee.within != wanted.within ||
+         now->target.guarantee.groups < wanted.groups ||
+         now->target.guarantee.accelerators < wanted.accelerators;
+}
+
+// The configuration as it would be after the change.
+Targets With(const Targets& targets, const ClassTarget& target) {
+  Targets changed = targets;
+  std::erase_if(changed.entries, [&](const VersionedTarget& it) {
+    return it.target.name == target.name;
+  });
+  changed.entries.push_back({target, targets.revision + 1, false});
+  std::sort(changed.entries.begin(), changed.entries.end(),
+            [](const VersionedTarget& a, const VersionedTarget& b) {
+              return a.target.name < b.target.name;
+            });
+  return changed;
+}
+
+// Checks raised guarantees against capacity; answers and returns false when
+// they do not fit. Lowering one is allowed even while workers are missing.
+bool CheckGuarantee(State& state, CallId call, const api::SetTargetCall& set) {
+  if (!RaisesGuarantee(state, set)) {
+    return true;
+  }
+  if (state.now - state.started < state.options.warm_up) {
+    ReplyError(state, call, api::ErrorCode::kNotAccepted, "starting",
+               "the entry has not heard from all workers yet; nothing was "
+               "recorded");
+    return false;
+  }
+  const std::vector<std::string> faults = decision::CheckGuarantees(
+      state.jobs.cluster, With(stream::Current(state.config), set.target));
+  if (faults.empty()) {
+    return true;
+  }
+  Count(state, "shallotlug_entry_error_replies_total", "exceeds_capacity");
+  api::ErrorReply reply;
+  reply.code = api::ErrorCode::kExceedsCapacity;
+  reply.reason = "exceeds_capacity";
+  reply.message = "all guarantees together exceed what exists";
+  for (const std::string& it : faults) {
+    AddIssue(reply.findings, "/guarantee", it.c_str());
+  }
+  Reply(state, call, std::move(reply));
+  return false;
+}
+
 // Answers a change id that was seen before; returns whether it did.
 bool AnswerKnownChange(State& state,
                        CallId call,
@@ -146,8 +205,16 @@
   const TimePoint give_up_at = state.now + state.options.log_timeout;
   stream::TargetChangeRecord record{set.change_id, set.target, set.base_version,
                                     set.remove};
-  if (!state.config.complete ||
-      !stream::Add(state.config_appends,
+  if (state.shutting_down) {
+    ReplyError(state, call, api::ErrorCode::kNotAccepted, "shutting_down",
+               "the entry is leaving; nothing was recorded");
+    return;
+  }
+  if (!CheckGuarantee(state, call, set)) {
+    return;
+  }
+  if (!state.config.complete || state.config_io.reader.failing ||
+      !stream::Add(state.config_io.appends,
                    {{set.change_id, stream::Format(record)}, give_up_at})) {
     ReplyError(state, call, api::ErrorCode::kNotAccepted, "log_unavailable",
                "the configuration stream cannot be read; nothing was recorded");
--- /dev/null
+++ b/packages/entry/src/job_table.cc
@@ -0,0 +1,281 @@
+#include "job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "attempts.h"
+#include "burn.h"
+#include "cluster_sync.h"
+#include "replies.h"
+#include "submissions.h"
+
+namespace shallotlug::entry {
+namespace {
+
+std::string FormatRecord(const stream::JobRecord& record) {
+  return std::visit(
+      [](const auto& it) -> std::string {
+        if constexpr (std::is_same_v<std::decay_t<decltype(it)>,
+                                     stream::ParseFault>) {
+          return "";
+        } else {
+          return stream::Format(it);
+        }
+      },
+      record);
+}
+
+void ApplyOwn(stream::JobRow& row, const OwnRecord& own) {
+  if (const auto* claim = std::get_if<stream::JobClaimed>(&own.record)) {
+    stream::ApplyTo(row, *claim, own.id);
+  } else if (const auto* end =
+                 std::get_if<stream::JobAttemptEnded>(&own.record)) {
+    stream::ApplyTo(row, *end);
+  } else if (const auto* cancel =
+                 std::get_if<stream::JobCancelled>(&own.record)) {
+    stream::ApplyTo(row, *cancel);
+  }
+}
+
+// Only records that lead to another attempt take effect before they are read
+// back; a cancellation or a result is reported only from the log.
+void Rebuild(State& state, const JobId& job, JobTrack& track) {
+  const stream::JobRow* row = stream::FindJob(state.jobs.fold, job);
+  if (track.own.empty() || row == nullptr) {
+    track.ahead.reset();
+    return;
+  }
+  track.ahead = *row;
+  for (const OwnRecord& it : track.own) {
+    ApplyOwn(*track.ahead, it);
+  }
+}
+
+void NoteClaim(State& state, JobTrack& track) {
+  track.claimed_at = state.now;
+  track.last_news = state.now;
+  track.running_since.reset();
+  track.stopping.reset();
+}
+
+void NoteAttempt(State& state, const JobId& job, JobTrack& track) {
+  const std::uint32_t attempt = ViewJob(state, job)->attempt;
+  if (attempt != track.noted_attempt) {
+    track.noted_attempt = attempt;
+    NoteClaim(state, track);
+  }
+}
+
+// A claim that was read back as the winner lets its proposal go out; one that
+// lost has nothing running under it.
+void SettleWaitingProposal(State& state,
+                           const stream::JobRow& row,
+                           JobTrack& track) {
+  if (!track.waiting) {
+    return;
+  }
+  const bool read_back = std::none_of(
+      track.own.begin(), track.own.end(),
+      [&](const OwnRecord& it) { return it.id == track.waiting->claim_id; });
+  if (!read_back) {
+    return;
+  }
+  const WaitingProposal waiting = std::move(*track.waiting);
+  track.waiting.reset();
+  if (row.standing == stream::JobStanding::kClaimed &&
+      row.claim_id == waiting.claim_id) {
+    NoteClaim(state, track);
+    SendProposal(state, waiting.proposal);
+  } else {
+    Count(state, "shallotlug_entry_claims_lost_total");
+  }
+}
+
+// Stops an attempt that was proposed before its claim lost to another entry's.
+void StopLoser(State& state, const JobId& job, const OwnRecord& own) {
+  const auto* claim = std::get_if<stream::JobClaimed>(&own.record);
+  const stream::JobRow* row = stream::FindJob(state.jobs.fold, job);
+  if (claim == nullptr || row == nullptr || row->claim_id == own.id) {
+    return;
+  }
+  if (row->attempt == claim->attempt.number &&
+      row->coordinator == claim->coordinator) {
+    return;  // The same attempt at the same coordinator; it runs once.
+  }
+  Count(state, "shallotlug_entry_claims_lost_total");
+  SendStop(state, claim->coordinator, claim->attempt, StopReason::kSuperseded);
+}
+
+void OnOwnRecordRead(State& state, const std::string& id) {
+  const auto it = state.jobs.own_records.find(id);
+  if (it == state.jobs.own_records.end()) {
+    return;
+  }
+  const JobId job = it->second;
+  state.jobs.own_records.erase(it);
+  JobTrack* track = FindTrack(state, job);
+  if (track == nullptr) {
+    return;
+  }
+  const auto own =
+      std::find_if(track->own.begin(), track->own.end(),
+                   [&](const OwnRecord& other) { return other.id == id; });
+  if (own == track->own.end()) {
+    return;
+  }
+  const OwnRecord record = std::move(*own);
+  track->own.erase(own);
+  StopLoser(state, job, record);
+  NoteJobBurn(state, job, record);
+  state.jobs.fold.changed.push_back(job);
+}
+
+void ForgetTrack(State& state, const JobId& job, JobTrack& track) {
+  for (const OwnRecord& it : track.own) {
+    state.jobs.own_records.erase(it.id);
+  }
+  state.jobs.tracks.erase(job);
+}
+
+JobTrack& TrackOf(State& state, const JobId& job) {
+  const auto [it, inserted] = state.jobs.tracks.try_emplace(job);
+  if (inserted) {
+    it->second.submitted = state.now;
+    it->second.order = state.jobs.next_order++;
+    // An attempt may have been claimed long ago by another entry.
+    it->second.claimed_at = state.now;
+    it->second.last_news = state.now;
+  }
+  return it->second;
+}
+
+void OnFinal(State& state, const stream::JobRow& row, JobTrack& track) {
+  if (row.standing == stream::JobStanding::kCancelled && row.attempt > 0 &&
+      !row.members.empty()) {
+    SendStop(state, row.coordinator, {row.spec.id, row.attempt},
+             StopReason::kCancelled);
+  }
+  decision::ForgetJob(state.health, row.spec.id);
+  ForgetTrack(state, row.spec.id, track);
+}
+
+void OnJobChanged(State& state, const JobId& job) {
+  const stream::JobRow* row = stream::FindJob(state.jobs.fold, job);
+  if (row == nullptr) {
+    return;
+  }
+  state.jobs.dirty = true;
+  SettleSubmits(state, *row);
+  if (stream::IsFinal(row->standing)) {
+    if (JobTrack* track = FindTrack(state, job)) {
+      OnFinal(state, *row, *track);
+    }
+    SyncJob(state, job);
+    return;
+  }
+  JobTrack& track = TrackOf(state, job);
+  Rebuild(state, job, track);
+  SettleWaitingProposal(state, *row, track);
+  NoteAttempt(state, job, track);
+  SyncJob(state, job);
+}
+
+void OnDropped(State& state, const JobId& job) {
+  if (JobTrack* track = FindTrack(state, job)) {
+    if (stream::FindJob(state.jobs.fold, job) == nullptr) {
+      ForgetTrack(state, job, *track);
+    }
+  }
+  SyncJob(state, job);
+}
+
+}  // namespace
+
+const stream::JobRow* ViewJob(const State& state, const JobId& job) {
+  const auto it = state.jobs.tracks.find(job);
+  if (it != state.jobs.tracks.end() && it->second.ahead) {
+    return &*it->second.ahead;
+  }
+  return stream::FindJob(state.jobs.fold, job);
+}
+
+JobTrack* FindTrack(State& state, const JobId& job) {
+  const auto it = state.jobs.tracks.find(job);
+  return it == state.jobs.tracks.end() ? nullptr : &it->second;
+}
+
+std::string MakeRecordId(State& state) {
+  const EntryRef& self = state.options.self;
+  return self.name.value + "-" +
+         std::to_string(static_cast<std::uint64_t>(self.incarnation)) + "-" +
+         std::to_string(state.next_record++);
+}
+
+std::string QueueJobRecord(State& state,
+                           const JobId& job,
+                           stream::JobRecord record,
+                           TimePoint give_up_at) {
+  std::string id = MakeRecordId(state);
+  if (!stream::Add(state.job_io.appends,
+                   {{id, FormatRecord(record)}, give_up_at})) {
+    Count(state, "shallotlug_entry_append_queue_full_total");
+    return "";
+  }
+  JobTrack* track = FindTrack(state, job);
+  if (track != nullptr) {
+    track->own.push_back({id, std::move(record)});
+    state.jobs.own_records[id] = job;
+    Rebuild(state, job, *track);
+    NoteAttempt(state, job, *track);
+    SyncJob(state, job);
+    state.jobs.dirty = true;
+  }
+  return id;
+}
+
+void OnJobsRead(State& state, const std::vector<stream::LogRecord>& records) {
+  for (const stream::LogRecord& it : records) {
+    OnOwnRecordRead(state, it.id);
+    OnCancelRecord(state, it.id, stream::AppendNoticeKind::kAppended);
+  }
+  for (const JobId& it : std::exchange(state.jobs.fold.changed, {})) {
+    OnJobChanged(state, it);
+  }
+  for (const JobId& it : std::exchange(state.jobs.fold.dropped, {})) {
+    OnDropped(state, it);
+  }
+  AcknowledgeFinals(state);
+}
+
+void OnJobNotice(State& state, const stream::AppendNotice& notice) {
+  OnSubmitNotice(state, notice);
+  if (notice.kind == stream::AppendNoticeKind::kAppended) {
+    return;  // Takes effect when it is read back.
+  }
+  OnCancelRecord(state, notice.record_id, notice.kind);
+  const auto it = state.jobs.own_records.find(notice.record_id);
+  if (it == state.jobs.own_records.end()) {
+    return;
+  }
+  const JobId job = it->second;
+  state.jobs.own_records.erase(it);
+  JobTrack* track = FindTrack(state, job);
+  if (track == nullptr) {
+    return;
+  }
+  std::erase_if(track->own, [&](const OwnRecord& own) {
+    return own.id == notice.record_id;
+  });
+  if (track->waiting && track->waiting->claim_id == notice.record_id) {
+    track->waiting.reset();
+    track->not_before = state.now + state.options.log_timeout;
+  }
+  Rebuild(state, job, *track);
+  SyncJob(state, job);
+}
+
+bool JobsKnown(const State& state) {
+  return state.job_io.reader.caught_up;
+}
+
+}  // namespace shallotlug::entry
--- a/packages/entry/src/live_table.cc
+++ b/packages/entry/src/live_table.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "burn.h"
 #include "replies.h"
 #include "retry_budget.h"
 
@@ -39,6 +40,9 @@
   const bool met = state.now <= request->accepted + request->target;
   Count(state, "shallotlug_entry_live_answers_total", met ? "in_time" : "late");
   CreditRetries(state);
+  RecordBurn(state, request->request_class, request->customer, met);
+  decision::Learn(state.jobs.run_times, request->request_class, Millis(0),
+                  state.now - request->accepted);
   for (const CallId call : request->callers) {
     Reply(state, call, api::AnswerReply{id, body});
   }
@@ -52,6 +56,9 @@
                  std::string_view message) {
   const LiveRequest* request = FindRequest(state, id);
   Count(state, "shallotlug_entry_error_replies_total", reason);
+  if (!request->resolve_only && code != api::ErrorCode::kConflict) {
+    RecordBurn(state, request->request_class, request->customer, false);
+  }
   for (const CallId call : request->callers) {
     api::ErrorReply reply;
     reply.code = code;
--- a/packages/entry/src/live_test.cc
+++ b/packages/entry/src/live_test.cc
@@ -22,16 +22,6 @@
     Call(800, api::MintCall{CustomerName("salon"), ClassName("shade")});
     return ReplyOf<api::MintReply>(800)->id;
   }
-
-  /// @brief Lets time pass while the agents keep reporting.
-  void Wait(Millis by, const std::vector<std::uint64_t>& links) {
-    for (Millis n{0}; n < by; n += Millis(100)) {
-      Advance(Millis(100));
-      for (const std::uint64_t link : links) {
-        Receive(link, Report());
-      }
-    }
-  }
 };
 
 // Guards against a request that is lost between its call and its answer.
@@ -99,18 +89,18 @@
 // and without its answer the outcome is unknown.
 TEST_F(LiveTest, DeadlineResolvesAndReportsUnknownWithoutProof) {
   Call(1, OneShot());
-  Wait(Millis(4000), {1});
+  Wait(Millis(4000));
   ASSERT_TRUE(LastSent<ResolveRequest>());
   EXPECT_EQ(LastSent<ResolveRequest>()->id, Started());
   EXPECT_EQ(FindReply(1), nullptr);
-  Wait(Millis(1600), {1});
+  Wait(Millis(1600));
   EXPECT_EQ(ErrorOf(1), api::ErrorCode::kOutcomeUnknown);
 }
 
 // Guards against a proven "not run" being withheld from the caller.
 TEST_F(LiveTest, DeadlineWithProofReportsNotRun) {
   Call(1, OneShot());
-  Wait(Millis(4000), {1});
+  Wait(Millis(4000));
   Receive(1, Outcome(Started(), RequestResult::kNotRun));
   EXPECT_EQ(ErrorOf(1), api::ErrorCode::kNotRun);
 }
--- a/packages/entry/src/log.cc
+++ b/packages/entry/src/log.cc
@@ -1,9 +1,13 @@
 #include "log.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "config.h"
+#include "job_table.h"
 #include "replies.h"
+#include "snapshots.h"
+#include "submissions.h"
 
 namespace shallotlug::entry {
 namespace {
@@ -58,63 +62,101 @@
   state.out.log_reads.push_back({reader.stream, reader.next});
 }
 
-void DriveQueue(State& state, stream::AppendQueue& queue) {
+void HandleNotices(State& state,
+                   const std::vector<stream::AppendNotice>& notices) {
+  for (const stream::AppendNotice& it : notices) {
+    OnChangeNotice(state, it);
+    OnJobNotice(state, it);
+  }
+}
+
+void DriveStream(State& state, StreamIo& io) {
+  std::vector<stream::AppendNotice> notices;
+  stream::Expire(io.appends, state.now, notices);
+  HandleNotices(state, notices);
   std::optional<stream::LogAppend> append =
-      stream::NextAppend(queue, state.next_token, state.now);
+      stream::NextAppend(io.appends, state.next_token, state.now);
   if (append) {
     ++state.next_token;
     state.out.log_appends.push_back(std::move(*append));
   }
+  DriveReader(state, io.reader);
 }
 
-void HandleNotices(State& state,
-                   const std::vector<stream::AppendNotice>& notices) {
-  for (const stream::AppendNotice& it : notices) {
-    OnChangeNotice(state, it);
+StreamIo* FindStream(State& state, const std::string& name) {
+  for (StreamIo* it : {&state.config_io, &state.job_io, &state.entry_io}) {
+    if (it->reader.stream == name) {
+      return it;
+    }
+  }
+  return nullptr;
+}
+
+// Applies a read to its fold.
+void Fold(State& state,
+          const StreamIo& io,
+          const stream::LogReadResult& read,
+          bool backlog) {
+  if (&io == &state.config_io) {
+    stream::Apply(state.config, read);
+    SettleChanges(state);
+  } else if (&io == &state.job_io) {
+    stream::Apply(state.jobs.fold, read);
+    OnJobsRead(state, read.records);
+    NoteOffset(state);
+  } else {
+    // An entry that lives announces itself again within the interval.
+    const Millis age = backlog ? state.options.announce_expiry -
+                                     state.options.announce_interval * 3 / 2
+                               : Millis(0);
+    stream::Apply(state.entries, read, state.now, age);
   }
 }
 
 }  // namespace
 
 void OnLogRead(State& state, const stream::LogReadResult& read) {
-  StreamReader& reader = state.config_reader;
-  if (read.stream != reader.stream) {
+  StreamIo* io = FindStream(state, read.stream);
+  if (io == nullptr || !io->reader.open) {
     return;
   }
-  reader.open = false;
+  io->reader.open = false;
   if (!read.ok) {
-    NoteReadFailure(state, reader);
+    NoteReadFailure(state, io->reader);
     return;
   }
-  NoteReadSuccess(state, reader, read);
-  stream::Apply(state.config, read);
+  const bool backlog = !io->reader.caught_up;
+  NoteReadSuccess(state, io->reader, read);
   std::vector<stream::AppendNotice> notices;
-  stream::OnReadBack(state.config_appends, read.records,
-                     reader.caught_up_at == reader.opened, reader.opened,
-                     notices);
+  stream::OnReadBack(io->appends, read.records,
+                     io->reader.caught_up_at == io->reader.opened,
+                     io->reader.opened, notices);
   HandleNotices(state, notices);
+  Fold(state, *io, read, backlog);
 }
 
 void OnLogAppend(State& state, const stream::LogAppendResult& result) {
-  std::vector<stream::AppendNotice> notices;
-  stream::OnAppendResult(state.config_appends, result, state.now, notices);
-  if (!notices.empty()) {
-    state.config_reader.due = state.now;  // Reads the records back at once.
+  for (StreamIo* io : {&state.config_io, &state.job_io, &state.entry_io}) {
+    std::vector<stream::AppendNotice> notices;
+    stream::OnAppendResult(io->appends, result, state.now, notices);
+    if (!notices.empty()) {
+      io->reader.due = state.now;  // Reads the records back at once.
+    }
+    HandleNotices(state, notices);
   }
-  HandleNotices(state, notices);
 }
 
 void DriveLog(State& state) {
-  std::vector<stream::AppendNotice> notices;
-  stream::Expire(state.config_appends, state.now, notices);
-  HandleNotices(state, notices);
   SettleChanges(state);
-  DriveQueue(state, state.config_appends);
-  DriveReader(state, state.config_reader);
+  AnswerAcknowledgedSubmits(state);
+  for (StreamIo* io : {&state.config_io, &state.job_io, &state.entry_io}) {
+    DriveStream(state, *io);
+  }
 }
 
 bool LogAvailable(const State& state) {
-  return state.config_reader.caught_up && !state.config_reader.failing;
+  return state.config_io.reader.caught_up && !state.config_io.reader.failing &&
+         state.job_io.reader.caught_up && !state.job_io.reader.failing;
 }
 
 }  // namespace shallotlug::entry
--- a/packages/entry/src/log.h
+++ b/packages/entry/src/log.h
@@ -11,7 +11,7 @@
 /// @brief Starts the reads and appends that are due.
 void DriveLog(State& state);
 
-/// @brief Whether the last reads of the log succeeded.
+/// @brief Whether the last reads of the configuration and the jobs succeeded.
 bool LogAvailable(const State& state);
 
 }  // namespace shallotlug::entry
--- /dev/null
+++ b/packages/entry/src/pause.cc
@@ -0,0 +1,85 @@
+#include "pause.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "replies.h"
+
+namespace shallotlug::entry {
+namespace {
+
+constexpr Millis kPauseThreshold{2000};
+// After this time the entry goes on with what it has.
+constexpr Millis kRefreshLimit{2000};
+
+bool DependsOnConfig(const api::Call& call) {
+  return !std::holds_alternative<api::ResolveCall>(call) &&
+         !std::holds_alternative<api::GetJobCall>(call) &&
+         !std::holds_alternative<api::CancelJobsCall>(call);
+}
+
+// The pause is not silence of the peers, whose messages are still unread.
+void ForgivePause(State& state) {
+  for (auto& [id, link] : state.links) {
+    link.last_heard = state.now;
+  }
+  for (auto& [job, track] : state.jobs.tracks) {
+    track.last_news = state.now;
+  }
+}
+
+}  // namespace
+
+void CheckPause(State& state) {
+  if (state.now - state.last_step <= kPauseThreshold) {
+    return;
+  }
+  Count(state, "shallotlug_entry_pauses_total");
+  Log(state, LogLevel::kWarning, "resumed_after_pause",
+      {{"ms", std::to_string((state.now - state.last_step).count())}});
+  ForgivePause(state);
+  state.refresh.active = true;
+  state.refresh.since = state.now;
+  state.config_io.reader.due = state.now;
+  state.jobs.plan_not_before = state.now + state.options.heartbeat_interval;
+}
+
+bool Hold(State& state, const IncomingCall& call) {
+  if (!state.refresh.active || !DependsOnConfig(call.call)) {
+    return false;
+  }
+  state.refresh.held.push_back(call);
+  return true;
+}
+
+void DropHeld(State& state, CallId call) {
+  std::erase_if(state.refresh.held,
+                [&](const IncomingCall& it) { return it.id == call; });
+}
+
+void OnFreshReport(State& state,
+                   const PeerClockSample& before,
+                   const AgentReport& report) {
+  // A report that was made before the resumption may have waited in a buffer.
+  const bool fresh = report.now > ToPeerTime(before, state.refresh.since);
+  const bool known =
+      report.config_revision <= stream::Current(state.config).revision;
+  if (state.refresh.active && fresh && known) {
+    state.refresh.active = false;
+  }
+}
+
+std::vector<IncomingCall> TakeHeld(State& state) {
+  const bool read = state.config_io.reader.caught_up &&
+                    state.config_io.reader.caught_up_at >= state.refresh.since;
+  if (state.refresh.active &&
+      (read || state.now - state.refresh.since >= kRefreshLimit)) {
+    state.refresh.active = false;
+  }
+  if (state.refresh.active) {
+    return {};
+  }
+  return std::exchange(state.refresh.held, {});
+}
+
+}  // namespace shallotlug::entry
--- a/packages/entry/src/peers.cc
+++ b/packages/entry/src/peers.cc
@@ -1,9 +1,91 @@
 #include "peers.h"
 
+#include "job_table.h"
+#include "replies.h"
+
 namespace shallotlug::entry {
+namespace {
+
+// Entries are kept this many expiries through an outage of the log: when all
+// announcements lapsed at once, every entry would plan every job.
+constexpr int kOutageExpiries = 10;
+
+void Announce(State& state, Millis expires_in) {
+  const Options& options = state.options;
+  const stream::EntryAnnouncement record{options.self, options.data_centre,
+                                         options.peer_address,
+                                         options.operator_address, expires_in};
+  stream::Add(state.entry_io.appends,
+              {{MakeRecordId(state), stream::Format(record)},
+               state.now + options.announce_interval});
+}
+
+template <class Project>
+std::vector<std::string> Addresses(const State& state,
+                                   const std::string& own,
+                                   const Project& project) {
+  std::vector<std::string> addresses = {own};
+  for (const auto& [name, row] : state.entries.rows) {
+    if (name != state.options.self.name) {
+      addresses.push_back(project(row.announcement));
+    }
+  }
+  return addresses;
+}
+
+}  // namespace
 
 std::vector<std::string> KnownEntries(const State& state) {
-  return {state.options.peer_address};
+  return Addresses(state, state.options.peer_address,
+                   [](const auto& it) { return it.peer_address; });
+}
+
+std::vector<std::string> OperatorAddresses(const State& state) {
+  return Addresses(state, state.options.operator_address,
+                   [](const auto& it) { return it.operator_address; });
+}
+
+bool IsResponsible(const State& state, std::string_view duty) {
+  if (state.shutting_down) {
+    return false;
+  }
+  std::vector<EntryName> names = {state.options.self.name};
+  for (const auto& [name, row] : state.entries.rows) {
+    if (name != state.options.self.name) {
+      names.push_back(name);
+    }
+  }
+  return stream::Rendezvous(names, duty) == state.options.self.name;
+}
+
+// One entry plans all data centres: guarantees and the order of the queue span
+// them, and two planners with stale views could together break a guarantee.
+bool IsPlanner(const State& state) {
+  return IsResponsible(state, "plan");
+}
+
+void KeepEntries(State& state) {
+  const StreamReader& reader = state.entry_io.reader;
+  const bool outage =
+      reader.failing && state.now - reader.last_ok <
+                            kOutageExpiries * state.options.announce_expiry;
+  if (!outage) {
+    stream::Expire(state.entries, state.now);
+  }
+  if (state.now >= state.next_announcement && !state.shutting_down) {
+    state.next_announcement = state.now + state.options.announce_interval;
+    Announce(state, state.options.announce_expiry);
+  }
+  const bool planner = IsPlanner(state);
+  if (planner != state.was_planner) {
+    state.was_planner = planner;
+    Log(state, LogLevel::kInfo, planner ? "planner_started" : "planner_stopped",
+        {});
+  }
+}
+
+void AnnounceLeaving(State& state) {
+  Announce(state, Millis(0));
 }
 
 }  // namespace shallotlug::entry
--- /dev/null
+++ b/packages/entry/src/planner.h
@@ -0,0 +1,16 @@
+#ifndef SHALLOTLUG_ENTRY_SRC_PLANNER_H_
+#define SHALLOTLUG_ENTRY_SRC_PLANNER_H_
+
+#include "state.h"
+
+namespace shallotlug::entry {
+
+/// @brief Starts and stops long jobs when a plan is due and this entry plans.
+void PlanJobs(State& state);
+
+/// @brief Whether this entry has heard enough to plan.
+bool MayPlan(const State& state);
+
+}  // namespace shallotlug::entry
+
+#endif  // SHALLOTLUG_ENTRY_SRC_PLANNER_H_
--- a/packages/entry/src/state.h
+++ b/packages/entry/src/state.h
@@ -14,7 +14,10 @@
 #include "shallotlug/entry/entry.h"
 #include "shallotlug/stream/append_queue.h"
 #include "shallotlug/stream/config_fold.h"
+#include "shallotlug/stream/entries_fold.h"
 
+#include "burn_ring.h"
+#include "job_track.h"
 #include "timers.h"
 
 namespace shallotlug::entry {
@@ -32,6 +35,7 @@
   TimePoint last_heard{};
   int in_flight = 0;  ///< Live requests since the last report.
   std::optional<std::size_t> routing_row;
+  std::optional<decision::WorkerIndex> worker;
   std::uint64_t config_revision = 0;  ///< Last reported.
   std::uint64_t config_sent = 0;      ///< Last pushed on this link.
   TimePoint config_sent_at{};
@@ -84,6 +88,19 @@
   bool failing = false;
 };
 
+/// @brief Reads and appends of one stream.
+struct StreamIo {
+  StreamReader reader;
+  stream::AppendQueue appends;
+};
+
+/// @brief Calls that wait until a resumed entry has the configuration again.
+struct Refresh {
+  bool active = false;
+  TimePoint since{};
+  std::vector<IncomingCall> held;
+};
+
 /// @brief Tokens for retries: a share of the successes plus a floor.
 struct RetryBudget {
   double tokens = 0;
@@ -121,10 +138,24 @@
   RetryBudget retry_budget;
 
   stream::ConfigFold config;
-  StreamReader config_reader;
-  stream::AppendQueue config_appends;
+  StreamIo config_io;
+  std::uint64_t last_config_snapshot = 0;
+  TimePoint config_snapshot_at{};
+  TimePoint next_snapshot_round{};
   std::map<std::string, PendingChange> pending_changes;  ///< By change id.
   std::uint64_t next_token = 1;
+  std::uint64_t next_record = 1;
+
+  stream::EntriesFold entries;
+  StreamIo entry_io;
+  TimePoint next_announcement{};
+  bool was_planner = false;
+
+  Jobs jobs;
+  StreamIo job_io;
+
+  std::map<BurnKey, BurnCounts> burn;
+  Refresh refresh;
 
   bool shutting_down = false;
   Outbox out;
--- a/packages/entry/src/step.cc
+++ b/packages/entry/src/step.cc
@@ -3,11 +3,21 @@
 #include <variant>
 
 #include "agents.h"
+#include "attempts.h"
+#include "burn.h"
+#include "cluster_sync.h"
 #include "config.h"
 #include "live.h"
 #include "log.h"
+#include "pause.h"
+#include "peers.h"
+#include "planner.h"
 #include "replies.h"
+#include "shutdown.h"
+#include "snapshots.h"
 #include "state.h"
+#include "status.h"
+#include "submissions.h"
 
 namespace shallotlug::entry {
 namespace {
@@ -26,6 +36,10 @@
   OnRequestOutcome(state, link, message);
 }
 
+void Handle(State& state, LinkId link, const JobUpdate& message) {
+  OnJobUpdate(state, link, message);
+}
+
 void Handle(State& state, LinkId /*link*/, const ConfigUpdate& message) {
   OnConfigUpdate(state, message);
 }
@@ -82,10 +96,24 @@
   OnGetChange(state, id, call);
 }
 
-template <class Other>
-void OnCall(State& state, CallId id, const Other& /*call*/) {
-  ReplyError(state, id, api::ErrorCode::kNotFound, "not_available",
-             "this call is not available");
+void OnCall(State& state, CallId id, const api::SubmitJobCall& call) {
+  OnSubmitJob(state, id, call);
+}
+
+void OnCall(State& state, CallId id, const api::GetJobCall& call) {
+  OnGetJob(state, id, call);
+}
+
+void OnCall(State& state, CallId id, const api::CancelJobsCall& call) {
+  OnCancelJobs(state, id, call);
+}
+
+void OnCall(State& state, CallId id, const api::StatusCall& /*call*/) {
+  OnStatus(state, id);
+}
+
+void OnCall(State& state, CallId id, const api::BurnCall& /*call*/) {
+  OnBurn(state, id);
 }
 
 void TakeLinks(State& state, const Inbox& inbox) {
@@ -106,15 +134,52 @@
   }
 }
 
+void Dispatch(State& state, const IncomingCall& incoming) {
+  std::visit([&](const auto& call) { OnCall(state, incoming.id, call); },
+             incoming.call);
+}
+
 void TakeCalls(State& state, const Inbox& inbox) {
+  for (const IncomingCall& it : TakeHeld(state)) {
+    Dispatch(state, it);
+  }
   for (const IncomingCall& it : inbox.calls) {
-    std::visit([&](const auto& call) { OnCall(state, it.id, call); }, it.call);
+    if (!Hold(state, it)) {
+      Dispatch(state, it);
+    }
   }
   for (const CallId it : inbox.callers_gone) {
+    DropHeld(state, it);
     OnCallerGone(state, it);
   }
 }
 
+void SetGauge(State& state,
+              std::string_view name,
+              const char* label,
+              std::int64_t value) {
+  const std::vector<Label> labels = {{"stream", label}};
+  state.counters.Set(state.counters.Define(name, labels, CounterKind::kGauge),
+                     value);
+}
+
+void ExportFoldCounters(State& state) {
+  constexpr std::string_view kUnknown = "shallotlug_entry_records_unknown";
+  constexpr std::string_view kMalformed = "shallotlug_entry_records_malformed";
+  constexpr std::string_view kDepth = "shallotlug_entry_append_queue_depth";
+  SetGauge(state, kUnknown, "config", state.config.unknown_kinds);
+  SetGauge(state, kUnknown, "jobs", state.jobs.fold.unknown_kinds);
+  SetGauge(state, kUnknown, "entries", state.entries.unknown_kinds);
+  SetGauge(state, kMalformed, "config", state.config.malformed);
+  SetGauge(state, kMalformed, "jobs", state.jobs.fold.malformed);
+  SetGauge(state, kMalformed, "entries", state.entries.malformed);
+  for (const StreamIo* io :
+       {&state.config_io, &state.job_io, &state.entry_io}) {
+    SetGauge(state, kDepth, io->reader.stream.c_str(),
+             static_cast<std::int64_t>(stream::Depth(io->appends)));
+  }
+}
+
 // Work over whole tables, which is not repeated for every input.
 void KeepHouse(State& state) {
   const bool due = state.now >= state.next_housekeeping;
@@ -129,6 +194,11 @@
   state.next_housekeeping = state.now + kHousekeepingInterval;
   CloseSilentLinks(state);
   decision::UpdateHealth(state.health, state.now);
+  RemoveDeadWorkers(state);
+  KeepEntries(state);
+  RecordFinals(state);
+  WriteSnapshots(state);
+  ExportFoldCounters(state);
 }
 
 }  // namespace
@@ -136,6 +206,10 @@
 Outbox Step(State& state, const Inbox& inbox, TimePoint now) {
   state.out = Outbox{};
   state.now = now;
+  CheckPause(state);
+  if (inbox.shutdown_requested) {
+    BeginShutdown(state);
+  }
   TakeLinks(state, inbox);
   for (const Received& it : inbox.received) {
     OnReceived(state, it);
@@ -144,8 +218,10 @@
   TakeCalls(state, inbox);
   KeepHouse(state);
   HandleRequestTimers(state);
+  PlanJobs(state);
   DriveLog(state);
   SendHeartbeats(state);
+  state.out.may_exit = MayExit(state);
   state.last_step = now;
   return std::move(state.out);
 }
--- /dev/null
+++ b/packages/entry/src/submissions.h
@@ -0,0 +1,31 @@
+#ifndef SHALLOTLUG_ENTRY_SRC_SUBMISSIONS_H_
+#define SHALLOTLUG_ENTRY_SRC_SUBMISSIONS_H_
+
+#include <string>
+
+#include "state.h"
+
+namespace shallotlug::entry {
+
+void OnSubmitJob(State& state, CallId call, const api::SubmitJobCall& submit);
+void OnGetJob(State& state, CallId call, const api::GetJobCall& get);
+void OnCancelJobs(State& state, CallId call, const api::CancelJobsCall& cancel);
+
+/// @brief Answers submissions of a job that was read back.
+void SettleSubmits(State& state, const stream::JobRow& row);
+
+/// @brief Takes in the end of a submission's append.
+void OnSubmitNotice(State& state, const stream::AppendNotice& notice);
+
+/// @brief Answers submissions whose append was acknowledged but that could not
+/// be read back in time.
+void AnswerAcknowledgedSubmits(State& state);
+
+/// @brief Takes in the end of a cancellation's record.
+void OnCancelRecord(State& state,
+                    const std::string& record_id,
+                    stream::AppendNoticeKind kind);
+
+}  // namespace shallotlug::entry
+
+#endif  // SHALLOTLUG_ENTRY_SRC_SUBMISSIONS_H_
--- a/packages/entry/src/test_support.h
+++ b/packages/entry/src/test_support.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_ENTRY_SRC_TEST_SUPPORT_H_
 #define SHALLOTLUG_ENTRY_SRC_TEST_SUPPORT_H_
 
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -66,6 +67,7 @@
   }
 
   void LinkDownAt(std::uint64_t link) {
+    reports.erase(link);
     Inbox inbox;
     inbox.links_down.push_back({LinkId{link}, ""});
     Run(std::move(inbox));
@@ -96,7 +98,41 @@
                std::uint64_t incarnation = 1) {
     LinkUpAt(link);
     Receive(link, Hello(name, incarnation));
-    Receive(link, Report());
+    reports[link] = Report();
+    Receive(link, reports[link]);
+  }
+
+  /// @brief Lets time pass while the agents repeat their reports.
+  void Wait(Millis by) {
+    for (Millis n{0}; n < by; n += Millis(100)) {
+      Advance(Millis(100));
+      for (auto& [link, report] : reports) {
+        report.now = AsPeerTime(now);
+        report.config_revision = CurrentTargets(Entry()).revision;
+        Receive(link, report);
+      }
+    }
+  }
+
+  static ClassTarget BatchTarget() {
+    ClassTarget target;
+    target.name = ClassName("sweep");
+    target.customer = CustomerName("salon");
+    target.finish_within = Millis(3'600'000);
+    return target;
+  }
+
+  static api::SubmitJobCall Submit(const std::string& key,
+                                   bool repeatable = true) {
+    api::SubmitJobCall submit;
+    submit.key = key;
+    submit.spec.customer = CustomerName("salon");
+    submit.spec.job_class = ClassName("sweep");
+    submit.spec.shape = {1, 2, Adjacency::kWorker};
+    submit.spec.declared_run_time = Millis(60'000);
+    submit.spec.repeatable = repeatable;
+    submit.spec.checkpointable = repeatable;
+    return submit;
   }
 
   static ClassTarget LiveTarget() {
@@ -180,6 +216,8 @@
   TimePoint now{Millis(1'000'000)};
   StatePtr entry;
 
+  std::map<std::uint64_t, AgentReport> reports;  ///< By link, for Wait.
+
   bool log_up = true;
   stream::AppendOutcome append_outcome = stream::AppendOutcome::kAppended;
   bool keep_appended = true;  ///< Whether records of an append take effect.
