--- a/packages/net/include/shallotlug/net/http_server.h
+++ b/packages/net/include/shallotlug/net/http_server.h
@@ -51,6 +51,9 @@
   /// @brief Answers a request; an id whose caller has gone is ignored.
   void Reply(ExchangeId id, HttpResponse response);
 
+  /// @brief Closes the connection of a request instead of answering it.
+  void Abort(ExchangeId id);
+
   /// @brief Stops to accept; open connections close after their response.
   void Drain();
 
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -466,6 +466,15 @@
   session->Reply(static_cast<std::uint64_t>(id), std::move(response));
 }
 
+void HttpServer::Abort(ExchangeId id) {
+  const auto it = impl_->waiting.find(static_cast<std::uint64_t>(id));
+  if (it != impl_->waiting.end()) {
+    const auto session = it->second;
+    impl_->waiting.erase(it);
+    session->Close();
+  }
+}
+
 void HttpServer::Drain() {
   impl_->draining = true;
   impl_->Close();
--- a/packages/net/src/http_test.cc
+++ b/packages/net/src/http_test.cc
@@ -25,31 +25,31 @@
     options.address = "127.0.0.1:0";
     HttpServerHandlers handlers;
     handlers.on_request = [this](ExchangeId id, HttpRequest request) {
-      ++requests_;
+      ++requests;
       if (request.target != "/hold") {
         HttpResponse response;
         response.body = request.body;
-        server_->Reply(id, std::move(response));
+        server->Reply(id, std::move(response));
       }
     };
-    handlers.on_gone = [this](ExchangeId) { ++gone_; };
-    server_.emplace(
-        HttpServer::Listen(context_, options, std::move(handlers)).value());
-    address_ = server_->Address();
-    thread_ = std::thread([this] { context_.run(); });
+    handlers.on_gone = [this](ExchangeId) { ++gone; };
+    server.emplace(
+        HttpServer::Listen(context, options, std::move(handlers)).value());
+    address = server->Address();
+    thread = std::thread([this] { context.run(); });
   }
 
   void TearDown() override {
-    if (thread_.joinable()) {
-      asio::post(context_, [this] { server_.reset(); });
-      context_.stop();
-      thread_.join();
+    if (thread.joinable()) {
+      asio::post(context, [this] { server.reset(); });
+      context.stop();
+      thread.join();
     }
   }
 
   tcp::socket Connect() {
-    tcp::socket socket(client_context_);
-    socket.connect(ParseEndpoint(address_).value());
+    tcp::socket socket(client_context);
+    socket.connect(ParseEndpoint(address).value());
     return socket;
   }
 
@@ -70,13 +70,13 @@
     return reply;
   }
 
-  asio::io_context context_;
-  asio::io_context client_context_;
-  std::optional<HttpServer> server_;
-  std::string address_;
-  std::thread thread_;
-  std::atomic<int> requests_{0};
-  std::atomic<int> gone_{0};
+  asio::io_context context;
+  asio::io_context client_context;
+  std::optional<HttpServer> server;
+  std::string address;
+  std::thread thread;
+  std::atomic<int> requests{0};
+  std::atomic<int> gone{0};
 };
 
 constexpr std::string_view kPost = "POST /echo HTTP/1.1\r\nHost: x\r\n";
@@ -85,7 +85,7 @@
 TEST_F(HttpTest, EchoesAWholeBody) {
   Start();
   HttpFetchOptions options;
-  options.address = address_;
+  options.address = address;
   options.method = "POST";
   options.body = std::string(300'000, 'x') + '\0' + "end";
   const auto response = Fetch(options);
@@ -101,7 +101,7 @@
       Exchange(std::string(kPost) + "Content-Length: 10\r\n\r\nabc", true);
   EXPECT_NE(reply.find(" 400 "), std::string::npos) << reply;
   EXPECT_NE(reply.find("\"truncated\""), std::string::npos) << reply;
-  EXPECT_EQ(requests_, 0);
+  EXPECT_EQ(requests, 0);
 }
 
 // Guards against slow senders that hold connections for ever.
@@ -112,7 +112,7 @@
   const std::string reply =
       Exchange(std::string(kPost) + "Content-Length: 10\r\n\r\nabc", false);
   EXPECT_NE(reply.find(" 408 "), std::string::npos) << reply;
-  EXPECT_EQ(requests_, 0);
+  EXPECT_EQ(requests, 0);
 }
 
 // Guards against bodies without bound, declared or chunked.
@@ -127,7 +127,7 @@
     const std::string reply = Exchange(std::string(kPost) + rest, false);
     EXPECT_NE(reply.find(" 413 "), std::string::npos) << reply;
   }
-  EXPECT_EQ(requests_, 0);
+  EXPECT_EQ(requests, 0);
 }
 
 // Guards against garbage that ends the server or its other connections.
@@ -172,19 +172,19 @@
 TEST_F(HttpTest, ReportsACallerThatHasGone) {
   Start();
   for (const std::string next : {"", "GET / HTTP/1.1\r\n\r\n"}) {
-    requests_ = 0;
-    gone_ = 0;
+    requests = 0;
+    gone = 0;
     {
       tcp::socket socket = Connect();
       asio::write(socket, asio::buffer("GET /hold HTTP/1.1\r\n\r\n" + next));
-      while (requests_ == 0) {
+      while (requests == 0) {
         std::this_thread::sleep_for(Millis(1));
       }
     }
-    for (int n = 0; n < 10'000 && gone_ == 0; ++n) {
+    for (int n = 0; n < 10'000 && gone == 0; ++n) {
       std::this_thread::sleep_for(Millis(1));
     }
-    EXPECT_EQ(gone_, 1) << next;
+    EXPECT_EQ(gone, 1) << next;
   }
 }
 
@@ -192,11 +192,11 @@
 TEST_F(HttpTest, TellsNeverSentFromUnknown) {
   Start();
   HttpFetchOptions options;
-  options.address = address_;
+  options.address = address;
   options.target = "/hold";
   options.timeout = Millis(50);
   EXPECT_EQ(Fetch(options).error(), FetchError::kOutcomeUnknown);
-  tcp::acceptor closed(client_context_, ParseEndpoint("127.0.0.1:0").value());
+  tcp::acceptor closed(client_context, ParseEndpoint("127.0.0.1:0").value());
   options.address = ToString(closed.local_endpoint());
   closed.close();
   EXPECT_EQ(Fetch(options).error(), FetchError::kNeverSent);
--- a/packages/net/src/peer_links_test.cc
+++ b/packages/net/src/peer_links_test.cc
@@ -46,49 +46,49 @@
   void Open(PeerLinkOptions options = {}) {
     options.listen = "127.0.0.1:0";
     options.shared_key = "the key of the tests";
-    acceptor_.Open(context_, options);
-    address_ = acceptor_.links->Address();
+    acceptor.Open(context, options);
+    address = acceptor.links->Address();
   }
 
   void OpenDialler(const std::string& key, PeerLinkOptions options = {}) {
     options.shared_key = key;
-    dialler_.Open(context_, options);
-    dialler_.links->Dial({address_, PeerRole::kEntry});
+    dialler.Open(context, options);
+    dialler.links->Dial({address, PeerRole::kEntry});
   }
 
   template <class Condition>
   bool RunUntil(Condition condition) {
     const auto end = std::chrono::steady_clock::now() + kPatience;
     while (!condition() && std::chrono::steady_clock::now() < end) {
-      context_.restart();
-      context_.run_for(Millis(1));
+      context.restart();
+      context.run_for(Millis(1));
     }
     return condition();
   }
 
   // Sends raw bytes to the acceptor and waits for it to close the connection.
   void SendRaw(const std::string& bytes, bool half_close) {
-    tcp::socket socket(context_);
-    socket.connect(ParseEndpoint(address_).value());
+    tcp::socket socket(context);
+    socket.connect(ParseEndpoint(address).value());
     asio::write(socket, asio::buffer(bytes));
     if (half_close) {
       socket.shutdown(tcp::socket::shutdown_send);
     }
-    EXPECT_TRUE(RunUntil([this] { return !acceptor_.log.empty(); }));
+    EXPECT_TRUE(RunUntil([this] { return !acceptor.log.empty(); }));
   }
 
   void ExpectRejected(const std::string& reason) {
-    EXPECT_TRUE(acceptor_.ups.empty());
-    ASSERT_EQ(acceptor_.log.size(), 1U);
-    EXPECT_EQ(acceptor_.log[0].fields[0].value, reason);
-    EXPECT_EQ(acceptor_.counters.Sum("shallotlug_link_handshakes_failed_total"),
+    EXPECT_TRUE(acceptor.ups.empty());
+    ASSERT_EQ(acceptor.log.size(), 1U);
+    EXPECT_EQ(acceptor.log[0].fields[0].value, reason);
+    EXPECT_EQ(acceptor.counters.Sum("shallotlug_link_handshakes_failed_total"),
               1);
   }
 
-  asio::io_context context_;
-  End acceptor_;
-  End dialler_;
-  std::string address_;
+  asio::io_context context;
+  End acceptor;
+  End dialler;
+  std::string address;
 };
 
 // Guards against messages that are lost or reordered on a working link.
@@ -96,39 +96,39 @@
   Open();
   OpenDialler("the key of the tests");
   ASSERT_TRUE(RunUntil(
-      [this] { return !acceptor_.ups.empty() && !dialler_.ups.empty(); }));
-  EXPECT_EQ(dialler_.ups[0].dialled, address_);
-  EXPECT_EQ(acceptor_.ups[0].dialled, "");
-  EXPECT_EQ(acceptor_.ups[0].peer, PeerRole::kAgent);
+      [this] { return !acceptor.ups.empty() && !dialler.ups.empty(); }));
+  EXPECT_EQ(dialler.ups[0].dialled, address);
+  EXPECT_EQ(acceptor.ups[0].dialled, "");
+  EXPECT_EQ(acceptor.ups[0].peer, PeerRole::kAgent);
   constexpr std::uint64_t kCount = 500;
   for (std::uint64_t n = 0; n < kCount; ++n) {
     EntryHeartbeat message;
     message.config_revision = n;
     message.known_entries.assign(n % 7, std::string(1000, 'x'));
-    acceptor_.links->Send(acceptor_.ups[0].link, message);
+    acceptor.links->Send(acceptor.ups[0].link, message);
   }
-  ASSERT_TRUE(RunUntil([this] { return dialler_.received.size() == kCount; }));
+  ASSERT_TRUE(RunUntil([this] { return dialler.received.size() == kCount; }));
   for (std::uint64_t n = 0; n < kCount; ++n) {
     EXPECT_EQ(
-        std::get<EntryHeartbeat>(dialler_.received[n].message).config_revision,
+        std::get<EntryHeartbeat>(dialler.received[n].message).config_revision,
         n);
   }
-  acceptor_.links->Close(acceptor_.ups[0].link, "test");
-  EXPECT_TRUE(RunUntil([this] { return dialler_.downs.size() == 1; }));
-  EXPECT_TRUE(acceptor_.downs.empty());
+  acceptor.links->Close(acceptor.ups[0].link, "test");
+  EXPECT_TRUE(RunUntil([this] { return dialler.downs.size() == 1; }));
+  EXPECT_TRUE(acceptor.downs.empty());
 }
 
 // Guards against a process of another installation that joins this one.
 TEST_F(PeerLinksTest, ClosesALinkWithAnotherKey) {
   Open();
   OpenDialler("another key of the tests");
-  ASSERT_TRUE(RunUntil([this] { return !dialler_.downs.empty(); }));
-  EXPECT_EQ(dialler_.downs[0].link, LinkId{});
-  EXPECT_EQ(dialler_.downs[0].dialled, address_);
-  ASSERT_EQ(dialler_.log.size(), 1U);
-  EXPECT_EQ(dialler_.log[0].fields[0].value, "wrong_key");
-  EXPECT_TRUE(RunUntil([this] { return !acceptor_.log.empty(); }));
-  EXPECT_TRUE(acceptor_.ups.empty());
+  ASSERT_TRUE(RunUntil([this] { return !dialler.downs.empty(); }));
+  EXPECT_EQ(dialler.downs[0].link, LinkId{});
+  EXPECT_EQ(dialler.downs[0].dialled, address);
+  ASSERT_EQ(dialler.log.size(), 1U);
+  EXPECT_EQ(dialler.log[0].fields[0].value, "wrong_key");
+  EXPECT_TRUE(RunUntil([this] { return !acceptor.log.empty(); }));
+  EXPECT_TRUE(acceptor.ups.empty());
 }
 
 // Guards against a dialler that proves nothing and is believed.
@@ -170,12 +170,12 @@
   Open(options);
   OpenDialler("the key of the tests");
   ASSERT_TRUE(RunUntil(
-      [this] { return !acceptor_.ups.empty() && !dialler_.ups.empty(); }));
+      [this] { return !acceptor.ups.empty() && !dialler.ups.empty(); }));
   EntryHeartbeat message;
   message.known_entries.emplace_back(1000, 'x');
-  dialler_.links->Send(dialler_.ups[0].link, message);
-  EXPECT_TRUE(RunUntil([this] { return !acceptor_.downs.empty(); }));
-  EXPECT_TRUE(acceptor_.received.empty());
+  dialler.links->Send(dialler.ups[0].link, message);
+  EXPECT_TRUE(RunUntil([this] { return !acceptor.downs.empty(); }));
+  EXPECT_TRUE(acceptor.received.empty());
 }
 
 // Guards against memory that grows behind a peer that reads nothing.
@@ -184,15 +184,15 @@
   options.queue_bytes = 1 << 20;
   Open(options);
   OpenDialler("the key of the tests");
-  ASSERT_TRUE(RunUntil([this] { return !acceptor_.ups.empty(); }));
+  ASSERT_TRUE(RunUntil([this] { return !acceptor.ups.empty(); }));
   EntryHeartbeat message;
   message.known_entries.emplace_back(100'000, 'x');
   // Nothing runs the context meanwhile, so nothing is read.
   for (int n = 0; n < 20; ++n) {
-    acceptor_.links->Send(acceptor_.ups[0].link, message);
+    acceptor.links->Send(acceptor.ups[0].link, message);
   }
-  ASSERT_EQ(acceptor_.downs.size(), 1U);
-  EXPECT_EQ(acceptor_.log.back().fields[0].value, "send_queue_full");
+  ASSERT_EQ(acceptor.downs.size(), 1U);
+  EXPECT_EQ(acceptor.log.back().fields[0].value, "send_queue_full");
 }
 
 }  // namespace
