Add the programs and run one request through real processes

The packages need to be shown to fit together. `shallotlug` dispatches `serve` to the entry shell and everything else to the cli; `shallotlug-agent` runs the agent shell. Both check their settings first and print all findings together; they install as the components entry and agent.

--- /dev/null
+++ b/apps/src/shallotlug_main.cc
@@ -0,0 +1,11 @@
+#include <string_view>
+
+#include "serve.h"
+#include "shallotlug/cli/cli.h"
+
+int main(int argc, char** argv) {
+  if (argc > 1 && std::string_view(argv[1]) == "serve") {
+    return shallotlug::ServeEntry(argc, argv);
+  }
+  return shallotlug::cli::Run(argc, argv);
+}
