Expect the agent's hello after the entry's

Cause: the test of the introduction stated the old order, in which a duplicate link cost both links. Change: it expects silence before the entry's hello and nothing on a duplicate.

--- a/packages/agent/src/links_test.cc
+++ b/packages/agent/src/links_test.cc
@@ -57,7 +57,9 @@
 // Guards against an agent that entries learn nothing about.
 TEST_F(LinksTest, IntroducesItselfAndReportsEverySecond) {
   EXPECT_TRUE(Dials(After(Millis{1}), kSeed));
-  const Outbox out = Up(LinkId{1}, kSeed);
+  // A hello before the entry's would replace a working link at the entry.
+  EXPECT_TRUE(Up(LinkId{1}, kSeed).sends.empty());
+  const Outbox out = Hello(LinkId{1}, "e1");
   ASSERT_GE(out.sends.size(), 2U);
   EXPECT_TRUE(std::holds_alternative<AgentHello>(out.sends[0].message));
   EXPECT_TRUE(std::get<AgentReport>(out.sends[1].message).has_attempts);
@@ -89,6 +91,7 @@
   const Outbox out = Hello(LinkId{2}, "e1");
   ASSERT_EQ(out.closes.size(), 1U);
   EXPECT_EQ(out.closes[0].link, LinkId{2});
+  EXPECT_TRUE(out.sends.empty());
 }
 
 // Guards against a link that went silent and is kept, or is preferred to a new
