Bound the work of a step at the entry

Cause: every step scanned whole tables: the append queue for expired records, pending submissions, and the planner's election; every heartbeat made a new plan; agents were never forgotten. A read whose result was lost no longer proves the end of a stream. The test of the winning claim now lets the rival's record reach the log between the plan and the claim, because the plan is made earlier.

--- a/packages/entry/src/agents.cc
+++ b/packages/entry/src/agents.cc
@@ -41,6 +41,12 @@
          it->second.ref.incarnation != hello.agent.incarnation;
 }
 
+bool ChangesPlacement(const Agent& agent, const AgentReport& report) {
+  return agent.report.accelerators != report.accelerators ||
+         agent.report.leaving != report.leaving ||
+         agent.report.backend_reachable != report.backend_reachable;
+}
+
 void Register(State& state, LinkId link, const AgentHello& hello) {
   Agent& agent = state.agents[hello.agent.name];
   const bool new_life = agent.ref != hello.agent;
@@ -120,12 +126,17 @@
     agent->report.attempts = std::move(attempts);
   }
   OnFreshReport(state, agent->clock, report);
+  const bool changed =
+      !agent->reported || ChangesPlacement(*agent, report) ||
+      agent->health != decision::StateOf(state.health, agent->ref.name);
   agent->reported = true;
   agent->clock = {report.now, state.now};
   agent->in_flight = 0;
   agent->config_revision = report.config_revision;
   RefreshCandidate(state, *agent);
-  SyncWorker(state, *agent);
+  if (changed) {
+    SyncWorker(state, *agent);
+  }
   OnReportedAttempts(state, *agent);
 }
 
@@ -166,6 +177,19 @@
   }
 }
 
+void ForgetAgents(State& state) {
+  for (auto it = state.agents.begin(); it != state.agents.end();) {
+    const Agent& agent = it->second;
+    if (!agent.linked &&
+        state.now - agent.last_heard > state.options.request_id_lifetime) {
+      RemoveCandidate(state, agent);
+      it = state.agents.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
 void SendHeartbeats(State& state) {
   if (state.now < state.next_heartbeat) {
     return;
--- a/packages/entry/src/agents.h
+++ b/packages/entry/src/agents.h
@@ -27,6 +27,10 @@
 /// @brief Closes links without any message for the silence limit.
 void CloseSilentLinks(State& state);
 
+/// @brief Forgets agents that have been unlinked for as long as a request id
+/// may live.
+void ForgetAgents(State& state);
+
 /// @brief Sends heartbeats, and the configuration to agents that lack it.
 void SendHeartbeats(State& state);
 void PushConfig(State& state);
--- a/packages/entry/src/attempts.cc
+++ b/packages/entry/src/attempts.cc
@@ -372,7 +372,10 @@
 void ResolveAttempts(State& state) {
   std::vector<JobId> claimed;
   for (const auto& [job, track] : state.jobs.tracks) {
-    claimed.push_back(job);
+    const stream::JobRow* row = ViewJob(state, job);
+    if (row != nullptr && row->standing == stream::JobStanding::kClaimed) {
+      claimed.push_back(job);
+    }
   }
   for (const JobId& job : claimed) {
     if (JobTrack* track = FindTrack(state, job)) {
--- a/packages/entry/src/burn_ring.h
+++ b/packages/entry/src/burn_ring.h
@@ -65,7 +65,9 @@
   ClassName name;
   CustomerName customer;
 
-  auto operator<=>(const BurnKey&) const = default;
+  bool operator<(const BurnKey& other) const {
+    return name == other.name ? customer < other.customer : name < other.name;
+  }
 };
 
 }  // namespace shallotlug::entry
--- a/packages/entry/src/cluster_sync.cc
+++ b/packages/entry/src/cluster_sync.cc
@@ -115,6 +115,7 @@
 
 void SyncWorker(State& state, Agent& agent) {
   EnsureWorker(state, agent);
+  agent.health = decision::StateOf(state.health, agent.ref.name);
   if (agent.reported) {
     SyncOtherUse(state, agent);
   }
--- a/packages/entry/src/live.cc
+++ b/packages/entry/src/live.cc
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "agents.h"
+#include "cluster_sync.h"
 #include "live_table.h"
 #include "random.h"
 #include "replies.h"
@@ -221,7 +222,14 @@
 }
 
 void NoteLiveResult(State& state, const AgentName& agent, bool success) {
+  const decision::HealthState before = decision::StateOf(state.health, agent);
   decision::RecordOutcome(state.health, agent, {}, success, state.now);
+  const auto it = state.agents.find(agent);
+  if (it != state.agents.end() &&
+      decision::StateOf(state.health, agent) != before) {
+    RefreshCandidate(state, it->second);
+    SyncWorker(state, it->second);
+  }
 }
 
 void OnDamagedAnswer(State& state, LiveRequest& request) {
@@ -271,6 +279,19 @@
   }
 }
 
+// Ids sort by agent first, so that this does not visit other agents' requests.
+std::vector<RequestId> RequestsAt(const State& state, const AgentName& name) {
+  RequestId first;
+  first.agent.name = name;
+  first.expires = PeerTime::min();
+  std::vector<RequestId> ids;
+  for (auto it = state.requests.lower_bound(first);
+       it != state.requests.end() && it->first.agent.name == name; ++it) {
+    ids.push_back(it->first);
+  }
+  return ids;
+}
+
 void OnDeadline(State& state, LiveRequest& request) {
   Count(state, "shallotlug_entry_live_deadlines_passed_total");
   if (!state.options.guards.not_run_needs_proof) {
@@ -398,15 +419,12 @@
 }
 
 void OnAgentUnlinked(State& state, const Agent& agent) {
-  std::vector<RequestId> repeatable;
-  for (const auto& [id, request] : state.requests) {
-    if (id.agent == agent.ref && !request.resolving &&
-        MayRepeat(state, request)) {
-      repeatable.push_back(id);
-    }
-  }
-  for (const RequestId& id : repeatable) {
+  for (const RequestId& id : RequestsAt(state, agent.ref.name)) {
     LiveRequest* request = FindRequest(state, id);
+    if (id.agent != agent.ref || request->resolving ||
+        !MayRepeat(state, *request)) {
+      continue;
+    }
     const bool before = request->earlier_unknown;
     request->earlier_unknown = true;
     if (!RetryElsewhere(state, id)) {
@@ -416,13 +434,7 @@
 }
 
 void OnAgentLinked(State& state, const Agent& agent, bool new_life) {
-  std::vector<RequestId> ids;
-  for (const auto& [id, request] : state.requests) {
-    if (id.agent.name == agent.ref.name) {
-      ids.push_back(id);
-    }
-  }
-  for (const RequestId& id : ids) {
+  for (const RequestId& id : RequestsAt(state, agent.ref.name)) {
     LiveRequest* request = FindRequest(state, id);
     if (id.agent != agent.ref) {
       EndUnknown(state, id, "agent_restarted");
--- a/packages/entry/src/log.cc
+++ b/packages/entry/src/log.cc
@@ -5,9 +5,9 @@
 
 #include "config.h"
 #include "job_table.h"
+#include "peers.h"
 #include "replies.h"
 #include "snapshots.h"
-#include "submissions.h"
 
 namespace shallotlug::entry {
 namespace {
@@ -38,7 +38,9 @@
     reader.next = std::max(reader.next, read.records.back().offset + 1);
   }
   const bool at_end = reader.next >= read.end;
-  if (at_end) {
+  if (reader.lost > 0) {
+    --reader.lost;
+  } else if (at_end) {
     reader.caught_up = true;
     reader.caught_up_at = reader.opened;
   }
@@ -52,6 +54,7 @@
                          kLostReadTimeouts * state.options.log_timeout;
   if (lost) {
     reader.open = false;
+    ++reader.lost;
     NoteReadFailure(state, reader);
   }
   if (reader.open || state.now < reader.due) {
@@ -110,6 +113,7 @@
                                      state.options.announce_interval * 3 / 2
                                : Millis(0);
     stream::Apply(state.entries, read, state.now, age);
+    ElectPlanner(state);
   }
 }
 
@@ -148,7 +152,6 @@
 
 void DriveLog(State& state) {
   SettleChanges(state);
-  AnswerAcknowledgedSubmits(state);
   for (StreamIo* io : {&state.config_io, &state.job_io, &state.entry_io}) {
     DriveStream(state, *io);
   }
--- a/packages/entry/src/pause.cc
+++ b/packages/entry/src/pause.cc
@@ -45,7 +45,8 @@
 }
 
 bool Hold(State& state, const IncomingCall& call) {
-  if (!state.refresh.active || !DependsOnConfig(call.call)) {
+  if (!state.refresh.active || !DependsOnConfig(call.call) ||
+      state.refresh.held.size() >= state.options.pending_request_limit) {
     return false;
   }
   state.refresh.held.push_back(call);
@@ -53,8 +54,9 @@
 }
 
 void DropHeld(State& state, CallId call) {
-  std::erase_if(state.refresh.held,
-                [&](const IncomingCall& it) { return it.id == call; });
+  if (!state.refresh.held.empty()) {
+    state.refresh.gone.insert(call);
+  }
 }
 
 void OnFreshReport(State& state,
@@ -79,7 +81,11 @@
   if (state.refresh.active) {
     return {};
   }
-  return std::exchange(state.refresh.held, {});
+  std::vector<IncomingCall> held = std::exchange(state.refresh.held, {});
+  const auto gone = std::exchange(state.refresh.gone, {});
+  std::erase_if(held,
+                [&](const IncomingCall& it) { return gone.contains(it.id); });
+  return held;
 }
 
 }  // namespace shallotlug::entry
--- a/packages/entry/src/peers.cc
+++ b/packages/entry/src/peers.cc
@@ -58,10 +58,20 @@
   return stream::Rendezvous(names, duty) == state.options.self.name;
 }
 
-// One entry plans all data centres: guarantees and the order of the queue span
-// them, and two planners with stale views could together break a guarantee.
 bool IsPlanner(const State& state) {
-  return IsResponsible(state, "plan");
+  return state.planner && !state.shutting_down;
+}
+
+void ElectPlanner(State& state) {
+  // One entry plans all data centres: guarantees and the order of the queue
+  // span them, and two planners with stale views could together break a
+  // guarantee.
+  const bool planner = IsResponsible(state, "plan");
+  if (planner != state.planner) {
+    state.planner = planner;
+    Log(state, LogLevel::kInfo, planner ? "planner_started" : "planner_stopped",
+        {});
+  }
 }
 
 void KeepEntries(State& state) {
@@ -76,12 +86,7 @@
     state.next_announcement = state.now + state.options.announce_interval;
     Announce(state, state.options.announce_expiry);
   }
-  const bool planner = IsPlanner(state);
-  if (planner != state.was_planner) {
-    state.was_planner = planner;
-    Log(state, LogLevel::kInfo, planner ? "planner_started" : "planner_stopped",
-        {});
-  }
+  ElectPlanner(state);
 }
 
 void AnnounceLeaving(State& state) {
--- a/packages/entry/src/peers.h
+++ b/packages/entry/src/peers.h
@@ -21,6 +21,9 @@
 /// @brief Whether this entry plans long jobs now.
 bool IsPlanner(const State& state);
 
+/// @brief Decides anew whether this entry plans long jobs.
+void ElectPlanner(State& state);
+
 /// @brief Announces this entry when that is due, and drops lapsed ones.
 void KeepEntries(State& state);
 
--- a/packages/entry/src/planner.cc
+++ b/packages/entry/src/planner.cc
@@ -16,7 +16,7 @@
 namespace shallotlug::entry {
 namespace {
 
-// Without changes a plan is made this often, for back-offs that end.
+// Without changes and back-offs that end, a plan is made this often.
 constexpr Millis kFullPlanInterval{1000};
 constexpr Millis kReconcileInterval{500};
 
@@ -222,6 +222,12 @@
   decision::PlanOptions options;
   options.keep_guarantees = state.options.guards.keep_guarantees;
   const std::vector<decision::WaitingJob> waiting = CollectWaiting(state);
+  for (const decision::WaitingJob& it : waiting) {
+    if (it.not_before > state.now) {
+      state.jobs.next_full_plan =
+          std::min(state.jobs.next_full_plan, it.not_before);
+    }
+  }
   Execute(state, decision::MakePlan(state.jobs.cluster, waiting,
                                     stream::Current(state.config),
                                     state.jobs.run_times, options, state.now));
--- a/packages/entry/src/routing.cc
+++ b/packages/entry/src/routing.cc
@@ -66,6 +66,19 @@
   state.candidates[*agent.routing_row] = MakeCandidate(state, agent);
 }
 
+void RemoveCandidate(State& state, const Agent& agent) {
+  if (!agent.routing_row) {
+    return;
+  }
+  const std::size_t row = *agent.routing_row;
+  const AgentName moved = state.candidate_agents.back();
+  state.candidates[row] = state.candidates.back();
+  state.candidate_agents[row] = moved;
+  state.agents.at(moved).routing_row = row;
+  state.candidates.pop_back();
+  state.candidate_agents.pop_back();
+}
+
 void NoteSent(State& state, Agent& agent) {
   ++agent.in_flight;
   if (agent.routing_row) {
--- a/packages/entry/src/routing.h
+++ b/packages/entry/src/routing.h
@@ -10,6 +10,9 @@
 /// @brief Brings the routing table up to date with an agent's row.
 void RefreshCandidate(State& state, Agent& agent);
 
+/// @brief Removes an agent that is forgotten from the routing table.
+void RemoveCandidate(State& state, const Agent& agent);
+
 /// @brief Counts a request sent to an agent until its next report.
 void NoteSent(State& state, Agent& agent);
 
--- a/packages/entry/src/state.h
+++ b/packages/entry/src/state.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "shallotlug/decision/live_route.h"
@@ -36,6 +37,8 @@
   int in_flight = 0;  ///< Live requests since the last report.
   std::optional<std::size_t> routing_row;
   std::optional<decision::WorkerIndex> worker;
+  /// As of the last update of the planner's tables.
+  decision::HealthState health = decision::HealthState::kHealthy;
   std::uint64_t config_revision = 0;  ///< Last reported.
   std::uint64_t config_sent = 0;      ///< Last pushed on this link.
   TimePoint config_sent_at{};
@@ -86,6 +89,9 @@
   TimePoint caught_up_at{};
   bool caught_up = false;  ///< Reached the end at least once.
   bool failing = false;
+  /// Reads given up without a result. A result that comes while there are some
+  /// may be theirs, so it does not prove where the stream ended after `opened`.
+  int lost = 0;
 };
 
 /// @brief Reads and appends of one stream.
@@ -99,6 +105,7 @@
   bool active = false;
   TimePoint since{};
   std::vector<IncomingCall> held;
+  std::unordered_set<CallId> gone;  ///< Callers of held calls that left.
 };
 
 /// @brief Tokens for retries: a share of the successes plus a floor.
@@ -149,7 +156,7 @@
   stream::EntriesFold entries;
   StreamIo entry_io;
   TimePoint next_announcement{};
-  bool was_planner = false;
+  bool planner = false;  ///< As of the last housekeeping.
 
   Jobs jobs;
   StreamIo job_io;
--- a/packages/entry/src/step.cc
+++ b/packages/entry/src/step.cc
@@ -197,6 +197,8 @@
   RemoveDeadWorkers(state);
   KeepEntries(state);
   RecordFinals(state);
+  AnswerAcknowledgedSubmits(state);
+  ForgetAgents(state);
   WriteSnapshots(state);
   ExportFoldCounters(state);
 }
--- a/packages/entry/src/test_support.h
+++ b/packages/entry/src/test_support.h
@@ -223,6 +223,10 @@
   bool keep_appended = true;  ///< Whether records of an append take effect.
   std::map<std::string, std::vector<stream::LogRecord>> log;
 
+  /// Records of another entry that reach the stream just before the next
+  /// append of this one.
+  std::map<std::string, std::vector<stream::NewRecord>> rivals;
+
   std::vector<Send> sends;
   std::vector<CloseLink> closes;
   std::vector<OutgoingReply> replies;
@@ -259,6 +263,9 @@
       return stream::AppendOutcome::kNotAppended;
     }
     auto& records = log[append.stream];
+    for (stream::NewRecord& it : std::exchange(rivals[append.stream], {})) {
+      records.push_back({records.size(), it.id, it.data});
+    }
     for (const stream::NewRecord& it : append.records) {
       if (keep_appended) {
         records.push_back({records.size(), it.id, it.data});
--- a/packages/stream/include/shallotlug/stream/append_queue.h
+++ b/packages/stream/include/shallotlug/stream/append_queue.h
@@ -57,6 +57,8 @@
   TimePoint ambiguous_since{};
   std::unordered_set<std::string> read_back;
   TimePoint not_before{};
+  /// No record is given up before this time.
+  TimePoint earliest_give_up = TimePoint::max();
 };
 
 /// @brief Adds a record; false when the queue is full.
--- a/packages/stream/src/append_queue.cc
+++ b/packages/stream/src/append_queue.cc
@@ -40,9 +40,11 @@
 template <class Container>
 void ExpireIn(Container& records,
               TimePoint now,
+              TimePoint& earliest,
               std::vector<AppendNotice>& notices) {
   const auto expired = [&](const QueuedRecord& it) {
     if (it.give_up_at > now) {
+      earliest = std::min(earliest, it.give_up_at);
       return false;
     }
     notices.push_back({it.record.id, it.sent ? AppendNoticeKind::kUnknown
@@ -59,6 +61,7 @@
   if (Depth(queue) >= queue.options.queue_limit) {
     return false;
   }
+  queue.earliest_give_up = std::min(queue.earliest_give_up, record.give_up_at);
   queue.queue.push_back(std::move(record));
   return true;
 }
@@ -140,8 +143,16 @@
       now - queue.open_since > queue.options.result_timeout) {
     MarkAmbiguous(queue, now);
   }
-  ExpireIn(queue.queue, now, notices);
-  ExpireIn(queue.ambiguous, now, notices);
+  if (now < queue.earliest_give_up) {
+    return;
+  }
+  TimePoint earliest = TimePoint::max();
+  for (const QueuedRecord& it : queue.open) {
+    earliest = std::min(earliest, it.give_up_at);
+  }
+  ExpireIn(queue.queue, now, earliest, notices);
+  ExpireIn(queue.ambiguous, now, earliest, notices);
+  queue.earliest_give_up = earliest;
 }
 
 }  // namespace shallotlug::stream
