Check a shape once and not for each job of a burst

Cause: every submission looked at all workers for whether its shape can ever be placed. Change: keep the answer for each shape until a worker is added.

--- a/packages/entry/src/cluster_sync.cc
+++ b/packages/entry/src/cluster_sync.cc
@@ -28,6 +28,7 @@
   }
   if (state.jobs.ever_seen_agents.insert(agent.ref.name).second) {
     state.jobs.ever_seen.AddWorker(info);
+    state.jobs.known_shapes.clear();
   }
 }
 
--- a/packages/entry/src/job_track.h
+++ b/packages/entry/src/job_track.h
@@ -86,6 +86,12 @@
   std::uint64_t offset = 0;
 };
 
+/// @brief Answer about a shape, kept while the workers stay the same.
+struct KnownShape {
+  JobShape shape;
+  std::string why_never;  ///< Empty when it can be placed.
+};
+
 /// @brief Long jobs as this entry sees them.
 struct Jobs {
   stream::JobFold fold;
@@ -101,6 +107,7 @@
   decision::Cluster cluster;
   decision::Cluster ever_seen;  ///< Workers only; for "can never run".
   std::unordered_set<AgentName> ever_seen_agents;
+  std::deque<KnownShape> known_shapes;
   decision::RunTimes run_times;
   std::deque<OffsetSample> offsets;
   bool dirty = true;  ///< Something changed since the last plan.
--- a/packages/entry/src/submissions.cc
+++ b/packages/entry/src/submissions.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kMaxKeyLength = 256;
+constexpr std::size_t kKnownShapes = 64;
 
 void AddIssue(Findings& findings, const char* path, const char* message) {
   Finding finding;
@@ -103,6 +104,21 @@
   return true;
 }
 
+// Looks at all workers once for each shape and not for each job of a burst.
+std::string WhyNever(State& state, const JobShape& shape) {
+  for (const KnownShape& it : state.jobs.known_shapes) {
+    if (it.shape == shape) {
+      return it.why_never;
+    }
+  }
+  std::string why = decision::WhyNeverPlaceable(state.jobs.ever_seen, shape);
+  state.jobs.known_shapes.push_front({shape, why});
+  if (state.jobs.known_shapes.size() > kKnownShapes) {
+    state.jobs.known_shapes.pop_back();
+  }
+  return why;
+}
+
 // Until the agents have been heard, nothing is known to be too large.
 bool CheckShape(State& state, CallId call, const JobSpec& spec) {
   const bool heard = state.now - state.started >= state.options.warm_up &&
@@ -110,8 +126,7 @@
   if (!heard) {
     return true;
   }
-  const std::string why =
-      decision::WhyNeverPlaceable(state.jobs.ever_seen, spec.shape);
+  const std::string why = WhyNever(state, spec.shape);
   if (!why.empty()) {
     ReplyError(state, call, api::ErrorCode::kCanNeverRun, "can_never_run", why);
   }
@@ -265,7 +280,8 @@
                   CallId call,
                   const api::CancelJobsCall& cancel) {
   if (state.shutting_down || !JobsKnown(state) || state.job_io.reader.failing) {
-    ReplyError(state, call, api::ErrorCode::kNotAccepted, "log_unavailable",
+    ReplyError(state, call, api::ErrorCode::kNotAccepted,
+               state.shutting_down ? "shutting_down" : "log_unavailable",
                "no cancellation was recorded");
     return;
   }
