Report only to entries that have introduced themselves

Cause: since the hello waits for the entry's own, a report could reach an entry before the hello.

Measured: agent_test passes (59 tests).

--- a/packages/agent/src/links.cc
+++ b/packages/agent/src/links.cc
@@ -217,11 +217,6 @@
   }
 }
 
-bool IsEntryLink(const State& state, LinkId link) {
-  const auto it = state.links.find(link);
-  return it != state.links.end() && it->second.peer == PeerRole::kEntry;
-}
-
 void SendOn(State& state, LinkId link, Message message, Outbox& out) {
   if (state.links.contains(link)) {
     out.sends.push_back({link, std::move(message)});
@@ -230,7 +225,7 @@
 
 void SendToEntries(State& state, const Message& message, Outbox& out) {
   for (const auto& [id, link] : state.links) {
-    if (link.peer == PeerRole::kEntry) {
+    if (link.entry) {
       out.sends.push_back({id, message});
     }
   }
--- a/packages/agent/src/links.h
+++ b/packages/agent/src/links.h
@@ -36,13 +36,11 @@
 /// @brief Dials what is due.
 void DialDueTargets(State& state, TimePoint now, Outbox& out);
 
-/// @brief Whether a link may carry messages to an entry.
-bool IsEntryLink(const State& state, LinkId link);
-
 /// @brief Sends a message on a link that is still up; otherwise drops it.
 void SendOn(State& state, LinkId link, Message message, Outbox& out);
 
-/// @brief Sends a message on every link to an entry.
+/// @brief Sends a message on every link on which an entry has introduced
+/// itself.
 void SendToEntries(State& state, const Message& message, Outbox& out);
 
 }  // namespace shallotlug::agent
--- a/packages/agent/src/reports.cc
+++ b/packages/agent/src/reports.cc
@@ -146,7 +146,7 @@
   state.reporting.last = now;
   state.reporting.view = std::move(view);
   for (auto& [id, link] : state.links) {
-    if (link.peer == PeerRole::kEntry) {
+    if (link.entry) {
       SendReport(state, id, link, now, out);
     }
   }
--- a/packages/agent/src/test_cluster.h
+++ b/packages/agent/src/test_cluster.h
@@ -141,11 +141,16 @@
   void Start() {
     for (std::size_t i = 0; i < nodes.size(); ++i) {
       nodes[i].state = MakeState(nodes[i].options, NodeNow(i));
-      nodes[i].next.links_up.push_back({kEntryLink, PeerRole::kEntry, ""});
+      ConnectEntry(i);
     }
     Run(Millis{100});
   }
 
+  void ConnectEntry(std::size_t i) {
+    nodes[i].next.links_up.push_back({kEntryLink, PeerRole::kEntry, ""});
+    SendTo(i, EntryHello{{EntryName("e"), Incarnation{1}}, {}, 0, {}});
+  }
+
   void SendTo(std::size_t i, Message message) {
     nodes[i].next.received.push_back({kEntryLink, std::move(message)});
   }
