Refuse live requests whose accelerators a gang holds

Cause: in the demonstration, requests that waited at a worker when a gang reserved it stayed queued for the gang's whole run (3 s there, hours in use). The end times in the stand-in's history were those of the previous event.

--- a/packages/agent/src/accelerators.cc
+++ b/packages/agent/src/accelerators.cc
@@ -25,12 +25,14 @@
   return mask;
 }
 
+// Of tasks that can give way now; not those that stop or that another member
+// has claimed.
 AcceleratorMask ThrottleableMask(const State& state) {
   AcceleratorMask mask = 0;
   for (const auto& [id, task] : state.backend.tasks) {
-    mask |= task.throttleable ? task.accelerators : 0;
+    mask |= task.throttleable && !task.stopping ? task.accelerators : 0;
   }
-  return mask;
+  return mask & ~ClaimedMask(state);
 }
 
 // Accelerators of gangs whose tasks run.
@@ -76,6 +78,15 @@
   return mask;
 }
 
+AcceleratorMask LiveCapacityMask(const State& state) {
+  AcceleratorMask ending = LiveMask(state);
+  for (const auto& [id, accelerators] : state.backend.foreign) {
+    ending |= accelerators;
+  }
+  return FreeMask(state) | ThrottleableMask(state) |
+         (ending & ~ClaimedMask(state));
+}
+
 AcceleratorMask YieldedMask(const State& state) {
   AcceleratorMask mask = 0;
   for (const auto& [id, task] : state.backend.tasks) {
--- a/packages/agent/src/accelerators.h
+++ b/packages/agent/src/accelerators.h
@@ -19,6 +19,10 @@
 /// @brief Accelerators of reservations that have not started to run.
 AcceleratorMask ClaimedMask(const State& state);
 
+/// @brief Accelerators that live requests use, or may use when their turn
+/// comes.
+AcceleratorMask LiveCapacityMask(const State& state);
+
 /// @brief Accelerators of throttled tasks that no live request uses.
 AcceleratorMask YieldedMask(const State& state);
 
--- a/packages/agent/src/live_queue.cc
+++ b/packages/agent/src/live_queue.cc
@@ -62,6 +62,12 @@
   return true;
 }
 
+// Whether enough accelerators are or will soon be available to live requests.
+// Those of gangs and of promises to gangs may be gone for hours.
+bool HasCapacity(const State& state, int accelerators) {
+  return std::popcount(LiveCapacityMask(state)) >= accelerators;
+}
+
 // Why a queued request can no longer start; empty when it can.
 std::string QueueFault(const State& state,
                        const LiveRequest& request,
@@ -69,6 +75,9 @@
   if (RefusesAsLeaving(state)) {
     return "leaving";
   }
+  if (!HasCapacity(state, request.accelerators)) {
+    return "no_accelerators";
+  }
   return TooLate(state, request, now) ? "too_late" : "";
 }
 
@@ -133,6 +142,9 @@
   if (request.accelerators > state.options.inventory.accelerators) {
     return "too_large";
   }
+  if (!HasCapacity(state, request.accelerators)) {
+    return "no_accelerators";
+  }
   if (state.live.queue.size() >= state.options.live_queue_limit) {
     return "queue_full";
   }
--- a/packages/standin/include/shallotlug/standin/worker.h
+++ b/packages/standin/include/shallotlug/standin/worker.h
@@ -119,8 +119,9 @@
   TaskTable::iterator End(TaskTable::iterator it,
                           const std::string& kind,
                           std::string answer,
-                          std::string reason);
-  void Note(const std::string& what, const WorkerStart& start);
+                          std::string reason,
+                          TimePoint at);
+  void Note(const std::string& what, const WorkerStart& start, TimePoint at);
 
   TimePoint now_;
   std::uint64_t sequence_ = 1;
--- a/packages/standin/src/worker.cc
+++ b/packages/standin/src/worker.cc
@@ -60,19 +60,21 @@
     const TimePoint end = std::min(now, lease);
     if (task.checkpointed_at && *task.checkpointed_at <= end) {
       const json::object state{{"done_ms", task.done_ms}};
-      it = End(it, "checkpointed", json::serialize(state), "");
+      it = End(it, "checkpointed", json::serialize(state), "",
+               *task.checkpointed_at);
     } else if (finish && *finish <= end) {
       const std::string& body = task.start.body;
       if (task.fails || controls.fail_all) {
-        it = End(it, "failed", "", task.fails ? "body_asks" : "fail_all");
+        it = End(it, "failed", "", task.fails ? "body_asks" : "fail_all",
+                 *finish);
         continue;
       }
       const json::object answer{{"task", task.start.task},
                                 {"digest", DigestOf(body)},
                                 {"bytes", body.size()}};
-      it = End(it, "finished", json::serialize(answer), "");
+      it = End(it, "finished", json::serialize(answer), "", *finish);
     } else if (lease <= now) {
-      it = End(it, "lapsed", "", "lease_ended");
+      it = End(it, "lapsed", "", "lease_ended", lease);
     } else {
       AdvanceTask(task, now);
       ++it;
@@ -137,7 +139,7 @@
     reason = "no_free_slot";
   }
   if (!reason.empty()) {
-    Note("reject", start);
+    Note("reject", start, now_);
     return StartOutcome::kRejected;
   }
   known_[start.task] = true;
@@ -150,7 +152,7 @@
   task.done_ms = NumberIn(start.checkpoint, "done_ms").value_or(0);
   task.reported_at = now_;
   tasks_[start.task] = std::move(task);
-  Note("start", start);
+  Note("start", start, now_);
   Touch();
   return StartOutcome::kStarted;
 }
@@ -173,23 +175,23 @@
   }
   WorkerTask& found = it->second;
   if (action == "stop") {
-    End(it, "stopped", "", "asked");
+    End(it, "stopped", "", "asked", now_);
     return "";
   }
   if (action == "checkpoint") {
     if (!found.checkpointed_at) {
       found.checkpointed_at = now_ + options.checkpoint_time;
-      Note("checkpoint", found.start);
+      Note("checkpoint", found.start, now_);
     }
   } else if (action == "throttle") {
     found.throttled = true;
-    Note("throttle", found.start);
+    Note("throttle", found.start, now_);
   } else if (action == "resume") {
     if (InUse(found.start.accelerators, task)) {
       return "accelerators_in_use";
     }
     found.throttled = false;
-    Note("resume", found.start);
+    Note("resume", found.start, now_);
   } else {
     return "unknown_action";
   }
@@ -214,14 +216,15 @@
 Worker::TaskTable::iterator Worker::End(TaskTable::iterator it,
                                         const std::string& kind,
                                         std::string answer,
-                                        std::string reason) {
+                                        std::string reason,
+                                        TimePoint at) {
   Touch();
   events_.push_back(
       {sequence_, kind, it->first, std::move(answer), std::move(reason)});
   if (events_.size() > kKeptEvents) {
     events_.erase(events_.begin());
   }
-  Note(kind, it->second.start);
+  Note(kind, it->second.start, at);
   return tasks_.erase(it);
 }
 
@@ -234,9 +237,11 @@
   return {it, events_.end()};
 }
 
-void Worker::Note(const std::string& what, const WorkerStart& start) {
+void Worker::Note(const std::string& what,
+                  const WorkerStart& start,
+                  TimePoint at) {
   history_.push_back(
-      {now_, what, start.task, start.accelerators, start.live, start.body});
+      {at, what, start.task, start.accelerators, start.live, start.body});
 }
 
 }  // namespace shallotlug::standin
