--- a/packages/decision/include/shallotlug/decision/cluster.h
+++ b/packages/decision/include/shallotlug/decision/cluster.h
@@ -64,7 +64,8 @@
   /// or quarantined) but keeps what it has.
   void SetSchedulable(WorkerIndex worker, bool schedulable);
   /// @brief Accelerators in transient use by work that is not a RunningJob
-  /// (live requests). Not placed on, but still counted as capacity.
+  /// (live requests). Still counted as capacity; only a request inside its
+  /// guarantee may be placed on them, to start when they are free.
   void SetOtherUse(WorkerIndex worker, AcceleratorMask mask);
   /// @brief Accelerators that are out of service; no longer capacity.
   void SetFaulty(WorkerIndex worker, AcceleratorMask mask);
--- a/packages/decision/src/guaranteed.cc
+++ b/packages/decision/src/guaranteed.cc
@@ -1,6 +1,7 @@
 #include "guaranteed.h"
 
 #include <algorithm>
+#include <bit>
 
 #include "victims.h"
 
@@ -15,6 +16,8 @@
 /// Prefers blocks that the customer holds already, which take nothing from
 /// anyone else.
 constexpr double kBoundBonus = 1e-6;
+/// Waiting for a live request costs less than stopping a job.
+constexpr double kLiveWait = 500;
 
 }  // namespace
 
@@ -192,7 +195,9 @@
 
 double GuaranteedPlacer::StopCost(std::uint32_t worker,
                                   AcceleratorMask mask) const {
-  double cost = 0;
+  // The agent grants accelerators in live use when the requests have ended.
+  const AcceleratorMask live = tables_.workers[worker].other & mask;
+  double cost = kLiveWait * std::popcount(live);
   for (const RunningJob* job : JobsOn(tables_.workers[worker], mask)) {
     if (!stopped_.contains(job->attempt.job)) {
       cost += LossOfStopping(*job, now_);
