Plan through accelerators that live requests use

Change: SetLiveUse marks transient use that a plan may take; gangs leave live_headroom and live_reserve for live requests.

--- a/bench/event_loop.cc
+++ b/bench/event_loop.cc
@@ -245,7 +245,7 @@
       Throttle(run, missing);
     }
     live_masks_[worker] |= run.mask;
-    cluster_.SetOtherUse(WorkerIndex(worker), live_masks_[worker]);
+    cluster_.SetLiveUse(WorkerIndex(worker), live_masks_[worker]);
     const Millis time =
         in_.faulty.contains(worker) ? kLiveFailure : requests_[request].service;
     Push(now_ + time, Kind::kLiveEnd, runs_.size(), 0);
@@ -290,7 +290,7 @@
   void EndLive(std::size_t n) {
     const LiveRun run = runs_[n];
     live_masks_[run.worker] &= ~run.mask;
-    cluster_.SetOtherUse(WorkerIndex(run.worker), live_masks_[run.worker]);
+    cluster_.SetLiveUse(WorkerIndex(run.worker), live_masks_[run.worker]);
     for (const auto& [row, attempt] : run.throttled) {
       Job& job = jobs_[row];
       if (job.attempt == attempt && job.state == State::kRunning) {
--- a/packages/decision/include/shallotlug/decision/cluster.h
+++ b/packages/decision/include/shallotlug/decision/cluster.h
@@ -63,12 +63,13 @@
   /// @brief A worker that is not schedulable gets no new work (leaving, silent
   /// or quarantined) but keeps what it has.
   void SetSchedulable(WorkerIndex worker, bool schedulable);
-  /// @brief Accelerators in transient use by work that is not a RunningJob
-  /// (live requests). Still counted as capacity; only a request inside its
-  /// guarantee may be placed on them, to start when they are free.
+  /// @brief Accelerators that are not available and not capacity, such as
+  /// faulty ones or those of work that the planner does not know.
   void SetOtherUse(WorkerIndex worker, AcceleratorMask mask);
-  /// @brief Accelerators that are out of service; no longer capacity.
-  void SetFaulty(WorkerIndex worker, AcceleratorMask mask);
+  /// @brief Accelerators in use by live requests now. They count as available
+  /// to a plan: a request ends sooner than a report of it is acted on, and the
+  /// agent grants the accelerators when it has ended.
+  void SetLiveUse(WorkerIndex worker, AcceleratorMask mask);
 
   /// @brief Adds or replaces the job of the same id.
   void AddJob(const RunningJob& job);
--- a/packages/decision/include/shallotlug/decision/plan.h
+++ b/packages/decision/include/shallotlug/decision/plan.h
@@ -48,9 +48,11 @@
   std::size_t scan_limit = 2000;
   /// Migrations that may be under way at once, as a share of running jobs.
   double migration_budget = 0.02;
-  /// Free accelerators kept for live requests at each worker that has none
-  /// that can be throttled.
+  /// Accelerators for each worker, on average over the cluster, that gangs
+  /// leave free or to work that can be throttled, if there is a live class.
   int live_headroom = 1;
+  /// The same, as a multiple of what live requests use now.
+  double live_reserve = 1.2;
   bool keep_guarantees = true;  ///< Tests disable it to show that it matters.
   /// Waiting jobs for which blocks are kept free in one plan.
   std::size_t reservation_limit = 4;
--- a/packages/decision/src/cluster.cc
+++ b/packages/decision/src/cluster.cc
@@ -1,6 +1,7 @@
 #include "shallotlug/decision/cluster.h"
 
 #include <algorithm>
+#include <bit>
 
 #include "tables.h"
 
@@ -52,6 +53,13 @@
   return {MayStop(job), job.started, job.attempt.job};
 }
 
+/// Accelerators that a live request may take from this job.
+int ThrottleableOf(const RunningJob& job) {
+  return job.tasks.size() == 1 && !job.stopping
+             ? std::popcount(job.tasks.front().mask)
+             : 0;
+}
+
 void AddTasks(Cluster::Tables& tables, const RunningJob& job) {
   for (const Allocation& it : job.tasks) {
     const std::uint32_t worker = RowOf(it.worker);
@@ -76,7 +84,7 @@
 }
 
 AcceleratorMask FreeOf(const WorkerRow& row) {
-  AcceleratorMask used = row.other | row.faulty;
+  AcceleratorMask used = row.other;
   for (const Occupant& it : row.occupants) {
     used |= it.mask;
   }
@@ -125,9 +133,10 @@
   Refresh(*tables_, RowOf(worker));
 }
 
-void Cluster::SetFaulty(WorkerIndex worker, AcceleratorMask mask) {
-  tables_->workers[RowOf(worker)].faulty = mask;
-  Refresh(*tables_, RowOf(worker));
+void Cluster::SetLiveUse(WorkerIndex worker, AcceleratorMask mask) {
+  WorkerRow& row = tables_->workers[RowOf(worker)];
+  tables_->live_accelerators += std::popcount(mask) - std::popcount(row.live);
+  row.live = mask;
 }
 
 void Cluster::AddJob(const RunningJob& job) {
@@ -142,6 +151,7 @@
   if (row.stopping) {
     tables_->stopping.insert(row.attempt.job);
   }
+  tables_->throttleable += ThrottleableOf(row);
   AddTasks(*tables_, row);
 }
 
@@ -150,6 +160,7 @@
   if (it == tables_->jobs.end()) {
     return;
   }
+  tables_->throttleable -= ThrottleableOf(it->second);
   RemoveTasks(*tables_, it->second);
   tables_->by_customer[it->second.customer].erase(OrderOf(it->second));
   tables_->pinned.erase(it->first);
@@ -168,7 +179,7 @@
 
 AcceleratorMask Cluster::Free(WorkerIndex worker) const {
   const WorkerRow& row = tables_->workers[RowOf(worker)];
-  return row.alive ? FreeOf(row) : 0;
+  return row.alive ? FreeOf(row) & ~row.live : 0;
 }
 
 std::size_t Cluster::worker_count() const {
--- a/packages/decision/src/guarantee_state.cc
+++ b/packages/decision/src/guarantee_state.cc
@@ -21,7 +21,7 @@
 }
 
 AcceleratorMask BaseOf(const WorkerRow& row) {
-  return row.alive && row.schedulable ? AllOf(row) & ~row.faulty : 0;
+  return row.alive && row.schedulable ? AllOf(row) & ~row.other : 0;
 }
 
 /// The aligned block of this level that contains the mask, or an empty one.
--- a/packages/decision/src/guaranteed.cc
+++ b/packages/decision/src/guaranteed.cc
@@ -190,13 +190,13 @@
 
 AcceleratorMask GuaranteedPlacer::Takeable(std::uint32_t worker) const {
   const WorkerRow& row = tables_.workers[worker];
-  return AllOf(row) & ~row.other & ~row.faulty & ~state_.ProtectedMask(worker);
+  return AllOf(row) & ~row.other & ~row.other & ~state_.ProtectedMask(worker);
 }
 
 double GuaranteedPlacer::StopCost(std::uint32_t worker,
                                   AcceleratorMask mask) const {
   // The agent grants accelerators in live use when the requests have ended.
-  const AcceleratorMask live = tables_.workers[worker].other & mask;
+  const AcceleratorMask live = tables_.workers[worker].live & mask;
   double cost = kLiveWait * std::popcount(live);
   for (const RunningJob* job : JobsOn(tables_.workers[worker], mask)) {
     if (!stopped_.contains(job->attempt.job)) {
--- a/packages/decision/src/migration.cc
+++ b/packages/decision/src/migration.cc
@@ -24,7 +24,7 @@
                                std::uint32_t worker,
                                AcceleratorMask mask) {
   const WorkerRow& row = context.tables.workers[worker];
-  const AcceleratorMask usable = AllOf(row) & ~row.faulty & ~row.other;
+  const AcceleratorMask usable = AllOf(row) & ~row.other;
   if ((mask & ~usable) != 0 ||
       (context.reservations.Blocked(worker, TimePoint::max()) & mask) != 0) {
     return std::nullopt;
--- a/packages/decision/src/never_placeable.cc
+++ b/packages/decision/src/never_placeable.cc
@@ -16,7 +16,7 @@
   if (shape.accelerators_per_task == 0) {
     return row.info.slots;
   }
-  const AcceleratorMask mask = AllOf(row) & ~row.faulty;
+  const AcceleratorMask mask = AllOf(row) & ~row.other;
   return std::min(row.info.slots,
                   CountBlocks(mask, LevelFor(shape.accelerators_per_task)));
 }
--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -57,6 +57,13 @@
   return workers;
 }
 
+bool HasLiveClass(const Targets& targets) {
+  return std::any_of(targets.entries.begin(), targets.entries.end(),
+                     [](const VersionedTarget& it) {
+                       return !it.removed && it.target.kind == WorkKind::kLive;
+                     });
+}
+
 /// One run of the planner.
 class Planner {
  public:
@@ -71,6 +78,7 @@
         options_(options),
         now_(now),
         ranked_(std::move(ranked)),
+        serves_live_(HasLiveClass(targets)),
         lines_(options.keep_guarantees ? LinesOf(targets)
                                        : std::vector<GuaranteeLine>{}),
         costs_(DemandOf(ranked_, lines_)),
@@ -134,8 +142,25 @@
     plan_.preemptions.push_back({job, for_migration});
   }
 
+  /// Whether enough accelerators stay free or throttleable for live requests.
+  /// Only gangs take such accelerators away.
+  bool LeavesLiveRoom(const JobShape& shape) const {
+    if (shape.tasks == 1 || !serves_live_) {
+      return true;
+    }
+    const int room = trial_.Index().All().blocks[0] + tables_.throttleable -
+                     shape.tasks * shape.accelerators_per_task;
+    const int keep = options_.live_headroom * static_cast<int>(tables_.alive) +
+                     static_cast<int>(std::ceil(options_.live_reserve *
+                                                tables_.live_accelerators));
+    return room >= keep;
+  }
+
   void PlaceOther(const RankedJob& it) {
     const WaitingJob& job = *it.job;
+    if (!LeavesLiveRoom(job.shape)) {
+      return;
+    }
     const std::set<std::uint32_t> avoid = WorkersToAvoid(tables_, job);
     const AllowedMask allowed = Allowed(it, avoid);
     std::vector<Allocation> tasks = job.repeatable || lines_.empty()
@@ -238,6 +263,7 @@
   const PlanOptions& options_;
   TimePoint now_;
   std::vector<RankedJob> ranked_;
+  bool serves_live_ = false;
   std::vector<GuaranteeLine> lines_;
   MaskCosts costs_;
   Trial trial_;
--- a/packages/decision/src/reservation.cc
+++ b/packages/decision/src/reservation.cc
@@ -28,7 +28,7 @@
   const auto free_at = [&](std::uint32_t worker,
                            AcceleratorMask mask) -> std::optional<double> {
     const WorkerRow& row = tables.workers[worker];
-    if ((mask & ~(AllOf(row) & ~row.faulty)) != 0) {
+    if ((mask & ~(AllOf(row) & ~row.other)) != 0) {
       return std::nullopt;
     }
     TimePoint end = now;
--- a/packages/decision/src/tables.h
+++ b/packages/decision/src/tables.h
@@ -22,8 +22,8 @@
   WorkerInfo info;
   bool alive = true;
   bool schedulable = true;
-  AcceleratorMask other = 0;   ///< Transient use by live requests.
-  AcceleratorMask faulty = 0;  ///< Lost until repaired.
+  AcceleratorMask other = 0;  ///< Not available.
+  AcceleratorMask live = 0;   ///< In use by live requests now.
   std::vector<Occupant> occupants;
 };
 
@@ -50,6 +50,8 @@
   std::set<JobId> pinned;    ///< Jobs that may not be stopped.
   std::set<JobId> stopping;  ///< Jobs that were asked to stop.
   std::size_t alive = 0;
+  int live_accelerators = 0;  ///< In use by live requests now.
+  int throttleable = 0;       ///< Used by single-worker jobs.
   /// Behind a pointer, so that a plan over a const cluster can try changes and
   /// undo them.
   std::unique_ptr<FreeIndex> free = std::make_unique<FreeIndex>();
@@ -57,7 +59,7 @@
 
 /// @brief All accelerators of the worker.
 AcceleratorMask AllOf(const WorkerRow& row);
-/// @brief Accelerators that no job, live request or fault occupies.
+/// @brief Accelerators that no job occupies; live requests may use them.
 AcceleratorMask FreeOf(const WorkerRow& row);
 
 constexpr std::uint32_t RowOf(WorkerIndex worker) {
