Route live requests to workers where they throttle nothing

Cause: two random choices counted throttleable accelerators like free ones, so requests throttled long jobs while other workers were idle. Change: LiveCandidate.free; candidates with enough free accelerators come first.

--- a/bench/event_loop.cc
+++ b/bench/event_loop.cc
@@ -193,8 +193,8 @@
     for (std::size_t n = 0; n < in_.workers.size(); ++n) {
       decision::LiveCandidate it;
       it.usable = IsUsable(n);
-      it.live_capacity =
-          std::popcount(cluster_.Free(WorkerIndex(n))) + ThrottleRoom(n);
+      it.free = std::popcount(cluster_.Free(WorkerIndex(n)));
+      it.live_capacity = it.free + ThrottleRoom(n);
       it.in_flight = std::popcount(live_masks_[n]);
       it.expected_wait = Millis(100) * queues_[n].size();
       candidates.push_back(it);
--- a/packages/decision/include/shallotlug/decision/live_route.h
+++ b/packages/decision/include/shallotlug/decision/live_route.h
@@ -14,12 +14,14 @@
   bool usable = false;  ///< Linked, heard from, not leaving, not quarantined.
   bool probing = false;
   int live_capacity = 0;   ///< Accelerators that are free or can be throttled.
+  int free = 0;            ///< Accelerators that need no throttling.
   int in_flight = 0;       ///< Sent by this entry since the last report.
   Millis expected_wait{};  ///< From the last report.
 };
 
 /// @brief Picks an agent by power of two choices over expected wait, or nothing
-/// when no candidate is usable. `random` is consumed and updated.
+/// when no candidate is usable. Candidates on which the request throttles
+/// nothing come first. `random` is consumed and updated.
 /// Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
 /// Balancing", IEEE TPDS 12(10), 2001.
 std::optional<std::size_t> RouteLive(
--- a/packages/decision/src/live_route.cc
+++ b/packages/decision/src/live_route.cc
@@ -29,6 +29,27 @@
   return static_cast<std::size_t>(NextRandom(random) % count);
 }
 
+/// The better of two distinct random candidates that match; the only one when
+/// the draws found no other.
+template <class Match>
+std::optional<std::size_t> DrawTwo(const std::vector<LiveCandidate>& candidates,
+                                   std::uint64_t& random,
+                                   const Match& match) {
+  std::optional<std::size_t> first;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const std::size_t n = Draw(candidates.size(), random);
+    if (!match(candidates[n]) || first == n) {
+      continue;
+    }
+    if (!first) {
+      first = n;
+      continue;
+    }
+    return ShorterWait(candidates[n], candidates[*first]) ? n : *first;
+  }
+  return first;
+}
+
 /// Fallback when random draws found too few: the best of all that match.
 template <class Match>
 std::optional<std::size_t> BestOf(const std::vector<LiveCandidate>& candidates,
@@ -52,21 +73,20 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  std::optional<std::size_t> first;
-  for (int draw = 0; draw < kDraws; ++draw) {
-    const std::size_t n = Draw(candidates.size(), random);
-    if (!CanServe(candidates[n], accelerators) || first == n) {
-      continue;
-    }
-    if (!first) {
-      first = n;
-      continue;
-    }
-    return ShorterWait(candidates[n], candidates[*first]) ? n : *first;
+  const auto is_idle = [&](const LiveCandidate& it) {
+    return CanServe(it, accelerators) && it.free >= accelerators &&
+           it.expected_wait.count() == 0;
+  };
+  if (const auto chosen = DrawTwo(candidates, random, is_idle)) {
+    return chosen;
   }
-  if (const auto best = BestOf(candidates, [&](const LiveCandidate& it) {
-        return CanServe(it, accelerators);
-      })) {
+  const auto can_serve = [&](const LiveCandidate& it) {
+    return CanServe(it, accelerators);
+  };
+  if (const auto chosen = DrawTwo(candidates, random, can_serve)) {
+    return chosen;
+  }
+  if (const auto best = BestOf(candidates, can_serve)) {
     return best;
   }
   // A worker without capacity now may still queue the request; a worker under
