--- a/packages/agent/src/links.cc
+++ b/packages/agent/src/links.cc
@@ -1,5 +1,6 @@
 #include "links.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gang_messages.h"
@@ -192,6 +193,17 @@
   }
 }
 
+std::vector<EntryName> LinkedEntries(const State& state) {
+  std::vector<EntryName> names;
+  for (const auto& [id, link] : state.links) {
+    if (link.entry) {
+      names.push_back(link.entry->name);
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
 void CloseSilentLinks(State& state, TimePoint now, Outbox& out) {
   std::vector<LinkId> silent;
   for (const auto& [id, link] : state.links) {
--- a/packages/agent/src/links.h
+++ b/packages/agent/src/links.h
@@ -30,6 +30,9 @@
                   const std::vector<std::string>& addresses,
                   TimePoint now);
 
+/// @brief Names of the entries that have introduced themselves, sorted.
+std::vector<EntryName> LinkedEntries(const State& state);
+
 /// @brief Closes silent links.
 void CloseSilentLinks(State& state, TimePoint now, Outbox& out);
 
--- a/packages/agent/src/reports.cc
+++ b/packages/agent/src/reports.cc
@@ -15,7 +15,7 @@
 
 StartableView ViewOf(const State& state) {
   return {AcceleratorUses(state), FreeSlots(state), Leaving(state),
-          state.backend.reachable};
+          state.backend.reachable, LinkedEntries(state)};
 }
 
 AgentReport MakeReport(const State& state, TimePoint now) {
@@ -31,6 +31,7 @@
   report.expected_wait = ExpectedWait(state, 1, state.live.queue.size());
   report.tasks_finished = state.reporting.tasks_finished;
   report.tasks_failed = state.reporting.tasks_failed;
+  report.linked_entries = LinkedEntries(state);
   return report;
 }
 
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -218,6 +218,7 @@
   int free_slots = 0;
   bool leaving = false;
   bool reachable = false;
+  std::vector<EntryName> linked_entries;
 
   bool operator==(const StartableView&) const = default;
 };
--- a/packages/entry/src/agents.cc
+++ b/packages/entry/src/agents.cc
@@ -29,6 +29,7 @@
     return;
   }
   it->second.linked = false;
+  state.witnesses.stale = true;
   RefreshCandidate(state, it->second);
   SyncWorker(state, it->second);
   Log(state, LogLevel::kInfo, "agent_link_down", {{"agent", name.value}});
@@ -115,6 +116,8 @@
     return;
   }
   std::vector<RunningAttempt> attempts = std::move(agent->report.attempts);
+  state.witnesses.stale |=
+      !agent->reported || agent->report.linked_entries != report.linked_entries;
   agent->report = report;
   if (!report.has_attempts) {
     agent->report.attempts = std::move(attempts);
--- a/packages/entry/src/cluster_sync.cc
+++ b/packages/entry/src/cluster_sync.cc
@@ -48,13 +48,13 @@
 void SyncOtherUse(State& state, const Agent& agent) {
   decision::Cluster& cluster = state.jobs.cluster;
   const AcceleratorMask all = LowBits(agent.inventory.accelerators);
-  const AcceleratorMask faulty = MaskOf(agent.report, AcceleratorUse::kFaulty);
+  const AcceleratorMask live = MaskOf(agent.report, AcceleratorUse::kLive);
   const AcceleratorMask free = MaskOf(agent.report, AcceleratorUse::kFree);
-  cluster.SetFaulty(*agent.worker, 0);
+  cluster.SetLiveUse(*agent.worker, 0);
   cluster.SetOtherUse(*agent.worker, 0);
   const AcceleratorMask by_jobs = all & ~cluster.Free(*agent.worker);
-  cluster.SetFaulty(*agent.worker, faulty);
-  cluster.SetOtherUse(*agent.worker, all & ~free & ~faulty & ~by_jobs);
+  cluster.SetLiveUse(*agent.worker, live & ~by_jobs);
+  cluster.SetOtherUse(*agent.worker, all & ~free & ~live & ~by_jobs);
 }
 
 // A worker under probe gets one task at a time.
--- a/packages/entry/src/peers.cc
+++ b/packages/entry/src/peers.cc
@@ -10,6 +10,9 @@
 // announcements lapsed at once, every entry would plan every job.
 constexpr int kOutageExpiries = 10;
 
+// Time for agents to find and dial an entry that has just been announced.
+constexpr Millis kLinkGrace{5000};
+
 void Announce(State& state, Millis expires_in) {
   const Options& options = state.options;
   const stream::EntryAnnouncement record{options.self, options.data_centre,
@@ -20,6 +23,31 @@
                state.now + options.announce_interval});
 }
 
+// Whether agents show that an entry is gone, or at least of no use: none of
+// them is linked to it any more. A dead entry is found in this way as soon as
+// its connections break, while its announcement lasts for up to 30 s.
+bool IsUnlinked(const State& state,
+                const EntryName& name,
+                const stream::LiveEntry& row) {
+  return state.witnesses.any && state.now - row.first_seen >= kLinkGrace &&
+         !state.witnesses.linked_entries.contains(name);
+}
+
+void GatherWitnesses(State& state) {
+  if (!state.witnesses.stale) {
+    return;
+  }
+  state.witnesses = {};
+  state.witnesses.stale = false;
+  for (const auto& [name, agent] : state.agents) {
+    if (agent.linked && agent.reported) {
+      state.witnesses.any = true;
+      state.witnesses.linked_entries.insert(agent.report.linked_entries.begin(),
+                                            agent.report.linked_entries.end());
+    }
+  }
+}
+
 template <class Project>
 std::vector<std::string> Addresses(const State& state,
                                    const std::string& own,
@@ -51,7 +79,7 @@
   }
   std::vector<EntryName> names = {state.options.self.name};
   for (const auto& [name, row] : state.entries.rows) {
-    if (name != state.options.self.name) {
+    if (name != state.options.self.name && !IsUnlinked(state, name, row)) {
       names.push_back(name);
     }
   }
@@ -76,6 +104,7 @@
     state.next_announcement = state.now + state.options.announce_interval;
     Announce(state, state.options.announce_expiry);
   }
+  GatherWitnesses(state);
   const bool planner = IsPlanner(state);
   if (planner != state.was_planner) {
     state.was_planner = planner;
--- a/packages/entry/src/routing.cc
+++ b/packages/entry/src/routing.cc
@@ -8,13 +8,17 @@
 // Picks that hit a worker with too few accelerators are repeated.
 constexpr int kMaxPicks = 8;
 
-int LiveCapacity(const AgentReport& report) {
+int CountUses(const AgentReport& report, AcceleratorUse use) {
   return static_cast<int>(
-      std::count_if(report.accelerators.begin(), report.accelerators.end(),
-                    [](AcceleratorUse use) {
-                      return use == AcceleratorUse::kFree ||
-                             use == AcceleratorUse::kThrottleable;
-                    }));
+      std::count(report.accelerators.begin(), report.accelerators.end(), use));
+}
+
+// Accelerators of other live requests count, because they come free soon and
+// the expected wait covers them.
+int LiveCapacity(const AgentReport& report) {
+  return CountUses(report, AcceleratorUse::kFree) +
+         CountUses(report, AcceleratorUse::kThrottleable) +
+         CountUses(report, AcceleratorUse::kLive);
 }
 
 decision::LiveCandidate MakeCandidate(const State& state, const Agent& agent) {
@@ -26,6 +30,7 @@
                      health != decision::HealthState::kQuarantined;
   candidate.probing = health == decision::HealthState::kProbing;
   candidate.live_capacity = LiveCapacity(agent.report);
+  candidate.free = CountUses(agent.report, AcceleratorUse::kFree);
   candidate.in_flight = agent.in_flight;
   candidate.expected_wait = agent.report.expected_wait;
   return candidate;
--- a/packages/entry/src/state.h
+++ b/packages/entry/src/state.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -114,6 +115,13 @@
   TimePoint give_up_at{};
 };
 
+/// @brief What agents say of the entries that they are linked to.
+struct Witnesses {
+  std::set<EntryName> linked_entries;  ///< To at least one agent.
+  bool any = false;                    ///< Some agent has reported.
+  bool stale = true;                   ///< To be gathered again.
+};
+
 struct State {
   Options options;
   CounterTable counters;
@@ -150,6 +158,7 @@
   StreamIo entry_io;
   TimePoint next_announcement{};
   bool was_planner = false;
+  Witnesses witnesses;
 
   Jobs jobs;
   StreamIo job_io;
--- a/packages/protocol/include/shallotlug/protocol/messages.h
+++ b/packages/protocol/include/shallotlug/protocol/messages.h
@@ -180,6 +180,9 @@
   Millis expected_wait{};           ///< For a live request that arrived now.
   std::int64_t tasks_finished = 0;  ///< Since the agent's start.
   std::int64_t tasks_failed = 0;
+  /// Entries that this agent is linked to. Entries learn from it that another
+  /// entry is gone, long before its announcement on the log expires.
+  std::vector<EntryName> linked_entries;
   /// Whether `attempts` is complete; a report without changes leaves it out.
   bool has_attempts = false;
   std::vector<RunningAttempt> attempts;
--- a/packages/protocol/src/codec.cc
+++ b/packages/protocol/src/codec.cc
@@ -446,6 +446,8 @@
   out.setTasksFailed(in.tasks_failed);
   out.setHasAttempts(in.has_attempts);
   WriteList(in.attempts, out.initAttempts(Count(in.attempts)));
+  WriteNames(in.linked_entries,
+             out.initLinkedEntries(Count(in.linked_entries)));
 }
 
 void Read(wire::AgentReport::Reader in, AgentReport& out) {
@@ -462,6 +464,7 @@
   out.tasks_failed = in.getTasksFailed();
   out.has_attempts = in.getHasAttempts();
   ReadList(in.getAttempts(), out.attempts);
+  ReadNames(in.getLinkedEntries(), out.linked_entries);
 }
 
 void Write(const JobUpdate& in, wire::JobUpdate::Builder out) {
--- a/packages/protocol/src/codec_test.cc
+++ b/packages/protocol/src/codec_test.cc
@@ -29,7 +29,7 @@
   };
 }
 
-template <class T, std::size_t kCount = 14>
+template <class T, std::size_t kCount = 15>
 constexpr std::size_t FieldCount() {
   if constexpr (HasFields<T>(std::make_index_sequence<kCount>())) {
     return kCount;
@@ -41,7 +41,7 @@
 template <class T>
 auto Fields(T& t) {
   constexpr std::size_t kCount = FieldCount<std::remove_const_t<T>>();
-  static_assert(kCount >= 1 && kCount <= 13);
+  static_assert(kCount >= 1 && kCount <= 14);
 #define SHALLOTLUG_TIE(count, ...)   \
   if constexpr (kCount == (count)) { \
     auto& [__VA_ARGS__] = t;         \
@@ -60,6 +60,7 @@
   SHALLOTLUG_TIE(11, a, b, c, d, e, f, g, h, i, j, k)
   SHALLOTLUG_TIE(12, a, b, c, d, e, f, g, h, i, j, k, l)
   SHALLOTLUG_TIE(13, a, b, c, d, e, f, g, h, i, j, k, l, m)
+  SHALLOTLUG_TIE(14, a, b, c, d, e, f, g, h, i, j, k, l, m, n)
 #undef SHALLOTLUG_TIE
 }
 
--- a/packages/protocol/src/messages.capnp
+++ b/packages/protocol/src/messages.capnp
@@ -200,6 +200,7 @@
   tasksFailed @10 :Int64;
   hasAttempts @11 :Bool;
   attempts @12 :List(RunningAttempt);
+  linkedEntries @13 :List(Text);
 }
 
 enum RequestResult {
--- a/packages/protocol/src/messages.capnp.h
+++ b/packages/protocol/src/messages.capnp.h
@@ -401,7 +401,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ceda97c554f1a9b2, 7, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ceda97c554f1a9b2, 7, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2529,6 +2529,9 @@
   inline bool hasAttempts() const;
   inline  ::capnp::List< ::shallotlug::wire::RunningAttempt,  ::capnp::Kind::STRUCT>::Reader getAttempts() const;
 
+  inline bool hasLinkedEntries() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLinkedEntries() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2605,6 +2608,14 @@
   inline void adoptAttempts(::capnp::Orphan< ::capnp::List< ::shallotlug::wire::RunningAttempt,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::shallotlug::wire::RunningAttempt,  ::capnp::Kind::STRUCT>> disownAttempts();
 
+  inline bool hasLinkedEntries();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLinkedEntries();
+  inline void setLinkedEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLinkedEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLinkedEntries(unsigned int size);
+  inline void adoptLinkedEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLinkedEntries();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5999,6 +6010,44 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool AgentReport::Reader::hasLinkedEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentReport::Builder::hasLinkedEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AgentReport::Reader::getLinkedEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentReport::Builder::getLinkedEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AgentReport::Builder::setLinkedEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void AgentReport::Builder::setLinkedEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentReport::Builder::initLinkedEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AgentReport::Builder::adoptLinkedEntries(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AgentReport::Builder::disownLinkedEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool RequestOutcome::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/packages/stream/include/shallotlug/stream/entries_fold.h
+++ b/packages/stream/include/shallotlug/stream/entries_fold.h
@@ -14,6 +14,7 @@
 /// @brief An announced entry and when its announcement lapses here.
 struct LiveEntry {
   EntryAnnouncement announcement;
+  TimePoint first_seen{};  ///< Of this incarnation.
   TimePoint expires{};
 };
 
--- a/packages/stream/src/entries_fold.cc
+++ b/packages/stream/src/entries_fold.cc
@@ -21,7 +21,12 @@
     }
     return;
   }
-  fold.rows[record.entry.name] = {record, now + record.expires_in - age};
+  const auto it = fold.rows.find(record.entry.name);
+  const bool known =
+      it != fold.rows.end() && it->second.announcement.entry == record.entry;
+  const TimePoint first_seen = known ? it->second.first_seen : now;
+  fold.rows[record.entry.name] = {record, first_seen,
+                                  now + record.expires_in - age};
 }
 
 }  // namespace
