Stop work with more slack for a gang, and bind guarantees by class

Cause: gangs found no rack with movable work only (9,046 of 9,219 attempts to open a shape): any small job of a customer was held in, and bound a whole group of, the guarantee of another of its classes; the budget of 2 % was one job; and the attempts went to single tasks. Change: work uses the guarantee of its own class; checkpointable work with more slack than the gang is stopped even when it fits nowhere else now; at least 32 migrations at once; shapes are opened for 4 accelerators or more.

--- a/packages/decision/include/shallotlug/decision/cluster.h
+++ b/packages/decision/include/shallotlug/decision/cluster.h
@@ -45,6 +45,8 @@
   Millis declared_run_time{};
   double progress = 0;
   std::vector<Allocation> tasks;  ///< One for each task.
+  /// When the job was accepted; `started` is assumed when it is not set.
+  TimePoint submitted{};
 };
 
 /// @brief Workers, the work on them, and the indexes that make placement
--- a/packages/decision/include/shallotlug/decision/plan.h
+++ b/packages/decision/include/shallotlug/decision/plan.h
@@ -48,6 +48,8 @@
   std::size_t scan_limit = 2000;
   /// Migrations that may be under way at once, as a share of running jobs.
   double migration_budget = 0.02;
+  /// Lower bound of that, so that a small cluster can open a rack.
+  std::size_t least_migrations = 32;
   /// Accelerators for each worker, on average over the cluster, that gangs
   /// leave free or to work that can be throttled, if there is a live class.
   int live_headroom = 1;
--- a/packages/decision/src/guarantee_state.cc
+++ b/packages/decision/src/guarantee_state.cc
@@ -84,7 +84,7 @@
       bound_(tables.workers.size()),
       open_(*tables.free) {
   for (GuaranteeLine& it : lines) {
-    by_customer_[it.customer].push_back(lines_.size());
+    by_class_[it.name] = lines_.size();
     lines_.push_back({std::move(it), {}, {}, true});
   }
   for (std::uint32_t n = 0; n < tables.workers.size(); ++n) {
@@ -152,7 +152,7 @@
   BindGroups(groups);
 }
 
-/// Jobs of one customer on one worker are assigned together.
+/// Jobs of one class on one worker are bound together.
 std::vector<GuaranteeState::PinnedGroup> GuaranteeState::PinnedGroups() const {
   std::vector<const RunningJob*> jobs;
   for (const JobId& id : tables_->pinned) {
@@ -163,14 +163,14 @@
                      return a->started < b->started;
                    });
   std::vector<PinnedGroup> groups;
-  std::map<std::pair<CustomerName, std::uint32_t>, std::size_t> rows;
+  std::map<std::pair<ClassName, std::uint32_t>, std::size_t> rows;
   for (const RunningJob* it : jobs) {
     const std::uint32_t worker =
         it->tasks.empty() ? 0 : RowOf(it->tasks.front().worker);
     const auto [row, is_new] =
-        rows.try_emplace({it->customer, worker}, groups.size());
+        rows.try_emplace({it->job_class, worker}, groups.size());
     if (is_new) {
-      groups.push_back({{}, LinesOfCustomer(it->customer).size(), 0});
+      groups.emplace_back();
     }
     groups[row->second].jobs.push_back(it);
   }
@@ -186,13 +186,11 @@
   }
   for (std::size_t n = first;
        n < groups.size() && tries <= BindingTries(groups.size()); ++n) {
-    for (std::size_t choice = 1; choice <= groups[n].lines; ++choice) {
-      groups[n].choice = choice;
-      if (SearchBinding(groups, n + 1, differences - 1, tries)) {
-        return true;
-      }
+    groups[n].is_bound = false;
+    if (SearchBinding(groups, n + 1, differences - 1, tries)) {
+      return true;
     }
-    groups[n].choice = 0;
+    groups[n].is_bound = true;
   }
   return false;
 }
@@ -205,9 +203,9 @@
   }
   held_.clear();
   for (const PinnedGroup& group : groups) {
-    if (group.choice < group.lines) {
+    if (group.is_bound) {
       for (const RunningJob* it : group.jobs) {
-        TryHold(*it, group.choice, false);
+        TryHold(*it, false);
       }
     }
   }
@@ -216,14 +214,18 @@
 
 std::vector<const RunningJob*> GuaranteeState::HoldCandidates() const {
   std::vector<const RunningJob*> jobs;
-  for (const auto& [customer, lines] : by_customer_) {
+  std::set<CustomerName> customers;
+  for (const LineState& it : lines_) {
+    customers.insert(it.line.customer);
+  }
+  for (const CustomerName& customer : customers) {
     const auto it = tables_->by_customer.find(customer);
     if (it == tables_->by_customer.end()) {
       continue;
     }
     for (const JobOrder& order : it->second) {
       const RunningJob& job = tables_->jobs.at(order.id);
-      if (order.repeatable && !job.stopping) {
+      if (order.repeatable && !job.stopping && LineOfClass(job.job_class)) {
         jobs.push_back(&job);
       }
     }
@@ -233,26 +235,19 @@
 
 bool GuaranteeState::HoldAll(bool safely) {
   for (const RunningJob* job : HoldCandidates()) {
-    TryHold(*job, 0, safely);
+    TryHold(*job, safely);
   }
   return Feasible();
 }
 
-bool GuaranteeState::TryHold(const RunningJob& job,
-                             std::size_t choice,
-                             bool safely) {
-  std::vector<std::size_t> lines = LinesOfCustomer(job.customer);
-  std::stable_partition(lines.begin(), lines.end(), [&](std::size_t n) {
-    return lines_[n].line.name == job.job_class;
-  });
-  for (std::size_t n = 0; n < lines.size(); ++n) {
-    const std::size_t line = lines[(n + choice) % lines.size()];
-    if (safely ? TryBindSafely(line, job.tasks) : TryBind(line, job.tasks)) {
-      held_.insert(&job);
-      return true;
-    }
+bool GuaranteeState::TryHold(const RunningJob& job, bool safely) {
+  const std::optional<std::size_t> line = LineOfClass(job.job_class);
+  if (!line ||
+      !(safely ? TryBindSafely(*line, job.tasks) : TryBind(*line, job.tasks))) {
+    return false;
   }
-  return false;
+  held_.insert(&job);
+  return true;
 }
 
 bool GuaranteeState::BlockIsAvailable(const CustomerName& customer,
@@ -371,11 +366,10 @@
   open_.Set(worker, base_[worker] & ~protected_[worker] & ~bound_[worker]);
 }
 
-const std::vector<std::size_t>& GuaranteeState::LinesOfCustomer(
-    const CustomerName& customer) const {
-  static const std::vector<std::size_t> none;
-  const auto it = by_customer_.find(customer);
-  return it == by_customer_.end() ? none : it->second;
+std::optional<std::size_t> GuaranteeState::LineOfClass(
+    const ClassName& name) const {
+  const auto it = by_class_.find(name);
+  return it == by_class_.end() ? std::nullopt : std::optional(it->second);
 }
 
 std::uint32_t GuaranteeState::DomainOf(const GuaranteeLine& line,
--- a/packages/decision/src/guarantee_state.h
+++ b/packages/decision/src/guarantee_state.h
@@ -2,6 +2,7 @@
 #define SHALLOTLUG_DECISION_GUARANTEE_STATE_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <unordered_set>
@@ -54,8 +55,9 @@
   Needs Unused() const;
   const Capacity& Open() const { return open_; }
   const std::vector<LineState>& Lines() const { return lines_; }
-  const std::vector<std::size_t>& LinesOfCustomer(
-      const CustomerName& customer) const;
+  /// @brief The line of a class, if it has a guarantee. Work of the customer's
+  /// other classes does not use it: one small job would bind a whole group.
+  std::optional<std::size_t> LineOfClass(const ClassName& name) const;
 
   bool IsHeld(const RunningJob& job) const { return held_.contains(&job); }
   /// @brief Accelerators that may not be reclaimed.
@@ -76,12 +78,10 @@
   void Unprotect(const std::vector<Allocation>& tasks);
 
  private:
-  /// Work that cannot be stopped, with the line that is tried first; a choice
-  /// past the last line binds it to none.
+  /// Work of one class on one worker that cannot be stopped.
   struct PinnedGroup {
     std::vector<const RunningJob*> jobs;
-    std::size_t lines = 0;
-    std::size_t choice = 0;
+    bool is_bound = true;
   };
 
   void BindPinned();
@@ -93,7 +93,7 @@
                      int differences,
                      int& tries);
   bool HoldAll(bool safely);
-  bool TryHold(const RunningJob& job, std::size_t choice, bool safely);
+  bool TryHold(const RunningJob& job, bool safely);
   bool BlockIsAvailable(const CustomerName& customer,
                         const BlockRef& block,
                         AcceleratorMask task) const;
@@ -107,7 +107,7 @@
 
   const Cluster::Tables* tables_;
   std::vector<LineState> lines_;
-  std::map<CustomerName, std::vector<std::size_t>> by_customer_;
+  std::map<ClassName, std::size_t> by_class_;
   std::vector<AcceleratorMask> base_;
   std::vector<AcceleratorMask> protected_;
   std::vector<AcceleratorMask> bound_;
--- a/packages/decision/src/guaranteed.cc
+++ b/packages/decision/src/guaranteed.cc
@@ -45,21 +45,14 @@
 std::optional<Placement> GuaranteedPlacer::Place(
     const WaitingJob& job,
     const std::set<std::uint32_t>& avoid) {
-  std::vector<std::size_t> lines = state_.LinesOfCustomer(job.customer);
-  std::stable_partition(lines.begin(), lines.end(), [&](std::size_t n) {
-    return state_.Lines()[n].line.name == job.job_class;
-  });
-  for (const std::size_t n : lines) {
-    std::optional<Request> request = Match(job, n);
-    if (!request) {
-      continue;
-    }
-    request->avoid = &avoid;
-    if (std::optional<Placement> placement = PlaceOn(*request)) {
-      return placement;
-    }
+  const std::optional<std::size_t> line = state_.LineOfClass(job.job_class);
+  std::optional<Request> request =
+      line ? Match(job, *line) : std::optional<Request>();
+  if (!request) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  request->avoid = &avoid;
+  return PlaceOn(*request);
 }
 
 std::vector<int> GuaranteedPlacer::DomainsFor(const Request& request) const {
--- a/packages/decision/src/migration.cc
+++ b/packages/decision/src/migration.cc
@@ -60,8 +60,18 @@
   return jobs;
 }
 
-/// Takes the shape and a new place for every job that moves, or nothing.
+bool MayWait(const MigrationContext& context,
+             const RunningJob& job,
+             Millis slack) {
+  const Millis remaining =
+      ExpectedEnd(job, context.run_times, context.now) - context.now;
+  return SlackOfRunning(job, context.targets, remaining, context.now) >
+         slack + kMinStay;
+}
+
+/// Takes the shape and a new place for every job that cannot wait, or nothing.
 bool TryChoice(const MigrationContext& context,
+               Millis slack,
                const BlockChoice& choice,
                const std::vector<const RunningJob*>& jobs) {
   const std::size_t mark = context.trial.Mark();
@@ -72,7 +82,8 @@
     return ~context.reservations.Blocked(worker, TimePoint::max());
   };
   for (const RunningJob* it : jobs) {
-    if (context.packer.Place(it->shape, allowed).empty()) {
+    if (context.packer.Place(it->shape, allowed).empty() &&
+        !MayWait(context, *it, slack)) {
       context.trial.RollBackTo(mark);
       return false;
     }
@@ -83,7 +94,8 @@
 }  // namespace
 
 std::optional<Placement> OpenShape(const MigrationContext& context,
-                                   const WaitingJob& job) {
+                                   const RankedJob& ranked) {
+  const WaitingJob& job = *ranked.job;
   std::vector<BlockChoice> choices =
       CheapestBlocks(context.tables, job.shape,
                      [&](std::uint32_t worker, AcceleratorMask mask) {
@@ -95,7 +107,7 @@
   for (const BlockChoice& choice : choices) {
     const auto jobs = JobsToMove(context, choice);
     if (jobs.empty() || jobs.size() > context.budget ||
-        !TryChoice(context, choice, jobs)) {
+        !TryChoice(context, ranked.slack, choice, jobs)) {
       continue;
     }
     Placement placement{job.id, choice.tasks, {}};
--- a/packages/decision/src/migration.h
+++ b/packages/decision/src/migration.h
@@ -19,16 +19,19 @@
   Trial& trial;
   Packer& packer;
   const Reservations& reservations;
+  const Targets& targets;
+  const RunTimes& run_times;
   const std::set<JobId>& stopped;  ///< Jobs that the plan stops already.
   std::size_t budget = 0;          ///< Jobs that may still be moved.
   TimePoint now{};
 };
 
-/// @brief Opens a shape by moving single-worker checkpointable jobs that fit
-/// elsewhere now. Takes the shape's free accelerators and the new places of
-/// the moved jobs in the trial, so that nothing else is planned there.
+/// @brief Opens a shape by stopping single-worker checkpointable jobs that fit
+/// elsewhere now or have more slack than the waiting job. Takes the shape's
+/// free accelerators and the new places of the moved jobs in the trial, so
+/// that nothing else is planned there.
 std::optional<Placement> OpenShape(const MigrationContext& context,
-                                   const WaitingJob& job);
+                                   const RankedJob& ranked);
 
 }  // namespace shallotlug::decision
 
--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -16,6 +16,9 @@
 /// Candidate sets tried for work that cannot be stopped, before it waits.
 constexpr int kPinnedTries = 16;
 
+/// Smaller shapes fit as soon as anything ends.
+constexpr int kLeastOpened = 4;
+
 void AddDemand(Demand& demand, int accelerators_per_task, int tasks) {
   demand[static_cast<std::size_t>(LevelFor(accelerators_per_task))] +=
       accelerators_per_task * tasks;
@@ -74,6 +77,7 @@
           TimePoint now,
           std::vector<RankedJob> ranked)
       : tables_(tables),
+        targets_(targets),
         run_times_(run_times),
         options_(options),
         now_(now),
@@ -97,10 +101,10 @@
   }
 
  private:
-  bool HasGuarantee(const CustomerName& customer) const {
+  bool HasGuarantee(const ClassName& name) const {
     return std::any_of(
         lines_.begin(), lines_.end(),
-        [&](const GuaranteeLine& it) { return it.customer == customer; });
+        [&](const GuaranteeLine& it) { return it.name == name; });
   }
 
   /// Derived on first use: work without a guarantee that may be stopped needs
@@ -117,7 +121,7 @@
   void PlaceGuaranteed() {
     std::optional<GuaranteedPlacer> placer;
     for (const RankedJob& it : ranked_) {
-      if (!HasGuarantee(it.job->customer)) {
+      if (!HasGuarantee(it.job->job_class)) {
         continue;
       }
       if (!placer) {
@@ -216,12 +220,12 @@
   /// The job does not fit now: moves other work away or keeps a place for it.
   void Wait(const RankedJob& it) {
     const WaitingJob& job = *it.job;
-    if (job.shape.accelerators_per_task == 0 ||
+    if (job.shape.tasks * job.shape.accelerators_per_task < kLeastOpened ||
         opened_ >= options_.opening_limit) {
       return;
     }
     ++opened_;
-    if (job.repeatable && TryMigration(job)) {
+    if (job.repeatable && TryMigration(it)) {
       return;
     }
     if (reservations_.size() < options_.reservation_limit) {
@@ -232,12 +236,13 @@
   std::size_t MigrationBudget() const {
     const double share =
         options_.migration_budget * static_cast<double>(tables_.jobs.size());
-    const auto limit = static_cast<std::size_t>(std::ceil(share));
+    const std::size_t limit = std::max(
+        options_.least_migrations, static_cast<std::size_t>(std::ceil(share)));
     const std::size_t under_way = tables_.stopping.size() + stopped_.size();
     return limit > under_way ? limit - under_way : 0;
   }
 
-  bool TryMigration(const WaitingJob& job) {
+  bool TryMigration(const RankedJob& it) {
     const std::size_t budget = MigrationBudget();
     if (budget == 0) {
       return false;
@@ -246,8 +251,8 @@
     plan_.rows_examined += tables_.workers.size();
     std::optional<Placement> placement =
         OpenShape({tables_, guarantees, trial_, packer_, reservations_,
-                   stopped_, budget, now_},
-                  job);
+                   targets_, run_times_, stopped_, budget, now_},
+                  it);
     if (!placement) {
       return false;
     }
@@ -259,6 +264,7 @@
   }
 
   const Cluster::Tables& tables_;
+  const Targets& targets_;
   const RunTimes& run_times_;
   const PlanOptions& options_;
   TimePoint now_;
--- a/packages/decision/src/priority.cc
+++ b/packages/decision/src/priority.cc
@@ -79,4 +79,21 @@
   return ranked;
 }
 
+Millis SlackOfRunning(const RunningJob& job,
+                      const Targets& targets,
+                      Millis remaining,
+                      TimePoint now) {
+  const auto it = std::find_if(targets.entries.begin(), targets.entries.end(),
+                               [&](const VersionedTarget& entry) {
+                                 return !entry.removed &&
+                                        entry.target.name == job.job_class;
+                               });
+  const bool has_target =
+      it != targets.entries.end() && it->target.finish_within.count() > 0;
+  const Millis period = has_target ? it->target.finish_within : kNoTarget;
+  const TimePoint submitted =
+      job.submitted == TimePoint{} ? job.started : job.submitted;
+  return submitted + period - now - remaining;
+}
+
 }  // namespace shallotlug::decision
--- a/packages/decision/src/priority.h
+++ b/packages/decision/src/priority.h
@@ -24,6 +24,12 @@
                                    std::size_t limit,
                                    TimePoint now);
 
+/// @brief Slack of a running job if it stopped now; negative when it is late.
+Millis SlackOfRunning(const RunningJob& job,
+                      const Targets& targets,
+                      Millis remaining,
+                      TimePoint now);
+
 }  // namespace shallotlug::decision
 
 #endif  // SHALLOTLUG_DECISION_PRIORITY_H_
