Place work that cannot be moved beside work of its kind

Cause: single tasks that cannot be checkpointed spread over all racks, and each keeps its rack from being opened for a gang. Change: such a task first tries up to 32 workers that already run one.

--- a/packages/decision/src/cluster.cc
+++ b/packages/decision/src/cluster.cc
@@ -64,6 +64,7 @@
   for (const Allocation& it : job.tasks) {
     const std::uint32_t worker = RowOf(it.worker);
     tables.workers[worker].occupants.push_back({&job, it.mask});
+    tables.workers[worker].immovable += IsImmovable(job) ? 1 : 0;
     Refresh(tables, worker);
   }
 }
@@ -71,6 +72,7 @@
 void RemoveTasks(Cluster::Tables& tables, const RunningJob& job) {
   for (const Allocation& it : job.tasks) {
     const std::uint32_t worker = RowOf(it.worker);
+    tables.workers[worker].immovable -= IsImmovable(job) ? 1 : 0;
     std::erase_if(tables.workers[worker].occupants,
                   [&](const Occupant& task) { return task.job == &job; });
     Refresh(tables, worker);
--- a/packages/decision/src/packer.cc
+++ b/packages/decision/src/packer.cc
@@ -11,8 +11,6 @@
 /// Every placement costs something, so that ties go to the worker with the
 /// fewest free accelerators.
 constexpr double kBaseDemand = 1;
-/// Workers that may be rejected by the filter before a task is given up.
-constexpr int kRejectLimit = 512;
 /// Racks tried for a gang; each holds the whole shape by count.
 constexpr int kRacksTried = 8;
 
@@ -145,7 +143,7 @@
       if (TryWorker(worker, accelerators, allowed, tasks)) {
         return true;
       }
-      if (++rejected > kRejectLimit) {
+      if (++rejected > reject_limit_) {
         return false;
       }
     }
--- a/packages/decision/src/packer.h
+++ b/packages/decision/src/packer.h
@@ -58,6 +58,9 @@
   /// fit. A null `allowed` allows everything.
   std::vector<Allocation> Place(const JobShape& shape,
                                 const AllowedMask& allowed);
+  /// @brief Workers that a filter may reject before a task is given up.
+  void LimitRejections(int limit) { reject_limit_ = limit; }
+  static constexpr int kRejectLimit = 512;
 
   /// @brief Rows of the tables that were looked at.
   std::uint64_t Examined() const { return examined_; }
@@ -88,6 +91,7 @@
 
   Trial& trial_;
   const MaskCosts& costs_;
+  int reject_limit_ = kRejectLimit;
   std::uint64_t examined_ = 0;
 };
 
--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -16,6 +16,8 @@
 /// Candidate sets tried for work that cannot be stopped, before it waits.
 constexpr int kPinnedTries = 16;
 
+/// Workers looked at for one with work of the same kind.
+constexpr int kSameKindTries = 32;
 /// Smaller shapes fit as soon as anything ends.
 constexpr int kLeastOpened = 4;
 
@@ -168,7 +170,7 @@
     const std::set<std::uint32_t> avoid = WorkersToAvoid(tables_, job);
     const AllowedMask allowed = Allowed(it, avoid);
     std::vector<Allocation> tasks = job.repeatable || lines_.empty()
-                                        ? packer_.Place(job.shape, allowed)
+                                        ? PlaceStoppable(job, allowed)
                                         : PlacePinned(job.shape, allowed);
     if (!tasks.empty()) {
       plan_.placements.push_back({job.id, std::move(tasks), {}});
@@ -189,6 +191,26 @@
     };
   }
 
+  /// Work that cannot be moved goes beside work of the same kind, so that the
+  /// other workers can be opened for gangs.
+  std::vector<Allocation> PlaceStoppable(const WaitingJob& job,
+                                         const AllowedMask& allowed) {
+    if (job.shape.tasks == 1 && !job.checkpointable) {
+      packer_.LimitRejections(kSameKindTries);
+      std::vector<Allocation> tasks =
+          packer_.Place(job.shape, [&](std::uint32_t worker) {
+            return tables_.workers[worker].immovable > 0
+                       ? (allowed ? allowed(worker) : ~0U)
+                       : AcceleratorMask{0};
+          });
+      packer_.LimitRejections(Packer::kRejectLimit);
+      if (!tasks.empty()) {
+        return tasks;
+      }
+    }
+    return packer_.Place(job.shape, allowed);
+  }
+
   /// Work that cannot be stopped goes only where it leaves all unused
   /// guarantees placeable.
   std::vector<Allocation> PlacePinned(const JobShape& shape,
--- a/packages/decision/src/tables.h
+++ b/packages/decision/src/tables.h
@@ -25,6 +25,7 @@
   AcceleratorMask other = 0;  ///< Not available.
   AcceleratorMask live = 0;   ///< In use by live requests now.
   std::vector<Occupant> occupants;
+  int immovable = 0;  ///< Single tasks that cannot be checkpointed.
 };
 
 /// @brief Orders the jobs of one customer: what cannot be stopped first, then
@@ -66,6 +67,11 @@
   return static_cast<std::uint32_t>(worker);
 }
 
+/// @brief Whether a job keeps a shape from being opened for as long as it runs.
+inline bool IsImmovable(const RunningJob& job) {
+  return job.tasks.size() == 1 && !job.checkpointable;
+}
+
 /// @brief Whether a job may be stopped and started again.
 inline bool MayStop(const RunningJob& job) {
   return job.repeatable;
