--- a/apps/tests/processes.cc
+++ b/apps/tests/processes.cc
@@ -17,6 +17,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -91,11 +92,9 @@
 }
 
 int Process::Wait() {
-  if (!ended_) {
-    int status = 0;
-    waitpid(pid_, &status, 0);
-    ended_ = true;
-    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  if (!WaitFor([this] { return !Running(); })) {
+    Signal(SIGKILL);
+    WaitFor([this] { return !Running(); });
   }
   return exit_code_;
 }
@@ -241,6 +240,22 @@
   return net::Fetch(options);
 }
 
+std::string SendRaw(const std::string& address,
+                    const std::string& bytes,
+                    bool half_close) {
+  asio::io_context context;
+  tcp::socket socket(context);
+  boost::system::error_code ec;
+  socket.connect(EndpointOf(address), ec);
+  asio::write(socket, asio::buffer(bytes), ec);
+  if (half_close) {
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+  }
+  std::string reply;
+  asio::read(socket, asio::dynamic_buffer(reply), ec);
+  return reply;
+}
+
 json::value ParseBody(const std::string& body) {
   boost::system::error_code ec;
   json::value parsed = json::parse(body, ec);
@@ -364,8 +379,18 @@
   return lines;
 }
 
+std::size_t Installation::Starts(const AgentProcess& agent,
+                                 const std::string& body) const {
+  std::size_t count = 0;
+  for (const json::value& it : History(agent, "start")) {
+    count += it.at("body").as_string() == body ? 1 : 0;
+  }
+  return count;
+}
+
 std::int64_t Installation::Metric(const std::string& address,
-                                  const std::string& name) {
+                                  const std::string& name,
+                                  const std::string& label) {
   const auto response = Call(address, "GET", "/metrics");
   if (!response) {
     return -1;
@@ -373,7 +398,8 @@
   std::int64_t sum = 0;
   std::istringstream lines(response.value().body);
   for (std::string line; std::getline(lines, line);) {
-    if (line.starts_with(name + "{") || line.starts_with(name + " ")) {
+    if ((line.starts_with(name + "{") || line.starts_with(name + " ")) &&
+        line.find(label) != std::string::npos) {
       sum += std::stoll(line.substr(line.rfind(' ') + 1));
     }
   }
--- a/apps/tests/processes.h
+++ b/apps/tests/processes.h
@@ -52,7 +52,7 @@
 
   void Signal(int number) const;
 
-  /// @brief Waits for its end.
+  /// @brief Waits for its end; kills it when kPatience has passed.
   /// @return The exit code, or -1 when it did not exit by itself.
   int Wait();
 
@@ -111,6 +111,12 @@
     const std::string& body = "",
     Millis timeout = kPatience);
 
+/// @brief Sends raw bytes, optionally ends the stream, and reads until the
+/// other end closes.
+std::string SendRaw(const std::string& address,
+                    const std::string& bytes,
+                    bool half_close);
+
 /// @brief Parses a body; null when it is no JSON.
 boost::json::value ParseBody(const std::string& body);
 
@@ -162,9 +168,14 @@
   std::vector<boost::json::value> History(const AgentProcess& agent,
                                           const std::string& what) const;
 
-  /// @brief Value of a metric, added up over its labels; -1 when unreachable.
+  /// @brief Starts of tasks with this body at a backend server.
+  std::size_t Starts(const AgentProcess& agent, const std::string& body) const;
+
+  /// @brief Value of a metric, added up over the series that contain `label`;
+  /// -1 when unreachable.
   static std::int64_t Metric(const std::string& address,
-                             const std::string& name);
+                             const std::string& name,
+                             const std::string& label = "");
 
   const std::string& LogControl() const { return log_control_; }
   std::string LogOf(const std::string& name) const;
