--- a/packages/decision/include/shallotlug/decision/cluster.h
+++ b/packages/decision/include/shallotlug/decision/cluster.h
@@ -63,11 +63,13 @@
   /// @brief A worker that is not schedulable gets no new work (leaving, silent
   /// or quarantined) but keeps what it has.
   void SetSchedulable(WorkerIndex worker, bool schedulable);
-  /// @brief Accelerators in transient use by work that is not a RunningJob
-  /// (live requests). Not placed on, but still counted as capacity.
+  /// @brief Accelerators that are not available and not capacity, such as
+  /// faulty ones or those of work that the planner does not know.
   void SetOtherUse(WorkerIndex worker, AcceleratorMask mask);
-  /// @brief Accelerators that are out of service; no longer capacity.
-  void SetFaulty(WorkerIndex worker, AcceleratorMask mask);
+  /// @brief Accelerators in use by live requests now. They count as available
+  /// to a plan: a request ends sooner than a report of it is acted on, and the
+  /// agent grants the accelerators when it has ended.
+  void SetLiveUse(WorkerIndex worker, AcceleratorMask mask);
 
   /// @brief Adds or replaces the job of the same id.
   void AddJob(const RunningJob& job);
@@ -76,12 +78,16 @@
   const RunningJob* FindJob(const JobId& job) const;
   const WorkerInfo& Info(WorkerIndex worker) const;
   AcceleratorMask Free(WorkerIndex worker) const;
+  // NOLINTBEGIN(readability-identifier-naming): accessors.
   std::size_t worker_count() const;
   std::size_t job_count() const;
+  // NOLINTEND(readability-identifier-naming)
 
   struct Tables;
+  // NOLINTBEGIN(readability-identifier-naming): accessors.
   const Tables& tables() const { return *tables_; }
   Tables& tables() { return *tables_; }
+  // NOLINTEND(readability-identifier-naming)
 
  private:
   std::unique_ptr<Tables> tables_;
--- a/packages/decision/include/shallotlug/decision/plan.h
+++ b/packages/decision/include/shallotlug/decision/plan.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_DECISION_PLAN_H_
 #define SHALLOTLUG_DECISION_PLAN_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -47,15 +48,22 @@
   std::size_t scan_limit = 2000;
   /// Migrations that may be under way at once, as a share of running jobs.
   double migration_budget = 0.02;
-  /// Free accelerators kept for live requests at each worker that has none
-  /// that can be throttled.
+  /// Accelerators for each worker, on average over the cluster, that gangs
+  /// leave free or to work that can be throttled, if there is a live class.
   int live_headroom = 1;
+  /// The same, as a multiple of what live requests use now.
+  double live_reserve = 1.2;
   bool keep_guarantees = true;  ///< Tests disable it to show that it matters.
+  /// Waiting jobs for which blocks are kept free in one plan.
+  std::size_t reservation_limit = 4;
+  /// Waiting jobs for which one plan tries to open a shape.
+  std::size_t opening_limit = 8;
 };
 
 struct Plan {
   std::vector<Placement> placements;
   std::vector<Preemption> preemptions;
+  std::uint64_t rows_examined = 0;  ///< Work that the plan took.
 };
 
 /// @brief Chooses what starts and what stops now. Does not change `cluster`;
--- a/packages/decision/src/tables.h
+++ b/packages/decision/src/tables.h
@@ -1,9 +1,9 @@
 #ifndef SHALLOTLUG_DECISION_TABLES_H_
 #define SHALLOTLUG_DECISION_TABLES_H_
 
-#include <compare>
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -22,8 +22,8 @@
   WorkerInfo info;
   bool alive = true;
   bool schedulable = true;
-  AcceleratorMask other = 0;   ///< Transient use by live requests.
-  AcceleratorMask faulty = 0;  ///< Lost until repaired.
+  AcceleratorMask other = 0;  ///< Not available.
+  AcceleratorMask live = 0;   ///< In use by live requests now.
   std::vector<Occupant> occupants;
 };
 
@@ -34,7 +34,10 @@
   TimePoint started{};
   JobId id;
 
-  auto operator<=>(const JobOrder&) const = default;
+  bool operator<(const JobOrder& other) const {
+    return std::tie(repeatable, started, id.value) <
+           std::tie(other.repeatable, other.started, other.id.value);
+  }
 };
 
 struct Cluster::Tables {
@@ -47,6 +50,8 @@
   std::set<JobId> pinned;    ///< Jobs that may not be stopped.
   std::set<JobId> stopping;  ///< Jobs that were asked to stop.
   std::size_t alive = 0;
+  int live_accelerators = 0;  ///< In use by live requests now.
+  int throttleable = 0;       ///< Used by single-worker jobs.
   /// Behind a pointer, so that a plan over a const cluster can try changes and
   /// undo them.
   std::unique_ptr<FreeIndex> free = std::make_unique<FreeIndex>();
@@ -54,7 +59,7 @@
 
 /// @brief All accelerators of the worker.
 AcceleratorMask AllOf(const WorkerRow& row);
-/// @brief Accelerators that no job, live request or fault occupies.
+/// @brief Accelerators that no job occupies; live requests may use them.
 AcceleratorMask FreeOf(const WorkerRow& row);
 
 constexpr std::uint32_t RowOf(WorkerIndex worker) {
