--- a/packages/net/src/backend_client.cc
+++ b/packages/net/src/backend_client.cc
@@ -254,7 +254,10 @@
 }
 
 void BackendClient::SendStart(const agent::StartTask& start) {
-  starting_[start.task].accelerators = start.accelerators;
+  // A repeated start may belong to a task whose end was already reported.
+  if (!std::exchange(queue_.front().sent, true)) {
+    starting_[start.task].accelerators = start.accelerators;
+  }
   const json::object body{
       {"incarnation", queue_.front().incarnation},
       {"live", start.live},
--- a/packages/net/src/backend_client.h
+++ b/packages/net/src/backend_client.h
@@ -54,6 +54,7 @@
   struct Queued {
     agent::BackendCommand command;
     std::uint64_t incarnation = 0;
+    bool sent = false;
   };
 
   /// @brief A start whose answer a report may still lack.
