Resume tasks whose resume command was lost, and test live work under faults

Cause: a resume that the backend server did not receive left a task throttled for good. The fake backend server of the tests used a task id after freeing it, which lost events.

Change: a task that is reported as throttled but should run is resumed again. The fault test also sends, repeats and resolves live requests, replaces agents, and checks that no request starts twice or after it was reported as not run.

--- a/packages/agent/src/backend_tasks.cc
+++ b/packages/agent/src/backend_tasks.cc
@@ -92,6 +92,7 @@
     }
     it->second.reported = true;
     it->second.progress = usage.progress;
+    it->second.reported_throttled = usage.throttled;
   }
 }
 
@@ -168,6 +169,7 @@
   }
   if (action == TaskAction::kThrottle || action == TaskAction::kResume) {
     it->second.throttled = action == TaskAction::kThrottle;
+    it->second.reported_throttled = it->second.throttled;
     state.counters.AddTo(action == TaskAction::kThrottle
                              ? "shallotlug_agent_throttles_total"
                              : "shallotlug_agent_resumes_total");
--- a/packages/agent/src/gang_faults_test.cc
+++ b/packages/agent/src/gang_faults_test.cc
@@ -1,4 +1,9 @@
+#include <iterator>
+#include <map>
 #include <random>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "test_gangs.h"
 
@@ -12,6 +17,7 @@
     random.seed(seed);
     number = 0;
     members.clear();
+    sent.clear();
     cluster = TestCluster(3);
     cluster.after_tick = [this] { CheckInvariants(); };
     cluster.drop = [this](std::size_t, std::size_t, const Message&) {
@@ -37,6 +43,60 @@
     }
   }
 
+  void SendLive() {
+    const std::size_t i = AnyNode();
+    StartRequest start;
+    start.id = {cluster.nodes[i].options.self,
+                AsPeerTime(cluster.NodeNow(i) + Millis{30'000}),
+                {++live_number, 0}};
+    start.start_before = AsPeerTime(cluster.NodeNow(i) + Millis{3000});
+    start.finish_before = start.start_before;
+    start.accelerators = static_cast<int>(1 + random() % 4);
+    start.body = ToString(start.id);
+    sent.emplace_back(i, start);
+    cluster.SendTo(i, start);
+  }
+
+  void RepeatOrResolve() {
+    if (sent.empty()) {
+      return;
+    }
+    const auto& [i, start] = sent[random() % sent.size()];
+    if (Chance(50)) {
+      cluster.SendTo(i, start);
+    } else {
+      cluster.SendTo(i, ResolveRequest{start.id, {}, Chance(50)});
+    }
+  }
+
+  void CheckRequests() {
+    std::map<std::string, int> starts;
+    for (TestCluster::Node& node : cluster.nodes) {
+      for (const StartTask& it : node.backend.started) {
+        starts[it.body] += it.live ? 1 : 0;
+      }
+    }
+    for (const auto& [body, n] : starts) {
+      EXPECT_LE(n, 1) << body << " started twice";
+    }
+    for (std::size_t i = 0; i < cluster.nodes.size(); ++i) {
+      for (const RequestOutcome& it : cluster.Take<RequestOutcome>(i)) {
+        EXPECT_FALSE(it.result == RequestResult::kNotRun &&
+                     starts.contains(ToString(it.id)))
+            << ToString(it.id) << " was started and reported as not run";
+      }
+    }
+  }
+
+  void EndAnyTask() {
+    FakeBackend& backend = ServerOf(AnyNode());
+    if (!backend.running.empty()) {
+      auto it = backend.running.begin();
+      std::advance(it, random() % backend.running.size());
+      backend.End(it->first, TaskEventKind::kFinished, "x");
+    }
+  }
+
   void StopAny() {
     const JobId job("j" + std::to_string(1 + random() % (number + 1)));
     const StopReason reasons[] = {StopReason::kCancelled,
@@ -45,10 +105,23 @@
     cluster.SendTo(AnyNode(), StopJob{{job, 1}, reasons[random() % 3]});
   }
 
+  // The promises of the agent end with it; its tasks do not.
+  void ReplaceAgent(std::size_t i) {
+    TestCluster::Node& node = cluster.nodes[i];
+    cluster.BreakLinks(i);
+    node.options.self.incarnation = Incarnation{random()};
+    node.state = MakeState(node.options, cluster.NodeNow(i));
+    node.next = {};
+    cluster.ConnectEntry(i);
+    for (auto& [attempt, agents] : members) {
+      agents.erase(i);
+    }
+  }
+
   void InjectFault() {
     const std::size_t i = AnyNode();
     TestCluster::Node& node = cluster.nodes[i];
-    switch (random() % 6) {
+    switch (random() % 7) {
       case 0:
         node.paused = !node.paused;
         return;
@@ -66,6 +139,9 @@
             Chance(80) ? TaskEventKind::kFinished : TaskEventKind::kFailed,
             "x");
         return;
+      case 5:
+        ReplaceAgent(i);
+        return;
       default:
         StopAny();
     }
@@ -79,6 +155,8 @@
     }
   }
 
+  std::vector<std::pair<std::size_t, StartRequest>> sent;
+  std::uint64_t live_number = 0;
   std::mt19937 random;
   std::uint32_t loss_percent = 10;
   std::uint32_t number = 0;
@@ -86,8 +164,8 @@
 };
 
 // Guards against combinations of faults that let one member compute without
-// another, give an accelerator to two holders, or leave accelerators held for
-// good.
+// another, give an accelerator to two holders, leave accelerators held for
+// good, start a live request twice, or start one that was reported as not run.
 TEST_F(GangFaultsTest, InvariantsHoldAndEverythingIsReleased) {
   for (std::uint32_t seed = 1; seed <= 60 && !HasFailure(); ++seed) {
     SCOPED_TRACE(seed);
@@ -100,6 +178,13 @@
       if (Chance(3)) {
         InjectFault();
       }
+      if (Chance(20)) {
+        SendLive();
+        RepeatOrResolve();
+      }
+      if (Chance(10)) {
+        EndAnyTask();
+      }
       cluster.Tick();
     }
     Heal();
@@ -109,7 +194,12 @@
       }
     }
     cluster.Run(Millis{20'000});
+    for (std::size_t i = 0; i < cluster.nodes.size(); ++i) {
+      ServerOf(i).EndAll(TaskEventKind::kFinished, "x");
+    }
+    cluster.Run(Millis{200});
     EXPECT_TRUE(AllFree());
+    CheckRequests();
   }
 }
 
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -71,8 +71,9 @@
   PeerTime lease_until{};  ///< Latest lease sent; backend server's clock.
   bool reported = false;   ///< Listed by the last report.
   bool throttleable = false;
-  bool throttled = false;  ///< Asked to throttle.
-  bool stopping = false;   ///< Asked to stop or to checkpoint.
+  bool throttled = false;           ///< Asked to throttle.
+  bool reported_throttled = false;  ///< In the last report.
+  bool stopping = false;            ///< Asked to stop or to checkpoint.
   double progress = 0;
 };
 
--- a/packages/agent/src/test_cluster.h
+++ b/packages/agent/src/test_cluster.h
@@ -59,11 +59,10 @@
     }
   }
 
-  void End(const TaskId& task,
-           TaskEventKind kind,
-           const std::string& answer = "") {
+  // By value: callers pass keys of `running`.
+  void End(TaskId task, TaskEventKind kind, const std::string& answer = "") {
     running.erase(task);
-    events.push_back({task, kind, answer, answer.size(), ""});
+    events.push_back({std::move(task), kind, answer, answer.size(), ""});
   }
 
   void EndAll(TaskEventKind kind, const std::string& answer = "") {
--- a/packages/agent/src/throttling.cc
+++ b/packages/agent/src/throttling.cc
@@ -68,13 +68,15 @@
 void ResumeThrottledTasks(State& state, Outbox& out) {
   std::vector<TaskId> throttled;
   for (const auto& [id, task] : state.backend.tasks) {
-    if (task.throttled && !task.stopping) {
+    // A resume may have been lost on its way to the backend server.
+    if ((task.throttled || task.reported_throttled) && !task.stopping) {
       throttled.push_back(id);
     }
   }
   for (const TaskId& id : throttled) {
-    const AcceleratorMask mask = state.backend.tasks[id].accelerators;
-    if ((mask & LiveMask(state)) == 0 && FreeSlots(state) > 0) {
+    const Task& task = state.backend.tasks[id];
+    const bool has_slot = !task.throttled || FreeSlots(state) > 0;
+    if ((task.accelerators & LiveMask(state)) == 0 && has_slot) {
       ControlTaskById(state, id, TaskAction::kResume, out);
     }
   }
