--- a/apps/tests/processes.cc
+++ b/apps/tests/processes.cc
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -48,10 +49,21 @@
 }  // namespace
 
 std::string FreeAddress() {
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPorts = 20'000;
+  static std::mt19937 random{std::random_device()()};
   asio::io_context context;
-  const tcp::acceptor acceptor(
-      context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return AddressOf(acceptor.local_endpoint());
+  while (true) {
+    const tcp::endpoint endpoint(
+        asio::ip::address_v4::loopback(),
+        static_cast<std::uint16_t>(kFirstPort + random() % kPorts));
+    tcp::acceptor acceptor(context, endpoint.protocol());
+    boost::system::error_code ec;
+    acceptor.bind(endpoint, ec);
+    if (!ec) {
+      return AddressOf(endpoint);
+    }
+  }
 }
 
 Process::Process(const std::string& program,
@@ -290,14 +302,19 @@
                         {"http", json::parse(http)}};
   const std::string file =
       folder_.Write(it->name + ".json", json::serialize(settings));
-  it->process = std::make_unique<Process>(
-      SHALLOTLUG_ENTRY_PROGRAM,
-      std::vector<std::string>{"serve", "--settings=" + file},
-      folder_.Path() + "/" + it->name + ".out");
+  it->settings = file;
+  StartAgain(*it);
   entries_.push_back(std::move(it));
   return *entries_.back();
 }
 
+void Installation::StartAgain(EntryProcess& entry) const {
+  entry.process = std::make_unique<Process>(
+      SHALLOTLUG_ENTRY_PROGRAM,
+      std::vector<std::string>{"serve", "--settings=" + entry.settings},
+      folder_.Path() + "/" + entry.name + ".out");
+}
+
 AgentProcess& Installation::AddAgent(const std::vector<std::string>& seeds,
                                      const std::string& key) {
   auto it = std::make_unique<AgentProcess>();
@@ -346,6 +363,18 @@
 bool Installation::SetLiveTarget(const EntryProcess& entry,
                                  const std::string& name,
                                  Millis finish_within) const {
+  return SetTarget(entry, name, "live", finish_within);
+}
+
+bool Installation::SetBatchTarget(const EntryProcess& entry,
+                                  const std::string& name) const {
+  return SetTarget(entry, name, "batch", Millis(3'600'000));
+}
+
+bool Installation::SetTarget(const EntryProcess& entry,
+                             const std::string& name,
+                             const std::string& kind,
+                             Millis finish_within) const {
   return WaitFor([&] {
     net::HttpFetchOptions options;
     options.address = entry.operators;
@@ -356,7 +385,7 @@
         json::object{{"change_id", "set-" + name},
                      {"base_version", 0},
                      {"customer", "c"},
-                     {"kind", "live"},
+                     {"kind", kind},
                      {"finish_within_ms", finish_within.count()}});
     const auto response = net::Fetch(options);
     return response && response.value().status == 200;
--- a/apps/tests/processes.h
+++ b/apps/tests/processes.h
@@ -22,8 +22,9 @@
 /// for so long.
 constexpr Millis kPatience{60'000};
 
-/// @brief A free loopback address. It is free until somebody else binds it, so
-/// a test that loses that race fails to start its process.
+/// @brief A free loopback address below the range that the system gives to
+/// connections and to port 0, so that only another test can take it before its
+/// process binds it.
 std::string FreeAddress();
 
 /// @brief Calls `condition` until it is true or kPatience has passed.
@@ -126,6 +127,7 @@
   std::string operators;
   std::string peers;
   std::string metrics;
+  std::string settings;  ///< File.
   std::unique_ptr<Process> process;
 };
 
@@ -147,6 +149,10 @@
   /// @param http JSON of the member `http` of the settings.
   EntryProcess& AddEntry(const std::string& http = "{}");
 
+  /// @brief Starts an entry again under its old name and addresses, after its
+  /// process has ended.
+  void StartAgain(EntryProcess& entry) const;
+
   /// @brief Adds an agent and its backend server.
   /// @param seeds Addresses of the peer listeners of entries.
   AgentProcess& AddAgent(const std::vector<std::string>& seeds,
@@ -164,6 +170,9 @@
                      const std::string& name,
                      Millis finish_within) const;
 
+  /// @brief Creates a class for long jobs of the customer `c`.
+  bool SetBatchTarget(const EntryProcess& entry, const std::string& name) const;
+
   /// @brief The history of a backend server, filtered by `what`.
   std::vector<boost::json::value> History(const AgentProcess& agent,
                                           const std::string& what) const;
@@ -184,6 +193,11 @@
   const std::string operator_token = "token of the process tests";
 
  private:
+  bool SetTarget(const EntryProcess& entry,
+                 const std::string& name,
+                 const std::string& kind,
+                 Millis finish_within) const;
+
   TemporaryFolder folder_;
   std::string log_address_;
   std::string log_control_;
