Add the fakes, the oracle and the scenario language of the harness

The promises P1 to P8 need an in-process proof over the real role logic. The harness runs entries and agents on one fake clock with a fake network, log and backend servers; the oracle sees only what workers and callers saw.

--- /dev/null
+++ b/packages/harness/src/runner.cc
@@ -0,0 +1,656 @@
+#include "shallotlug/harness/runner.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+
+#include "shallotlug/harness/workload.h"
+#include "shallotlug/harness/world.h"
+
+namespace shallotlug::harness {
+namespace {
+
+constexpr Millis kReadyLimit{20'000};
+constexpr Millis kResubmitInterval{5000};
+constexpr Millis kMintLimit{2000};
+// Longer than abandoning an attempt (15 s), a lease and several attempts.
+constexpr Millis kSettleLimit{180'000};
+
+std::string Text(const Step& step, const char* key, const char* fallback) {
+  const auto it = step.options.find(key);
+  return it == step.options.end() ? fallback : it->second;
+}
+
+int Number(const Step& step, const char* key, int fallback) {
+  const auto it = step.options.find(key);
+  return it == step.options.end() ? fallback : std::stoi(it->second);
+}
+
+Millis Duration(const Step& step, const char* key, Millis fallback) {
+  const auto it = step.options.find(key);
+  return it == step.options.end() ? fallback
+                                  : ParseDuration(it->second).value();
+}
+
+bool Flag(const Step& step, const char* key, bool fallback) {
+  const auto it = step.options.find(key);
+  return it == step.options.end() ? fallback : it->second == "yes";
+}
+
+Adjacency AdjacencyOf(const Step& step, const char* fallback) {
+  const std::string text = Text(step, "within", fallback);
+  return text == "worker" ? Adjacency::kWorker
+         : text == "rack" ? Adjacency::kRack
+         : text == "any"  ? Adjacency::kAny
+                          : Adjacency::kDataCentre;
+}
+
+void Disable(const std::string& guard, WorldOptions& options) {
+  agent::Options::Guards& agent = options.agent_guards;
+  entry::Options::Guards& entry = options.entry_guards;
+  const std::pair<const char*, bool*> guards[] = {
+      {"agent.remember_requests", &agent.remember_requests},
+      {"agent.check_incarnation", &agent.check_incarnation},
+      {"agent.check_start_before", &agent.check_start_before},
+      {"agent.run_until", &agent.run_until},
+      {"agent.refuse_when_leaving", &agent.refuse_when_leaving},
+      {"agent.drain_on_shutdown", &agent.drain_on_shutdown},
+      {"agent.monotonic_config", &agent.monotonic_config},
+      {"agent.check_pause", &agent.check_pause},
+      {"entry.not_run_needs_proof", &entry.not_run_needs_proof},
+      {"entry.match_answers", &entry.match_answers},
+      {"entry.check_answer_length", &entry.check_answer_length},
+      {"entry.never_retry_unrepeatable", &entry.never_retry_unrepeatable},
+      {"entry.claim_before_start", &entry.claim_before_start},
+      {"entry.drain_on_shutdown", &entry.drain_on_shutdown},
+      {"entry.monotonic_config", &entry.monotonic_config},
+      {"entry.warm_up", &entry.warm_up},
+      {"entry.keep_guarantees", &entry.keep_guarantees},
+  };
+  for (const auto& [name, value] : guards) {
+    if (guard == name) {
+      *value = false;
+    }
+  }
+}
+
+class Runner {
+ public:
+  explicit Runner(const Scenario& scenario) : scenario_(scenario) {}
+
+  RunReport Run() {
+    MakeWorld();
+    if (Prepare()) {
+      for (const Step& step : scenario_.steps) {
+        RunStep(step);
+      }
+      Settle(kSettleLimit, "end of the scenario");
+    }
+    RunReport report;
+    report.violations = world_->oracle().violations();
+    report.simulated = world_->now();
+    report.appends = world_->log().Appends();
+    return report;
+  }
+
+ private:
+  void MakeWorld() {
+    const Step& cluster = scenario_.steps.front();
+    options_.entries = std::max(1, Number(cluster, "entries", 2));
+    options_.agents = std::max(1, Number(cluster, "agents", 4));
+    options_.racks = std::max(1, Number(cluster, "racks", 2));
+    options_.seed = static_cast<std::uint64_t>(Number(cluster, "seed", 1));
+    options_.log_retention =
+        Duration(cluster, "retention", options_.log_retention);
+    for (const Step& step : scenario_.steps) {
+      if (step.verb == Verb::kWithout) {
+        Disable(step.word, options_);
+      }
+    }
+    world_ = std::make_unique<World>(options_);
+  }
+
+  // Sets the classes that steps use by default and waits until they are in
+  // force, so that every scenario starts from a working cluster.
+  bool Prepare() {
+    bool ready = true;
+    if (Flag(scenario_.steps.front(), "targets", true)) {
+      ClassTarget live;
+      live.name = ClassName("live");
+      live.customer = CustomerName("salon");
+      live.kind = WorkKind::kLive;
+      live.finish_within = Millis(2000);
+      ClassTarget batch;
+      batch.name = ClassName("batch");
+      batch.customer = CustomerName("archive");
+      batch.finish_within = Millis(3'600'000);
+      ready =
+          Establish("default-live", live) && Establish("default-batch", batch);
+    } else {
+      world_->Advance(Millis(5000));
+    }
+    if (!ready) {
+      world_->oracle().Report(Promise::kLiveness, world_->now(),
+                              "the cluster did not become ready");
+    }
+    start_ = world_->now();
+    return ready;
+  }
+
+  bool Establish(const std::string& name, const ClassTarget& target) {
+    const Millis end = world_->now() + kReadyLimit;
+    int attempt = 0;
+    while (world_->now() < end) {
+      const std::string id = name + "-" + std::to_string(++attempt);
+      world_->SetTarget(id, target, 0, false, 1);
+      world_->AdvanceUntil(Millis(5000), [&] {
+        return world_->Change(id).state != ChangeState::kPending;
+      });
+      if (world_->Change(id).state == ChangeState::kAccepted) {
+        return world_->AdvanceUntil(Millis(10'000), [&] {
+          return world_->InForceEverywhere(world_->Change(id));
+        });
+      }
+      world_->Advance(Millis(500));
+    }
+    return false;
+  }
+
+  void Fail(const Step& step, const std::string& why) {
+    world_->oracle().Report(Promise::kExpectation, world_->now(),
+                            scenario_.file + ":" + std::to_string(step.line) +
+                                ": " + ToString(step) + ": " + why);
+  }
+
+  int Count(Role role) const {
+    return role == Role::kEntry ? world_->entries() : world_->agents();
+  }
+
+  void ForEach(const Step& step,
+               const ProcessRef& pattern,
+               const std::function<void(const ProcessRef&)>& visit) {
+    if (pattern.index > Count(pattern.role)) {
+      Fail(step, "there is no " + ToString(pattern));
+      return;
+    }
+    for (int index = 1; index <= Count(pattern.role); ++index) {
+      if (pattern.index == 0 || pattern.index == index) {
+        visit({pattern.role, index});
+      }
+    }
+  }
+
+  // The entry that a caller uses.
+  int Through(const Step& step) {
+    if (step.a.role != Role::kEntry || step.a.index < 1 ||
+        step.a.index > world_->entries()) {
+      Fail(step, "callers reach the system through one existing entry");
+      return 1;
+    }
+    return step.a.index;
+  }
+
+  CallerRequest RequestOf(const Step& step) {
+    CallerRequest request;
+    request.name = step.name;
+    request.customer = CustomerName(Text(step, "customer", "salon"));
+    request.request_class = ClassName(Text(step, "class", "live"));
+    request.repeatable = Flag(step, "repeatable", false);
+    request.body = ToBody({step.name, Duration(step, "run", Millis(100)),
+                           Flag(step, "fails", false)});
+    return request;
+  }
+
+  CallerJob JobOf(const Step& step, const std::string& name) {
+    CallerJob job;
+    job.name = name;
+    job.call.key = name;
+    JobSpec& spec = job.call.spec;
+    spec.customer = CustomerName(Text(step, "customer", "archive"));
+    spec.job_class = ClassName(Text(step, "class", "batch"));
+    spec.shape.tasks = Number(step, "tasks", 1);
+    spec.shape.accelerators_per_task = Number(step, "accelerators", 1);
+    spec.shape.adjacency = AdjacencyOf(step, "any");
+    const Millis run = Duration(step, "run", Millis(2000));
+    spec.declared_run_time = Duration(step, "declared", run);
+    spec.repeatable = Flag(step, "repeatable", true);
+    spec.checkpointable = Flag(step, "checkpointable", false);
+    spec.body = ToBody({name, run, Flag(step, "fails", false)});
+    return job;
+  }
+
+  ClassTarget TargetOf(const Step& step) {
+    ClassTarget target;
+    target.name = ClassName(step.word);
+    target.kind = Text(step, "kind", "batch") == "live" ? WorkKind::kLive
+                                                        : WorkKind::kBatch;
+    const bool live = target.kind == WorkKind::kLive;
+    target.customer =
+        CustomerName(Text(step, "customer", live ? "salon" : "archive"));
+    target.finish_within =
+        Duration(step, "finish_within", Millis(live ? 2000 : 3'600'000));
+    target.accelerators = Number(step, "accelerators", 1);
+    target.guarantee.groups = Number(step, "groups", 0);
+    target.guarantee.accelerators = Number(step, "per_group", 0);
+    target.guarantee.within = AdjacencyOf(step, "worker");
+    return target;
+  }
+
+  std::uint64_t BaseOf(const Step& step, const ClassName& name) {
+    const std::string base = Text(step, "base", "current");
+    return base == "current" ? world_->AcceptedVersion(name)
+                             : std::stoull(base);
+  }
+
+  void RunStep(const Step& step) {
+    if (step.at) {
+      const Millis target = start_ + *step.at;
+      if (target > world_->now()) {
+        world_->Advance(target - world_->now());
+      }
+    }
+    if (step.verb >= Verb::kKill && step.verb <= Verb::kFreeze) {
+      world_->ExcuseInFlight();
+      RunProcessFault(step);
+    } else if (step.verb == Verb::kShutdown) {
+      ForEach(step, step.a,
+              [&](const ProcessRef& it) { world_->Shutdown(it); });
+    } else if (step.verb >= Verb::kCut && step.verb <= Verb::kReplay) {
+      world_->ExcuseInFlight();
+      RunLinkFault(step);
+    } else if (step.verb >= Verb::kLogOutage &&
+               step.verb <= Verb::kLogLosesAnswers) {
+      RunLogFault(step);
+    } else if (step.verb >= Verb::kLeave &&
+               step.verb <= Verb::kCheckpointTime) {
+      world_->ExcuseInFlight();
+      RunWorkerStep(step);
+    } else if (step.verb >= Verb::kMint && step.verb <= Verb::kSubmitMany) {
+      RunCallerStep(step);
+    } else if (step.verb >= Verb::kExpectRequest) {
+      RunExpectation(step);
+    } else {
+      RunOtherStep(step);
+    }
+  }
+
+  void RunProcessFault(const Step& step) {
+    ForEach(step, step.a, [&](const ProcessRef& process) {
+      switch (step.verb) {
+        case Verb::kKill:
+          world_->Kill(process, false);
+          break;
+        case Verb::kDestroy:
+          world_->Kill(process, true);
+          break;
+        case Verb::kRestart:
+          world_->Restart(process);
+          break;
+        default:
+          world_->Freeze(process, step.duration);
+          break;
+      }
+    });
+  }
+
+  void RunLinkFault(const Step& step) {
+    FakeNetwork& network = world_->network();
+    const Millis now = world_->now();
+    const Millis until = now + step.duration;
+    switch (step.verb) {
+      case Verb::kCut:
+        network.AddFault(now, step.a, step.b, LinkFault::kCut, 1, until);
+        break;
+      case Verb::kSilence:
+        network.Silence(step.a, step.b);
+        break;
+      case Verb::kBreak:
+        network.Break(now, step.a, step.b);
+        break;
+      case Verb::kDelay:
+        network.AddFault(now, step.a, step.b, LinkFault::kDelay,
+                         static_cast<int>(step.within.count()), until);
+        break;
+      case Verb::kLose:
+        network.AddFault(now, step.a, step.b, LinkFault::kLose, step.number,
+                         until);
+        break;
+      default:
+        network.AddFault(now, step.a, step.b, LinkFault::kReplay, step.number,
+                         until);
+        break;
+    }
+  }
+
+  void RunLogFault(const Step& step) {
+    FakeLog& log = world_->log();
+    const Millis until = world_->now() + step.duration;
+    if (step.verb == Verb::kLogOutage) {
+      log.SetOutage(until);
+    } else if (step.verb == Verb::kLogSlow) {
+      log.SetSlow(std::max(Millis(1), step.within), until);
+    } else {
+      log.SetLosesAnswers(until);
+    }
+  }
+
+  void RunWorkerStep(const Step& step) {
+    if (step.verb == Verb::kCheckpointTime) {
+      for (int index = 1; index <= world_->agents(); ++index) {
+        world_->worker(index).SetCheckpointTime(step.duration);
+      }
+      return;
+    }
+    ForEach(step, step.a, [&](const ProcessRef& process) {
+      FakeWorker& worker = world_->worker(process.index);
+      switch (step.verb) {
+        case Verb::kLeave:
+          worker.SetLeaving(world_->now(), true);
+          break;
+        case Verb::kStay:
+          worker.SetLeaving(world_->now(), false);
+          break;
+        case Verb::kFail:
+          worker.SetFailsAll(true);
+          break;
+        case Verb::kMend:
+          worker.SetFailsAll(false);
+          break;
+        case Verb::kCutAnswers:
+          worker.SetCutsAnswers(true);
+          break;
+        default:
+          worker.Restart(world_->now());
+          break;
+      }
+    });
+  }
+
+  void RunCallerStep(const Step& step) {
+    const int entry = Through(step);
+    const Millis timeout = Duration(step, "timeout", Millis(2000));
+    switch (step.verb) {
+      case Verb::kMint: {
+        CallerRequest request = RequestOf(step);
+        request.body.clear();
+        world_->Request(step.name) = request;
+        world_->Mint(step.name, entry);
+        world_->AdvanceUntil(kMintLimit, [&] {
+          return world_->Request(step.name).id.has_value();
+        });
+        break;
+      }
+      case Verb::kSend: {
+        CallerRequest request = RequestOf(step);
+        request.id = world_->Request(step.name).id;
+        world_->DeclareRequest(request);
+        world_->Send(step.name, entry, timeout);
+        break;
+      }
+      case Verb::kRepeat:
+        if (world_->HasRequest(step.name)) {
+          world_->Send(step.name, entry, timeout);
+        }
+        break;
+      case Verb::kAsk:
+        world_->DeclareRequest(RequestOf(step));
+        world_->Ask(step.name, entry, timeout);
+        break;
+      case Verb::kResolve:
+      case Verb::kCancelRequest:
+        if (world_->HasRequest(step.name)) {
+          world_->Resolve(step.name, entry, step.verb == Verb::kCancelRequest);
+        }
+        break;
+      case Verb::kSubmit:
+        world_->Submit(JobOf(step, step.name), entry);
+        break;
+      case Verb::kSubmitMany:
+        for (int index = 1; index <= step.number; ++index) {
+          world_->Submit(JobOf(step, step.name + "-" + std::to_string(index)),
+                         entry);
+        }
+        break;
+      case Verb::kCancelJob:
+        if (world_->HasJob(step.name)) {
+          api::CancelJobsCall call;
+          call.customer = world_->Job(step.name).call.spec.customer;
+          call.ids = {world_->Job(step.name).id};
+          world_->CancelJobs(call, entry);
+        }
+        break;
+      default: {
+        api::CancelJobsCall call;
+        call.customer = CustomerName(Text(step, "customer", "archive"));
+        call.job_class = ClassName(Text(step, "class", ""));
+        world_->CancelJobs(call, entry);
+        break;
+      }
+    }
+  }
+
+  void RunOtherStep(const Step& step) {
+    switch (step.verb) {
+      case Verb::kSetTarget:
+      case Verb::kRemoveTarget: {
+        const ClassTarget target = TargetOf(step);
+        world_->SetTarget(step.name, target, BaseOf(step, target.name),
+                          step.verb == Verb::kRemoveTarget, Through(step));
+        break;
+      }
+      case Verb::kWait:
+        world_->Advance(step.duration);
+        break;
+      case Verb::kCalm:
+        world_->Calm();
+        break;
+      case Verb::kSettle:
+        Settle(step.within, "settle");
+        break;
+      default:
+        break;
+    }
+  }
+
+  bool Holds(const Step& step) {
+    switch (step.verb) {
+      case Verb::kExpectRequest:
+        return RequestHolds(step);
+      case Verb::kExpectJob:
+        return JobHolds(step);
+      case Verb::kExpectChange:
+        return ChangeHolds(step);
+      case Verb::kExpectStarts:
+        return world_->oracle().Starts(step.name) <= step.number;
+      case Verb::kExpectReclaimed:
+        return world_->oracle().Running(step.name) ==
+               world_->Job(step.name).call.spec.shape.tasks;
+      default: {
+        const std::vector<std::string> open = world_->UnfinishedJobs();
+        return std::none_of(open.begin(), open.end(),
+                            [&](const std::string& it) {
+                              return it.starts_with(step.name + "-");
+                            });
+      }
+    }
+  }
+
+  bool RequestHolds(const Step& step) {
+    const CallerRequest& request = world_->Request(step.name);
+    const std::string& word = step.word;
+    if (word == "started") {
+      return world_->oracle().Starts(step.name) > 0;
+    }
+    static const std::map<std::string, RequestState> states = {
+        {"answered", RequestState::kAnswered},
+        {"not_run", RequestState::kNotRun},
+        {"unknown", RequestState::kUnknown},
+        {"failed", RequestState::kFailed},
+        {"conflict", RequestState::kConflict},
+        {"invalid", RequestState::kInvalid},
+        {"not_found", RequestState::kNotFound},
+        {"lost", RequestState::kLost},
+    };
+    return word == "replied" ? request.open_calls == 0
+                             : request.state == states.at(word);
+  }
+
+  bool JobHolds(const Step& step) {
+    const CallerJob& job = world_->Job(step.name);
+    const std::string& word = step.word;
+    if (word == "running") {
+      return world_->oracle().Running(step.name) == job.call.spec.shape.tasks;
+    }
+    static const std::map<std::string, SubmitState> submits = {
+        {"accepted", SubmitState::kAccepted},
+        {"not_accepted", SubmitState::kNotAccepted},
+        {"can_never_run", SubmitState::kCanNeverRun},
+        {"unknown", SubmitState::kUnknown},
+    };
+    const auto submit = submits.find(word);
+    if (submit != submits.end()) {
+      return job.submit == submit->second;
+    }
+    static const std::map<std::string, api::JobState> states = {
+        {"finished", api::JobState::kFinished},
+        {"failed", api::JobState::kFailed},
+        {"cancelled", api::JobState::kCancelled},
+        {"outcome_unknown", api::JobState::kOutcomeUnknown},
+    };
+    return job.final_state &&
+           (word == "final" || *job.final_state == states.at(word));
+  }
+
+  bool ChangeHolds(const Step& step) {
+    const OperatorChange& change = world_->Change(step.name);
+    static const std::map<std::string, ChangeState> states = {
+        {"accepted", ChangeState::kAccepted},
+        {"conflict", ChangeState::kConflict},
+        {"exceeds_capacity", ChangeState::kExceedsCapacity},
+        {"not_accepted", ChangeState::kNotAccepted},
+        {"unknown", ChangeState::kUnknown},
+    };
+    if (step.word == "in_force") {
+      return change.state == ChangeState::kAccepted &&
+             world_->InForceEverywhere(change);
+    }
+    return step.word == "replied" ? change.state != ChangeState::kPending
+                                  : change.state == states.at(step.word);
+  }
+
+  void RunExpectation(const Step& step) {
+    if (step.verb == Verb::kExpectRequest && !world_->HasRequest(step.name)) {
+      Fail(step, "there is no such request");
+      return;
+    }
+    if ((step.verb == Verb::kExpectJob ||
+         step.verb == Verb::kExpectReclaimed) &&
+        !world_->HasJob(step.name)) {
+      Fail(step, "there is no such job");
+      return;
+    }
+    if (step.verb == Verb::kExpectChange && !world_->HasChange(step.name)) {
+      Fail(step, "there is no such change");
+      return;
+    }
+    if (world_->AdvanceUntil(step.within, [&] { return Holds(step); })) {
+      return;
+    }
+    if (step.verb == Verb::kExpectReclaimed) {
+      world_->oracle().Report(
+          Promise::kP1, world_->now(),
+          "guaranteed shape of " + step.name + " was not reclaimed within " +
+              std::to_string(step.within.count()) + " ms; " +
+              std::to_string(world_->oracle().Running(step.name)) +
+              " tasks run");
+    } else {
+      Fail(step, "does not hold; " + Describe(step));
+    }
+  }
+
+  std::string Describe(const Step& step) {
+    if (step.verb == Verb::kExpectRequest) {
+      return "request state " +
+             std::to_string(
+                 static_cast<int>(world_->Request(step.name).state)) +
+             ", starts " + std::to_string(world_->oracle().Starts(step.name));
+    }
+    if (step.verb == Verb::kExpectChange) {
+      const OperatorChange& change = world_->Change(step.name);
+      return "change state " + std::to_string(static_cast<int>(change.state)) +
+             " " + change.reason;
+    }
+    if (step.verb == Verb::kExpectJob) {
+      const CallerJob& job = world_->Job(step.name);
+      return "submission " + std::to_string(static_cast<int>(job.submit)) +
+             ", state " +
+             (job.state ? std::to_string(static_cast<int>(*job.state))
+                        : std::string("none")) +
+             ", tasks running " +
+             std::to_string(world_->oracle().Running(step.name)) + ", starts " +
+             std::to_string(world_->oracle().Starts(step.name));
+    }
+    return "starts " + std::to_string(world_->oracle().Starts(step.name));
+  }
+
+  void Settle(Millis limit, const char* where) {
+    world_->Calm();
+    Millis next_try = world_->now() + kResubmitInterval;
+    const bool done = world_->AdvanceUntil(limit, [&] {
+      // A caller that does not know whether its job was accepted asks again
+      // with the same key.
+      if (world_->now() >= next_try) {
+        next_try = world_->now() + kResubmitInterval;
+        for (const std::string& name : world_->UncertainJobs()) {
+          world_->Submit(world_->Job(name), 1);
+        }
+      }
+      return world_->AllCallsReplied() && world_->AllJobsFinal() &&
+             world_->UncertainJobs().empty();
+    });
+    if (done) {
+      return;
+    }
+    std::string what = std::string(where) + ": ";
+    if (!world_->AllCallsReplied()) {
+      what += "callers without a reply: " + world_->OpenCallNames() + "; ";
+    }
+    const std::vector<std::string> open = world_->UnfinishedJobs();
+    for (const std::string& name : world_->UncertainJobs()) {
+      what += name + " was never accepted or refused; ";
+    }
+    what += std::to_string(open.size()) + " jobs without a final state";
+    for (std::size_t index = 0; index < std::min<std::size_t>(5, open.size());
+         ++index) {
+      what += (index == 0 ? ": " : ", ") + open[index];
+    }
+    world_->oracle().Report(Promise::kLiveness, world_->now(), what);
+  }
+
+  const Scenario& scenario_;
+  WorldOptions options_;
+  std::unique_ptr<World> world_;
+  Millis start_{};
+};
+
+}  // namespace
+
+bool RunReport::Broke(Promise promise) const {
+  return std::any_of(
+      violations.begin(), violations.end(),
+      [&](const Violation& it) { return it.promise == promise; });
+}
+
+std::string RunReport::ToString() const {
+  std::string text;
+  for (const Violation& violation : violations) {
+    text += harness::ToString(violation) + "\n";
+  }
+  return text;
+}
+
+RunReport RunScenario(const Scenario& scenario) {
+  return Runner(scenario).Run();
+}
+
+}  // namespace shallotlug::harness
--- /dev/null
+++ b/packages/harness/src/workload.cc
@@ -0,0 +1,47 @@
+#include "shallotlug/harness/workload.h"
+
+#include <cstdlib>
+#include <sstream>
+
+namespace shallotlug::harness {
+namespace {
+
+constexpr char kStamp[] = " attempt ";
+
+}  // namespace
+
+std::string ToBody(const Workload& work) {
+  return work.name + " " + std::to_string(work.run_time.count()) +
+         (work.fails ? " fail" : " ok");
+}
+
+Workload FromBody(const std::string& body) {
+  std::istringstream in(body);
+  Workload work;
+  std::int64_t run_ms = 0;
+  std::string outcome;
+  in >> work.name >> run_ms >> outcome;
+  work.run_time = Millis(run_ms);
+  work.fails = outcome == "fail";
+  return work;
+}
+
+std::string Stamp(const std::string& body, std::uint32_t attempt) {
+  return RemoveStamp(body).body + kStamp + std::to_string(attempt);
+}
+
+StampedBody RemoveStamp(const std::string& body) {
+  const std::size_t at = body.find(kStamp);
+  if (at == std::string::npos) {
+    return {body, 0};
+  }
+  const char* number = body.c_str() + at + sizeof(kStamp) - 1;
+  return {body.substr(0, at),
+          static_cast<std::uint32_t>(std::strtoul(number, nullptr, 10))};
+}
+
+std::string AnswerTo(const std::string& body) {
+  return "answer(" + body + ")";
+}
+
+}  // namespace shallotlug::harness
