--- a/packages/harness/include/shallotlug/harness/runner.h
+++ b/packages/harness/include/shallotlug/harness/runner.h
@@ -2,6 +2,7 @@
 #define SHALLOTLUG_HARNESS_RUNNER_H_
 
 #include <cstdint>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,8 @@
 
 /// @brief Runs a scenario from the start of its cluster. After the last step
 /// all faults end, and every job and caller must get a final state.
-RunReport RunScenario(const Scenario& scenario);
+/// @param trace receives what every process did; may be null.
+RunReport RunScenario(const Scenario& scenario, std::ostream* trace = nullptr);
 
 }  // namespace shallotlug::harness
 
--- a/packages/harness/include/shallotlug/harness/world.h
+++ b/packages/harness/include/shallotlug/harness/world.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
   Millis log_retention{3'600'000};
   agent::Options::Guards agent_guards;
   entry::Options::Guards entry_guards;
+  std::ostream* trace = nullptr;  ///< Receives what every process did.
 };
 
 /// @brief How a live request stands for its caller.
@@ -205,6 +207,12 @@
   void StepEntry(Entry& entry);
   void Tick();
   void Tamper(Message& message);
+  void Trace(const ProcessRef& process,
+             const std::vector<LogLine>& lines) const;
+  void TraceCommand(const ProcessRef& process,
+                    const agent::BackendCommand& command) const;
+  void TraceReply(const OpenCall& call, const api::Reply& reply) const;
+  void Trace(const std::string& subject, const std::string& what) const;
 
   void Call(int entry,
             CallKind kind,
--- a/packages/harness/src/callers.cc
+++ b/packages/harness/src/callers.cc
@@ -215,7 +215,22 @@
   Call(entry, CallKind::kChange, name, now_, call);
 }
 
+void World::TraceReply(const OpenCall& call, const api::Reply& reply) const {
+  if (const auto* error = std::get_if<api::ErrorReply>(&reply)) {
+    Trace("caller", call.name + " got error " +
+                        std::to_string(static_cast<int>(error->code)) + " " +
+                        error->reason + " " + error->message);
+  } else if (const auto* job = std::get_if<api::JobReply>(&reply)) {
+    Trace("caller", call.name + " is in state " +
+                        std::to_string(static_cast<int>(job->state)) + " " +
+                        job->reason);
+  } else {
+    Trace("caller", call.name + " got reply " + std::to_string(reply.index()));
+  }
+}
+
 void World::HandleReply(const OpenCall& call, const api::Reply& reply) {
+  TraceReply(call, reply);
   switch (call.kind) {
     case CallKind::kMint:
       if (const auto* mint = std::get_if<api::MintReply>(&reply)) {
--- a/packages/harness/src/runner.cc
+++ b/packages/harness/src/runner.cc
@@ -76,7 +76,9 @@
 
 class Runner {
  public:
-  explicit Runner(const Scenario& scenario) : scenario_(scenario) {}
+  Runner(const Scenario& scenario, std::ostream* trace) : scenario_(scenario) {
+    options_.trace = trace;
+  }
 
   RunReport Run() {
     MakeWorld();
@@ -249,6 +251,10 @@
         world_->Advance(target - world_->now());
       }
     }
+    if (options_.trace != nullptr) {
+      *options_.trace << world_->now().count() << " ms step: " << ToString(step)
+                      << "\n";
+    }
     if (step.verb >= Verb::kKill && step.verb <= Verb::kFreeze) {
       world_->ExcuseInFlight();
       RunProcessFault(step);
@@ -649,8 +655,8 @@
   return text;
 }
 
-RunReport RunScenario(const Scenario& scenario) {
-  return Runner(scenario).Run();
+RunReport RunScenario(const Scenario& scenario, std::ostream* trace) {
+  return Runner(scenario, trace).Run();
 }
 
 }  // namespace shallotlug::harness
--- a/packages/harness/src/scenarios_test.cc
+++ b/packages/harness/src/scenarios_test.cc
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 #include "shallotlug/harness/runner.h"
@@ -32,7 +34,10 @@
   text << in.rdbuf();
   const ParsedScenario parsed = ParseScenario(file, text.str());
   ASSERT_TRUE(parsed.findings.empty()) << ToString(parsed.findings);
-  const RunReport report = RunScenario(parsed.scenario);
+  // SHALLOTLUG_TRACE=1 prints what every process did.
+  const RunReport report = RunScenario(
+      parsed.scenario,
+      std::getenv("SHALLOTLUG_TRACE") != nullptr ? &std::cerr : nullptr);
   EXPECT_TRUE(report.violations.empty()) << report.ToString();
 }
 
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -239,6 +239,42 @@
   }
 }
 
+void World::Trace(const std::string& subject, const std::string& what) const {
+  if (options_.trace != nullptr) {
+    *options_.trace << now_.count() << " ms " << subject << ": " << what
+                    << "\n";
+  }
+}
+
+void World::Trace(const ProcessRef& process,
+                  const std::vector<LogLine>& lines) const {
+  if (options_.trace == nullptr) {
+    return;
+  }
+  for (const LogLine& line : lines) {
+    std::string text = line.event;
+    for (const Label& field : line.fields) {
+      text += " " + field.name + "=" + field.value;
+    }
+    Trace(ToString(process), text);
+  }
+}
+
+void World::TraceCommand(const ProcessRef& process,
+                         const agent::BackendCommand& command) const {
+  if (const auto* start = std::get_if<agent::StartTask>(&command)) {
+    Trace(ToString(process), "start " + start->task.value + " accelerators " +
+                                 std::to_string(start->accelerators) + " " +
+                                 start->body);
+  } else if (const auto* it = std::get_if<agent::ControlTask>(&command)) {
+    constexpr const char* kActions[] = {"checkpoint", "throttle", "resume",
+                                        "stop"};
+    Trace(ToString(process),
+          std::string(kActions[static_cast<std::size_t>(it->action)]) + " " +
+              it->task.value);
+  }
+}
+
 void World::StepAgent(Agent& agent) {
   agent::Inbox inbox;
   Arrivals arrivals = network_.Take(agent.ref);
@@ -253,6 +289,7 @@
   agent.last_step = now_;
   agent::Outbox outbox =
       agent::Step(*agent.state, inbox, TimePoint(agent.clock.Read(now_)));
+  Trace(agent.ref, outbox.log_lines);
   for (const Dial& dial : outbox.dials) {
     network_.DialFrom(now_, agent.ref, dial);
   }
@@ -263,6 +300,7 @@
     network_.CloseFrom(now_, agent.ref, close.link);
   }
   for (agent::BackendCommand& command : outbox.backend_commands) {
+    TraceCommand(agent.ref, command);
     agent.commands.emplace_back(now_ + kCommandDelay, std::move(command));
   }
   CheckRevision(agent.ref, agent::CurrentTargets(*agent.state).revision,
@@ -293,6 +331,7 @@
   for (const shallotlug::Send& send : outbox.sends) {
     network_.SendFrom(now_, entry.ref, send);
   }
+  Trace(entry.ref, outbox.log_lines);
   for (const CloseLink& close : outbox.closes) {
     network_.CloseFrom(now_, entry.ref, close.link);
   }
@@ -345,6 +384,14 @@
       continue;
     }
     if (auto report = agent->worker->TakeReport(now_)) {
+      for (const agent::TaskEvent& event : report->events) {
+        constexpr const char* kKinds[] = {"started", "rejected",     "finished",
+                                          "failed",  "checkpointed", "stopped",
+                                          "lapsed"};
+        Trace("worker " + std::to_string(agent->ref.index),
+              event.task.value + " " +
+                  kKinds[static_cast<std::size_t>(event.kind)]);
+      }
       agent->reports.emplace_back(now_ + kCommandDelay, std::move(*report));
     }
     if (agent->frozen_until > now_) {
