Add oracle tests, answer damage and the mutation table

Each guard gets a run in which its removal must break a named promise. The oracle also checks section 5: no request starts after its deadline, with 2 % for drift.

--- a/packages/harness/include/shallotlug/harness/oracle.h
+++ b/packages/harness/include/shallotlug/harness/oracle.h
@@ -25,6 +25,7 @@
   kP6,
   kP7,
   kP8,
+  kDeadline,  ///< Section 5: nothing starts after `start_before`.
   kLiveness,
   kExpectation,  ///< An `expect` step of a scenario did not hold.
 };
@@ -72,6 +73,8 @@
   /// @brief A caller was told that its work was not run.
   void ToldNotRun(Millis at, const std::string& name);
   /// @brief A caller hands in again, under the same key, what was not accepted.
+  /// @brief The latest time at which a request's caller still waits.
+  void Deadline(const std::string& name, Millis at, Millis timeout);
   void HandedInAgain(const std::string& name) { not_run_.erase(name); }
   void ToldAnswer(Millis at, const std::string& name, const std::string& body);
   /// @brief A job was reported as finished with `result`.
@@ -121,6 +124,7 @@
   std::map<std::string, std::set<std::string>> attempts_;
   std::map<std::string, int> finished_;
   std::set<std::string> not_run_;
+  std::map<std::string, Millis> start_before_;
   std::map<int, Millis> leaving_since_;
   std::vector<Task> tasks_;
   std::map<TaskKey, std::size_t> running_;
--- a/packages/harness/include/shallotlug/harness/scenario.h
+++ b/packages/harness/include/shallotlug/harness/scenario.h
@@ -29,6 +29,7 @@
   kDelay,
   kLose,
   kReplay,
+  kDamageAnswers,
   // Faults of the log service.
   kLogOutage,
   kLogSlow,
--- a/packages/harness/include/shallotlug/harness/world.h
+++ b/packages/harness/include/shallotlug/harness/world.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -170,8 +169,8 @@
   /// a graceful shutdown before it is no longer the only cause.
   void ExcuseInFlight();
 
-  /// @brief Changes outcomes of requests on their way to entries.
-  std::function<void(RequestOutcome&)> tamper_outcome;
+  /// @brief Cuts this share of the answers short between agent and entry.
+  void DamageAnswers(int percent, Millis until);
 
   bool AllCallsReplied() const;
   std::string OpenCallNames() const;
@@ -247,6 +246,8 @@
   Millis next_poll_{};
   /// Since when a pair of processes has been able to exchange messages.
   std::map<std::pair<int, int>, Millis> undisturbed_since_;
+  int damaged_percent_ = 0;
+  Millis damaged_until_{};
   Millis log_healthy_since_{};
   std::map<std::pair<ProcessRef, std::string>, Millis> in_force_since_;
   std::map<std::pair<ProcessRef, std::string>, bool> config_reported_;
--- a/packages/harness/src/callers.cc
+++ b/packages/harness/src/callers.cc
@@ -145,6 +145,7 @@
   if (request.state != RequestState::kAnswered) {
     request.state = RequestState::kPending;
   }
+  oracle_.Deadline(name, now_, timeout);
   api::SendCall call;
   call.id = *request.id;
   call.customer = request.customer;
@@ -158,6 +159,7 @@
 void World::Ask(const std::string& name, int entry, Millis timeout) {
   CallerRequest& request = requests_[name];
   request.state = RequestState::kPending;
+  oracle_.Deadline(name, now_, timeout);
   api::OneShotCall call;
   call.customer = request.customer;
   call.request_class = request.request_class;
--- a/packages/harness/src/fake_network.cc
+++ b/packages/harness/src/fake_network.cc
@@ -193,8 +193,9 @@
       const ProcessRef sender = link.ends[1 - side].process;
       const ProcessRef receiver = link.ends[side].process;
       // After the handshake and the first exchange.
-      const Millis at = up + Millis(100 + random_.Below(400));
+      Millis at = up + Millis(100 + random_.Below(400));
       for (const Message& message : history_[{sender, receiver}]) {
+        at += Millis(20 + random_.Below(80));
         ScheduleMessage(at, index, side, message);
       }
       links_[index].ends[side].last_delivery = at;
--- /dev/null
+++ b/packages/harness/src/guards_test.cc
@@ -0,0 +1,176 @@
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "shallotlug/harness/runner.h"
+
+namespace shallotlug::harness {
+namespace {
+
+// A run in which the removal of one guard breaks one promise.
+struct Mutation {
+  const char* guard;
+  Promise broken;
+  const char* steps;
+};
+
+constexpr Mutation kMutations[] = {
+    {"agent.remember_requests", Promise::kP5,
+     "cluster entries=2 agents=2 seed=1\n"
+     "mint r1 through entry 1\n"
+     "send r1 through entry 1 run=1s\n"
+     "wait 200ms\n"
+     "repeat r1 through entry 2\n"},
+    {"agent.check_incarnation", Promise::kP5,
+     "cluster entries=1 agents=1 seed=1\n"
+     "replay 100 percent between entry all and agent all for 20s\n"
+     "mint r1 through entry 1\n"
+     "send r1 through entry 1 run=5s timeout=8s\n"
+     "expect request r1 started within 1s\n"
+     "restart agent 1\n"
+     "wait 8s\n"},
+    {"agent.check_start_before", Promise::kDeadline,
+     "cluster entries=1 agents=1 seed=1\n"
+     "mint r1 through entry 1\n"
+     "freeze agent 1 for 4s\n"
+     "send r1 through entry 1 run=100ms timeout=1s\n"
+     "wait 500ms\n"
+     "silence entry 1 from agent 1\n"
+     "wait 6s\n"},
+    {"agent.run_until", Promise::kP2,
+     "cluster entries=2 agents=4 seed=1\n"
+     "submit j1 through entry 1 run=30s tasks=4 accelerators=8\n"
+     "expect job j1 running within 10s\n"
+     "destroy agent 3\n"
+     "wait 20s\n"},
+    {"agent.refuse_when_leaving", Promise::kP6,
+     "cluster entries=1 agents=1 seed=1\n"
+     "mint r1 through entry 1\n"
+     "leave agent 1\n"
+     "wait 6s\n"
+     "send r1 through entry 1 run=100ms\n"
+     "expect request r1 replied within 4s\n"},
+    {"agent.drain_on_shutdown", Promise::kP7,
+     "cluster entries=1 agents=1 seed=1\n"
+     "ask r1 through entry 1 run=1500ms timeout=5s\n"
+     "expect request r1 started within 1s\n"
+     "shutdown agent 1\n"
+     "expect request r1 replied within 5s\n"},
+    {"agent.monotonic_config", Promise::kP8,
+     "cluster entries=1 agents=2 seed=1\n"
+     "replay 100 percent between entry all and agent all for 20s\n"
+     "set target live as c1 through entry 1 kind=live finish_within=3s\n"
+     "expect change c1 accepted within 3s\n"
+     "set target live as c2 through entry 1 kind=live finish_within=4s\n"
+     "expect change c2 in_force within 3s\n"
+     "break entry all from agent all\n"
+     "wait 5s\n"},
+    {"agent.check_pause", Promise::kP2,
+     "cluster entries=2 agents=4 seed=1\n"
+     "submit j1 through entry 1 run=40s tasks=4 accelerators=8\n"
+     "expect job j1 running within 10s\n"
+     "freeze agent 3 for 30s\n"
+     "wait 60s\n"},
+    {"entry.not_run_needs_proof", Promise::kP4,
+     "cluster entries=1 agents=1 seed=1\n"
+     "ask r1 through entry 1 run=3s timeout=1s\n"
+     "expect request r1 replied within 5s\n"},
+    {"entry.match_answers", Promise::kP3,
+     "cluster entries=1 agents=1 seed=1\n"
+     "ask r1 through entry 1 run=500ms\n"
+     "ask r2 through entry 1 run=300ms\n"
+     "ask r3 through entry 1 run=400ms\n"
+     "wait 3s\n"},
+    {"entry.check_answer_length", Promise::kP3,
+     "cluster entries=1 agents=1 seed=1\n"
+     "damage 100 percent of answers for 500ms\n"
+     "ask r1 through entry 1 run=100ms\n"
+     "wait 3s\n"},
+    {"entry.never_retry_unrepeatable", Promise::kP5,
+     "cluster entries=1 agents=3 seed=1\n"
+     "ask r1 through entry 1 run=1s timeout=8s\n"
+     "expect request r1 started within 1s\n"
+     "restart agent all\n"
+     "wait 8s\n"},
+    {"entry.claim_before_start", Promise::kP5,
+     "cluster entries=2 agents=1 seed=1\n"
+     "submit j1 through entry 1 run=10s accelerators=8\n"
+     "expect job j1 running within 10s\n"
+     "submit j2 through entry 1 run=10s accelerators=8 repeatable=no\n"
+     "expect job j2 accepted within 5s\n"
+     "wait 1s\n"
+     "log outage 25s\n"
+     "wait 15s\n"
+     "restart entry all\n"
+     "destroy agent 1\n"
+     "wait 1s\n"
+     "restart agent 1\n"
+     "expect job j2 final within 120s\n"},
+    {"entry.drain_on_shutdown", Promise::kP7,
+     "cluster entries=2 agents=1 seed=1\n"
+     "ask r1 through entry 1 run=1500ms timeout=5s\n"
+     "expect request r1 started within 1s\n"
+     "shutdown entry 1\n"
+     "expect request r1 replied within 5s\n"},
+    {"entry.monotonic_config", Promise::kP8,
+     "cluster entries=3 agents=2 seed=1 retention=30s\n"
+     "set target live as c1 through entry 1 kind=live finish_within=3s\n"
+     "expect change c1 in_force within 7s\n"
+     "wait 8s\n"
+     "log slow 6s for 12s\n"
+     "wait 1s\n"
+     "set target live as c2 through entry 2 kind=live finish_within=4s\n"
+     "wait 30s\n"},
+    {"entry.warm_up", Promise::kExpectation,
+     "cluster entries=2 agents=4 seed=1\n"
+     "submit j1 through entry 1 run=20s tasks=4 accelerators=8 repeatable=no\n"
+     "expect job j1 running within 10s\n"
+     "restart entry all\n"
+     "expect job j1 finished within 60s\n"},
+    {"entry.keep_guarantees", Promise::kP1,
+     "cluster entries=2 agents=4 seed=1\n"
+     "set target deposit as c1 through entry 1 customer=authority groups=2 "
+     "per_group=8 within=worker\n"
+     "expect change c1 in_force within 10s\n"
+     "submit 32 jobs fill through entry 1 run=120s repeatable=no\n"
+     "wait 15s\n"
+     "submit j1 through entry 2 customer=authority class=deposit run=2s "
+     "tasks=2 accelerators=8\n"
+     "expect reclaimed job j1 within 1700ms\n"},
+};
+
+RunReport RunText(const std::string& text) {
+  const ParsedScenario parsed = ParseScenario("mutation", text);
+  EXPECT_TRUE(parsed.findings.empty()) << ToString(parsed.findings);
+  return RunScenario(parsed.scenario, std::getenv("SHALLOTLUG_TRACE") != nullptr
+                                          ? &std::cerr
+                                          : nullptr);
+}
+
+class GuardsTest : public testing::TestWithParam<Mutation> {};
+
+// Guards against a check that finds nothing: each guard is removed in turn, and
+// the oracle must name the promise that the guard keeps.
+TEST_P(GuardsTest, RemovalBreaksItsPromise) {
+  const Mutation& mutation = GetParam();
+  const RunReport kept = RunText(mutation.steps);
+  EXPECT_TRUE(kept.violations.empty()) << kept.ToString();
+  const RunReport removed =
+      RunText(std::string(mutation.steps) + "without " + mutation.guard + "\n");
+  EXPECT_TRUE(removed.Broke(mutation.broken))
+      << "expected " << ToString(mutation.broken) << ", got:\n"
+      << removed.ToString();
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         GuardsTest,
+                         testing::ValuesIn(kMutations),
+                         [](const auto& it) {
+                           std::string name = it.param.guard;
+                           name[name.find('.')] = '_';
+                           return name;
+                         });
+
+}  // namespace
+}  // namespace shallotlug::harness
--- a/packages/harness/src/oracle.cc
+++ b/packages/harness/src/oracle.cc
@@ -12,11 +12,17 @@
 constexpr Millis kGangBound{6000};
 // P6 says "a few seconds"; docs/design.md detects silence within 3 s.
 constexpr Millis kLeavingBound{5000};
+// Clocks of two processes drift apart by at most 2 %; a start command takes a
+// moment to reach the backend server.
+constexpr int kDriftPercent = 2;
+constexpr Millis kCommandDelay{50};
 
 }  // namespace
 
 std::string ToString(Promise promise) {
   switch (promise) {
+    case Promise::kDeadline:
+      return "deadline";
     case Promise::kLiveness:
       return "liveness";
     case Promise::kExpectation:
@@ -147,6 +153,11 @@
     Report(Promise::kP4, at,
            Describe(row) + " starts after its caller was told not_run");
   }
+  const auto deadline = start_before_.find(name);
+  if (deadline != start_before_.end() && at > deadline->second) {
+    Report(Promise::kDeadline, at,
+           Describe(row) + " starts after its deadline");
+  }
   const auto leaving = leaving_since_.find(worker);
   if (leaving != leaving_since_.end() && at > leaving->second + kLeavingBound) {
     Report(Promise::kP6, at,
@@ -205,6 +216,12 @@
   }
 }
 
+void Oracle::Deadline(const std::string& name, Millis at, Millis timeout) {
+  Millis& latest = start_before_[name];
+  latest = std::max(
+      latest, at + timeout + timeout * kDriftPercent / 100 + kCommandDelay);
+}
+
 void Oracle::ToldNotRun(Millis at, const std::string& name) {
   not_run_.insert(name);
   if (Starts(name) > 0) {
--- /dev/null
+++ b/packages/harness/src/oracle_test.cc
@@ -0,0 +1,184 @@
+#include "shallotlug/harness/oracle.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "shallotlug/harness/workload.h"
+
+namespace shallotlug::harness {
+namespace {
+
+constexpr AcceleratorMask kLow = 0x0f;
+constexpr AcceleratorMask kHigh = 0xf0;
+
+std::vector<Promise> Broken(const Oracle& oracle) {
+  std::vector<Promise> promises;
+  for (const Violation& it : oracle.violations()) {
+    promises.push_back(it.promise);
+  }
+  return promises;
+}
+
+class OracleTest : public testing::Test {
+ protected:
+  void DeclareJob(const std::string& name, int tasks, bool repeatable = true) {
+    oracle_.Declare(
+        name, {ToBody({name, Millis(100), false}), repeatable, true, tasks});
+  }
+  void DeclareRequest(const std::string& name) {
+    oracle_.Declare(name,
+                    {ToBody({name, Millis(100), false}), false, false, 1});
+  }
+  void Start(int at,
+             int worker,
+             const std::string& task,
+             const std::string& name,
+             std::uint32_t attempt,
+             AcceleratorMask mask) {
+    oracle_.TaskStarted(Millis(at), worker, TaskId(task), name, attempt, mask);
+  }
+  void End(int at, int worker, const std::string& task, bool finished = false) {
+    oracle_.TaskEnded(Millis(at), worker, TaskId(task),
+                      finished ? agent::TaskEventKind::kFinished
+                               : agent::TaskEventKind::kStopped);
+  }
+
+  Oracle oracle_;
+};
+
+// Guards against an oracle that misses the use of accelerators of a stopped
+// member, or that takes a free accelerator for one.
+TEST_F(OracleTest, SeesAcceleratorsTakenFromAComputingGang) {
+  DeclareJob("g", 2);
+  DeclareRequest("r");
+  Start(0, 1, "a", "g", 1, kLow);
+  Start(10, 2, "b", "g", 1, kLow);
+  Start(20, 2, "c", "r", 0, kHigh);
+  EXPECT_TRUE(oracle_.violations().empty());
+  End(30, 2, "b");
+  Start(40, 2, "d", "r", 0, kLow);
+  EXPECT_THAT(Broken(oracle_), testing::Contains(Promise::kP2));
+}
+
+TEST_F(OracleTest, AllowsReuseOnceTheWholeGangHasStopped) {
+  DeclareJob("g", 2);
+  DeclareJob("h", 1);
+  Start(0, 1, "a", "g", 1, kLow);
+  Start(10, 2, "b", "g", 1, kLow);
+  End(30, 2, "b");
+  End(35, 1, "a");
+  Start(40, 2, "d", "h", 1, kLow);
+  oracle_.Tick(Millis(20'000));
+  EXPECT_TRUE(oracle_.violations().empty());
+}
+
+// Guards against an oracle that lets a gang run on in part.
+TEST_F(OracleTest, SeesAMemberThatComputesBeyondTheLease) {
+  DeclareJob("g", 2);
+  Start(0, 1, "a", "g", 1, kLow);
+  Start(10, 2, "b", "g", 1, kLow);
+  End(1000, 2, "b");
+  oracle_.Tick(Millis(7000));
+  EXPECT_TRUE(oracle_.violations().empty());
+  oracle_.Tick(Millis(7010));
+  oracle_.Tick(Millis(7020));
+  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+}
+
+TEST_F(OracleTest, SeesAGangThatNeverStartsAsAWhole) {
+  DeclareJob("g", 3);
+  Start(0, 1, "a", "g", 1, kLow);
+  Start(10, 2, "b", "g", 1, kLow);
+  oracle_.Tick(Millis(6010));
+  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+}
+
+// A member that finished has done its part.
+TEST_F(OracleTest, AllowsAMemberToFinishEarly) {
+  DeclareJob("g", 2);
+  Start(0, 1, "a", "g", 1, kLow);
+  Start(10, 2, "b", "g", 1, kLow);
+  End(1000, 2, "b", true);
+  oracle_.Tick(Millis(60'000));
+  EXPECT_TRUE(oracle_.violations().empty());
+}
+
+TEST_F(OracleTest, SeesTwoTasksOnOneAcceleratorUnlessOneIsThrottled) {
+  DeclareJob("j", 1);
+  DeclareRequest("r");
+  DeclareRequest("s");
+  Start(0, 1, "a", "j", 1, 0xff);
+  oracle_.TaskThrottled(Millis(5), 1, TaskId("a"), true);
+  Start(10, 1, "b", "r", 0, 0x01);
+  EXPECT_TRUE(oracle_.violations().empty());
+  oracle_.TaskThrottled(Millis(20), 1, TaskId("a"), false);
+  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+}
+
+TEST_F(OracleTest, SeesAThrottledGang) {
+  DeclareJob("g", 2);
+  Start(0, 1, "a", "g", 1, kLow);
+  oracle_.TaskThrottled(Millis(5), 1, TaskId("a"), true);
+  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+}
+
+// Guards against an oracle that accepts a part of an answer or another's.
+TEST_F(OracleTest, SeesAWrongAnswer) {
+  DeclareRequest("r");
+  const std::string right = AnswerTo(ToBody({"r", Millis(100), false}));
+  oracle_.ToldAnswer(Millis(1), "r", right);
+  EXPECT_TRUE(oracle_.violations().empty());
+  oracle_.ToldAnswer(Millis(1), "r", right.substr(1));
+  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP3});
+}
+
+TEST_F(OracleTest, SeesWorkThatRanBeforeOrAfterNotRun) {
+  DeclareRequest("r");
+  DeclareRequest("s");
+  oracle_.ToldNotRun(Millis(1), "r");
+  EXPECT_TRUE(oracle_.violations().empty());
+  Start(10, 1, "a", "r", 0, kLow);
+  End(15, 1, "a");
+  Start(20, 1, "b", "s", 0, kLow);
+  oracle_.ToldNotRun(Millis(25), "s");
+  EXPECT_EQ(Broken(oracle_), (std::vector{Promise::kP4, Promise::kP4}));
+}
+
+TEST_F(OracleTest, SeesASecondStartOfUnrepeatableWork) {
+  DeclareRequest("r");
+  DeclareJob("g", 2, false);
+  Start(0, 1, "a", "r", 0, kLow);
+  End(5, 1, "a");
+  Start(10, 1, "b", "g", 1, kLow);
+  Start(10, 2, "b", "g", 1, kLow);
+  EXPECT_TRUE(oracle_.violations().empty());
+  Start(20, 2, "c", "r", 0, kHigh);
+  End(30, 1, "b");
+  End(30, 2, "b");
+  Start(40, 1, "d", "g", 2, kLow);
+  EXPECT_EQ(Broken(oracle_), (std::vector{Promise::kP5, Promise::kP5}));
+}
+
+TEST_F(OracleTest, SeesAStartOnALeavingWorker) {
+  DeclareRequest("r");
+  DeclareRequest("s");
+  oracle_.WorkerLeaving(Millis(1000), 1, true);
+  Start(6000, 1, "a", "r", 0, kLow);
+  EXPECT_TRUE(oracle_.violations().empty());
+  Start(6010, 1, "b", "s", 0, kHigh);
+  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP6});
+}
+
+// Guards against a job that is reported finished on the word of one member.
+TEST_F(OracleTest, SeesAFinishedJobWithAnUnfinishedTask) {
+  DeclareJob("g", 2);
+  const std::string result = AnswerTo(ToBody({"g", Millis(100), false}));
+  Start(0, 1, "a", "g", 1, kLow);
+  Start(10, 2, "b", "g", 1, kLow);
+  End(20, 1, "a", true);
+  oracle_.ToldJobFinished(Millis(30), "g", result);
+  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+}
+
+}  // namespace
+}  // namespace shallotlug::harness
--- a/packages/harness/src/runner.cc
+++ b/packages/harness/src/runner.cc
@@ -261,7 +261,7 @@
     } else if (step.verb == Verb::kShutdown) {
       ForEach(step, step.a,
               [&](const ProcessRef& it) { world_->Shutdown(it); });
-    } else if (step.verb >= Verb::kCut && step.verb <= Verb::kReplay) {
+    } else if (step.verb >= Verb::kCut && step.verb <= Verb::kDamageAnswers) {
       world_->ExcuseInFlight();
       RunLinkFault(step);
     } else if (step.verb >= Verb::kLogOutage &&
@@ -321,6 +321,9 @@
         network.AddFault(now, step.a, step.b, LinkFault::kLose, step.number,
                          until);
         break;
+      case Verb::kDamageAnswers:
+        world_->DamageAnswers(step.number, until);
+        break;
       default:
         network.AddFault(now, step.a, step.b, LinkFault::kReplay, step.number,
                          until);
--- a/packages/harness/src/scenario.cc
+++ b/packages/harness/src/scenario.cc
@@ -50,6 +50,8 @@
      ""},
     {Verb::kReplay, "replay <number> percent between <a> and <b> for <for>", "",
      ""},
+    {Verb::kDamageAnswers, "damage <number> percent of answers for <for>", "",
+     ""},
     {Verb::kLogOutage, "log outage <for>", "", ""},
     {Verb::kLogSlow, "log slow <within> for <for>", "", ""},
     {Verb::kLogLosesAnswers, "log loses answers for <for>", "", ""},
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -202,7 +202,13 @@
   }
 }
 
+void World::DamageAnswers(int percent, Millis until) {
+  damaged_percent_ = percent;
+  damaged_until_ = until;
+}
+
 void World::Calm() {
+  damaged_until_ = Millis(0);
   network_.ClearFaults();
   log_.ClearFaults();
   for (auto& agent : agents_) {
@@ -232,10 +238,10 @@
       attempt.spec.body = RemoveStamp(attempt.spec.body).body;
     }
   }
-  if (tamper_outcome) {
-    if (auto* outcome = std::get_if<RequestOutcome>(&message)) {
-      tamper_outcome(*outcome);
-    }
+  auto* outcome = std::get_if<RequestOutcome>(&message);
+  if (outcome != nullptr && now_ < damaged_until_ &&
+      random_.Chance(damaged_percent_)) {
+    outcome->answer.resize(outcome->answer.size() / 2);
   }
 }
 
