--- a/packages/harness/include/shallotlug/harness/world.h
+++ b/packages/harness/include/shallotlug/harness/world.h
@@ -196,7 +196,8 @@
     CallKind kind = CallKind::kOther;
     std::string name;
     int entry = 0;
-    Millis deadline{};
+    Millis timeout{};
+    Millis deadline{};         ///< Counted from when the entry took the call.
     bool must_answer = false;  ///< In flight at a graceful shutdown (P7).
   };
 
@@ -216,7 +217,7 @@
   void Call(int entry,
             CallKind kind,
             const std::string& name,
-            Millis deadline,
+            Millis timeout,
             api::Call call);
   void HandleReply(const OpenCall& call, const api::Reply& reply);
   void HandleRequestReply(const OpenCall& call, const api::Reply& reply);
--- a/packages/harness/src/runner.cc
+++ b/packages/harness/src/runner.cc
@@ -12,6 +12,7 @@
 
 constexpr Millis kReadyLimit{20'000};
 constexpr Millis kResubmitInterval{5000};
+constexpr Millis kDiscoveryTime{5000};
 constexpr Millis kMintLimit{2000};
 // Longer than abandoning an attempt (15 s), a lease and several attempts.
 constexpr Millis kSettleLimit{180'000};
@@ -135,6 +136,8 @@
       world_->oracle().Report(Promise::kLiveness, world_->now(),
                               "the cluster did not become ready");
     }
+    // Agents find the other entries meanwhile.
+    world_->Advance(kDiscoveryTime);
     start_ = world_->now();
     return ready;
   }
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -330,6 +330,13 @@
   inbox.log_reads = std::move(log.reads);
   inbox.log_appends = std::move(log.appends);
   inbox.calls.swap(entry.calls);
+  for (const entry::IncomingCall& it : inbox.calls) {
+    OpenCall& call = open_calls_.at(it.id);
+    call.deadline = now_ + call.timeout;
+    if (call.kind == CallKind::kRequest) {
+      oracle_.Deadline(call.name, now_, call.timeout);
+    }
+  }
   inbox.shutdown_requested = entry.shutdown_due;
   entry.last_step = now_;
   entry::Outbox outbox =
