--- /dev/null
+++ b/packages/agent/src/gang_faults_test.cc
@@ -0,0 +1,173 @@
+#include <random>
+
+#include "test_gangs.h"
+
+namespace shallotlug::agent {
+namespace {
+
+/// @brief Random faults on a cluster that runs overlapping gangs.
+class GangFaultsTest : public GangTest {
+ protected:
+  void Prepare(std::uint32_t seed) {
+    random.seed(seed);
+    number = 0;
+    members.clear();
+    cluster = TestCluster(3);
+    cluster.after_tick = [this] { CheckInvariants(); };
+    cluster.drop = [this](std::size_t, std::size_t, const Message&) {
+      return faults && Chance(loss_percent);
+    };
+    cluster.Start();
+  }
+
+  bool Chance(std::uint32_t percent) { return random() % 100 < percent; }
+
+  std::size_t AnyNode() { return random() % cluster.nodes.size(); }
+
+  void ProposeAny() {
+    std::vector<std::size_t> agents;
+    for (std::size_t i = 0; i < cluster.nodes.size(); ++i) {
+      if (Chance(60)) {
+        agents.push_back(i);
+      }
+    }
+    if (!agents.empty()) {
+      const AcceleratorMask mask = Chance(50) ? 0x0F : 0x3C;
+      Propose(MakeProposal("j" + std::to_string(++number), 1, agents, mask));
+    }
+  }
+
+  void StopAny() {
+    const JobId job("j" + std::to_string(1 + random() % (number + 1)));
+    const StopReason reasons[] = {StopReason::kCancelled,
+                                  StopReason::kPreempted,
+                                  StopReason::kSuperseded};
+    cluster.SendTo(AnyNode(), StopJob{{job, 1}, reasons[random() % 3]});
+  }
+
+  void InjectFault() {
+    const std::size_t i = AnyNode();
+    TestCluster::Node& node = cluster.nodes[i];
+    switch (random() % 6) {
+      case 0:
+        node.paused = !node.paused;
+        return;
+      case 1:
+        cluster.BreakLinks(i);
+        return;
+      case 2:
+        node.backend.Restart();
+        return;
+      case 3:
+        node.backend.reachable = !node.backend.reachable;
+        return;
+      case 4:
+        node.backend.EndAll(
+            Chance(80) ? TaskEventKind::kFinished : TaskEventKind::kFailed,
+            "x");
+        return;
+      default:
+        StopAny();
+    }
+  }
+
+  void Heal() {
+    faults = false;
+    for (TestCluster::Node& node : cluster.nodes) {
+      node.paused = false;
+      node.backend.reachable = true;
+    }
+  }
+
+  std::mt19937 random;
+  std::uint32_t loss_percent = 10;
+  std::uint32_t number = 0;
+  bool faults = true;
+};
+
+// Guards against combinations of faults that let one member compute without
+// another, give an accelerator to two holders, or leave accelerators held for
+// good.
+TEST_F(GangFaultsTest, InvariantsHoldAndEverythingIsReleased) {
+  for (std::uint32_t seed = 1; seed <= 60 && !HasFailure(); ++seed) {
+    SCOPED_TRACE(seed);
+    faults = true;
+    Prepare(seed);
+    for (int i = 0; i < 1200; ++i) {
+      if (Chance(5)) {
+        ProposeAny();
+      }
+      if (Chance(3)) {
+        InjectFault();
+      }
+      cluster.Tick();
+    }
+    Heal();
+    for (std::uint32_t n = 1; n <= number; ++n) {
+      for (std::size_t i = 0; i < cluster.nodes.size(); ++i) {
+        cluster.SendTo(i, StopJob{{JobId("j" + std::to_string(n)), 1}});
+      }
+    }
+    cluster.Run(Millis{20'000});
+    EXPECT_TRUE(AllFree());
+  }
+}
+
+// Guards against a member that mistakes a repeated or overtaken message for a
+// new one.
+TEST_F(GangFaultsTest, RepeatedAndOvertakenMessagesAreHarmless) {
+  Prepare(1);
+  faults = false;
+  std::vector<Message> old;
+  cluster.drop = [&](std::size_t, std::size_t to, const Message& message) {
+    if (to == 1) {
+      old.push_back(message);
+    }
+    return false;
+  };
+  Propose(MakeProposal("j", 1, {0, 1}));
+  cluster.Run(Millis{3000});
+  ASSERT_EQ(RunningTasks(), 2U);
+  for (int i = 0; i < 40; ++i) {
+    for (auto it = old.rbegin(); it != old.rend(); ++it) {
+      cluster.SendTo(1, *it);
+    }
+    cluster.Run(Millis{250});
+  }
+  EXPECT_EQ(RunningTasks(), 2U);
+  EXPECT_EQ(ServerOf(1).started.size(), 1U);
+  cluster.SendTo(0, StopJob{{JobId("j"), 1}});
+  cluster.Run(Millis{1000});
+  EXPECT_TRUE(AllFree());
+  for (const Message& message : old) {
+    cluster.SendTo(1, message);
+  }
+  cluster.Run(Millis{1000});
+  EXPECT_TRUE(AllFree());
+}
+
+// Shows that the invariant check notices members that compute without regard
+// to the permission of their coordinator.
+TEST_F(GangFaultsTest, CheckCatchesAMissingRunUntil) {
+  Prepare(1);
+  faults = false;
+  for (std::size_t i = 0; i < 3; ++i) {
+    StateOf(i).options.guards.run_until = false;
+  }
+  bool overlap = false;
+  cluster.after_tick = [&] {
+    overlap = overlap || (!ServerOf(2).running.empty() &&
+                          StateOf(1).gangs.members.empty());
+  };
+  Propose(MakeProposal("j", 1, {0, 1, 2}));
+  cluster.Run(Millis{2000});
+  ASSERT_EQ(RunningTasks(), 3U);
+  cluster.drop = [](std::size_t from, std::size_t to, const Message&) {
+    return from == 2 || to == 2;
+  };
+  cluster.Run(Millis{9000});
+  EXPECT_TRUE(overlap);
+}
+
+}  // namespace
+}  // namespace shallotlug::agent
--- a/packages/agent/src/links.cc
+++ b/packages/agent/src/links.cc
@@ -120,9 +120,7 @@
   if (it != state.dial_targets.end()) {
     it->second.pending = false;
   }
-  if (event.peer == PeerRole::kEntry) {
-    SendHello(state, event.link, now, out);
-  } else {
+  if (event.peer == PeerRole::kAgent) {
     SendOn(state, event.link, PeerHello{state.options.self}, out);
     OnMemberLinkUp(state, event.dialled, now);
   }
@@ -176,10 +174,14 @@
     }
     break;
   }
-  if (!self->second.entry) {
+  const bool first = !self->second.entry;
+  self->second.entry = entry;
+  if (first) {
     Log(out, LogLevel::kInfo, "entry_link_up", {{"entry", entry.name.value}});
+    // Only now, because an entry replaces an older link when it hears a hello
+    // on a newer one: a hello on a duplicate would cost both links.
+    SendHello(state, link, now, out);
   }
-  self->second.entry = entry;
 }
 
 void LearnEntries(State& state,
@@ -215,11 +217,6 @@
   }
 }
 
-bool IsEntryLink(const State& state, LinkId link) {
-  const auto it = state.links.find(link);
-  return it != state.links.end() && it->second.peer == PeerRole::kEntry;
-}
-
 void SendOn(State& state, LinkId link, Message message, Outbox& out) {
   if (state.links.contains(link)) {
     out.sends.push_back({link, std::move(message)});
@@ -228,7 +225,7 @@
 
 void SendToEntries(State& state, const Message& message, Outbox& out) {
   for (const auto& [id, link] : state.links) {
-    if (link.peer == PeerRole::kEntry) {
+    if (link.entry) {
       out.sends.push_back({id, message});
     }
   }
