--- a/packages/harness/include/shallotlug/harness/fake_worker.h
+++ b/packages/harness/include/shallotlug/harness/fake_worker.h
@@ -28,6 +28,8 @@
   /// @brief The next report when one is due.
   std::optional<agent::BackendReport> TakeReport(Millis now);
 
+  /// @brief A new agent asks for the status at once.
+  void ReportNow() { changed_ = true; }
   void SetLeaving(Millis now, bool leaving);
   void SetFailsAll(bool fails) { fails_all_ = fails; }
   void SetCutsAnswers(bool cuts) { cuts_answers_ = cuts; }
--- a/packages/harness/src/runner.cc
+++ b/packages/harness/src/runner.cc
@@ -510,6 +510,9 @@
   bool JobHolds(const Step& step) {
     const CallerJob& job = world_->Job(step.name);
     const std::string& word = step.word;
+    if (word == "started") {
+      return world_->oracle().Starts(step.name) >= job.call.spec.shape.tasks;
+    }
     if (word == "running") {
       return world_->oracle().Running(step.name) == job.call.spec.shape.tasks;
     }
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -88,6 +88,7 @@
   agent.highest_revision = 0;
   agent.commands.clear();
   agent.reports.clear();
+  agent.worker->ReportNow();
   network_.Start(agent.ref);
 }
 
