--- a/packages/harness/include/shallotlug/harness/fake_network.h
+++ b/packages/harness/include/shallotlug/harness/fake_network.h
@@ -71,6 +71,8 @@
   /// @brief Breaks open links; what was on the way is lost.
   void Break(Millis now, const ProcessRef& a, const ProcessRef& b);
   void ClearFaults() { faults_.clear(); }
+  /// @brief Whether the running lives of two processes have had a link.
+  bool HaveMet(const ProcessRef& a, const ProcessRef& b) const;
   /// @brief Whether a cut, a delay or a loss is active between two processes.
   bool Disturbed(Millis now, const ProcessRef& a, const ProcessRef& b) const;
 
@@ -134,6 +136,10 @@
   std::multimap<Millis, Event> events_;
   std::vector<Fault> faults_;
   std::map<std::pair<ProcessRef, ProcessRef>, std::deque<Message>> history_;
+  /// Lives of two processes, the dialler first, at their last link.
+  std::map<std::pair<ProcessRef, ProcessRef>,
+           std::pair<std::uint64_t, std::uint64_t>>
+      met_;
 };
 
 }  // namespace shallotlug::harness
--- a/packages/harness/include/shallotlug/harness/oracle.h
+++ b/packages/harness/include/shallotlug/harness/oracle.h
@@ -67,6 +67,10 @@
                  int worker,
                  const TaskId& task,
                  agent::TaskEventKind kind);
+  /// @brief The agent beside a worker ended. Nobody holds its tasks'
+  /// accelerators any more, and the rest of their gangs stops within the lease
+  /// (docs/design.md, section 6: a worker's death cannot be prevented).
+  void HolderDied(int worker);
   void WorkerLeaving(Millis at, int worker, bool leaving);
 
   // Seen by callers.
@@ -104,6 +108,7 @@
     std::optional<Millis> ended;
     bool finished = false;
     bool throttled = false;
+    bool holder_died = false;
   };
   struct Use {
     std::string gang;
--- a/packages/harness/src/runner.cc
+++ b/packages/harness/src/runner.cc
@@ -259,20 +259,22 @@
                       << "\n";
     }
     if (step.verb >= Verb::kKill && step.verb <= Verb::kFreeze) {
-      world_->ExcuseInFlight();
+      world_->ExcuseInFlight(world_->now() + step.duration);
       RunProcessFault(step);
     } else if (step.verb == Verb::kShutdown) {
       ForEach(step, step.a,
               [&](const ProcessRef& it) { world_->Shutdown(it); });
     } else if (step.verb >= Verb::kCut && step.verb <= Verb::kDamageAnswers) {
-      world_->ExcuseInFlight();
+      world_->ExcuseInFlight(world_->now() + step.duration);
       RunLinkFault(step);
     } else if (step.verb >= Verb::kLogOutage &&
                step.verb <= Verb::kLogLosesAnswers) {
       RunLogFault(step);
     } else if (step.verb >= Verb::kLeave &&
                step.verb <= Verb::kCheckpointTime) {
-      world_->ExcuseInFlight();
+      if (step.verb >= Verb::kFail && step.verb <= Verb::kRestartWorker) {
+        world_->ExcuseInFlight(world_->now());
+      }
       RunWorkerStep(step);
     } else if (step.verb >= Verb::kMint && step.verb <= Verb::kSubmitMany) {
       RunCallerStep(step);
@@ -616,6 +618,8 @@
       // with the same key.
       if (world_->now() >= next_try) {
         next_try = world_->now() + kResubmitInterval;
+        // A graceful shutdown may have ended meanwhile.
+        world_->StartAll();
         for (const std::string& name : world_->UncertainJobs()) {
           world_->Submit(world_->Job(name), 1);
         }
--- a/packages/harness/src/scenario.cc
+++ b/packages/harness/src/scenario.cc
@@ -87,7 +87,8 @@
      "answered not_run unknown failed conflict invalid not_found replied lost "
      "started"},
     {Verb::kExpectJob, "expect job <name> <word> within <within>", "",
-     "accepted not_accepted can_never_run unknown started running finished failed "
+     "accepted not_accepted can_never_run unknown started running finished "
+     "failed "
      "cancelled outcome_unknown final"},
     {Verb::kExpectChange, "expect change <name> <word> within <within>", "",
      "accepted conflict exceeds_capacity not_accepted unknown replied "
