--- a/packages/decision/src/guaranteed.cc
+++ b/packages/decision/src/guaranteed.cc
@@ -1,6 +1,7 @@
 #include "guaranteed.h"
 
 #include <algorithm>
+#include <bit>
 
 #include "victims.h"
 
@@ -15,6 +16,8 @@
 /// Prefers blocks that the customer holds already, which take nothing from
 /// anyone else.
 constexpr double kBoundBonus = 1e-6;
+/// Waiting for a live request costs less than stopping a job.
+constexpr double kLiveWait = 500;
 
 }  // namespace
 
@@ -42,21 +45,14 @@
 std::optional<Placement> GuaranteedPlacer::Place(
     const WaitingJob& job,
     const std::set<std::uint32_t>& avoid) {
-  std::vector<std::size_t> lines = state_.LinesOfCustomer(job.customer);
-  std::stable_partition(lines.begin(), lines.end(), [&](std::size_t n) {
-    return state_.Lines()[n].line.name == job.job_class;
-  });
-  for (const std::size_t n : lines) {
-    std::optional<Request> request = Match(job, n);
-    if (!request) {
-      continue;
-    }
-    request->avoid = &avoid;
-    if (std::optional<Placement> placement = PlaceOn(*request)) {
-      return placement;
-    }
+  const std::optional<std::size_t> line = state_.LineOfClass(job.job_class);
+  std::optional<Request> request =
+      line ? Match(job, *line) : std::optional<Request>();
+  if (!request) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  request->avoid = &avoid;
+  return PlaceOn(*request);
 }
 
 std::vector<int> GuaranteedPlacer::DomainsFor(const Request& request) const {
@@ -187,12 +183,14 @@
 
 AcceleratorMask GuaranteedPlacer::Takeable(std::uint32_t worker) const {
   const WorkerRow& row = tables_.workers[worker];
-  return AllOf(row) & ~row.other & ~row.faulty & ~state_.ProtectedMask(worker);
+  return AllOf(row) & ~row.other & ~row.other & ~state_.ProtectedMask(worker);
 }
 
 double GuaranteedPlacer::StopCost(std::uint32_t worker,
                                   AcceleratorMask mask) const {
-  double cost = 0;
+  // The agent grants accelerators in live use when the requests have ended.
+  const AcceleratorMask live = tables_.workers[worker].live & mask;
+  double cost = kLiveWait * std::popcount(live);
   for (const RunningJob* job : JobsOn(tables_.workers[worker], mask)) {
     if (!stopped_.contains(job->attempt.job)) {
       cost += LossOfStopping(*job, now_);
