Finding: an entry compares an agent's report with itself

OnAgentReport replaced the old report before ChangesPlacement compared the two, so that no report after the first updated the cluster tables. Accelerators of a finished job stayed in use and the next job never started (scenario whole_worker_twice: 0 of 8 accelerators free with no job running). The report is compared before it is replaced now; the scenario passes.

--- a/packages/entry/src/agents.cc
+++ b/packages/entry/src/agents.cc
@@ -121,6 +121,9 @@
   if (agent == nullptr) {
     return;
   }
+  // Compared before the old report is replaced.
+  const bool changes_placement =
+      !agent->reported || ChangesPlacement(*agent, report);
   std::vector<RunningAttempt> attempts = std::move(agent->report.attempts);
   state.witnesses.stale |=
       !agent->reported || agent->report.linked_entries != report.linked_entries;
@@ -130,7 +133,7 @@
   }
   OnFreshReport(state, agent->clock, report);
   const bool changed =
-      !agent->reported || ChangesPlacement(*agent, report) ||
+      changes_placement ||
       agent->health != decision::StateOf(state.health, agent->ref.name);
   agent->reported = true;
   agent->clock = {report.now, state.now};
