--- a/apps/tests/processes.cc
+++ b/apps/tests/processes.cc
@@ -11,12 +11,14 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -47,10 +49,21 @@
 }  // namespace
 
 std::string FreeAddress() {
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPorts = 20'000;
+  static std::mt19937 random{std::random_device()()};
   asio::io_context context;
-  const tcp::acceptor acceptor(
-      context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return AddressOf(acceptor.local_endpoint());
+  while (true) {
+    const tcp::endpoint endpoint(
+        asio::ip::address_v4::loopback(),
+        static_cast<std::uint16_t>(kFirstPort + random() % kPorts));
+    tcp::acceptor acceptor(context, endpoint.protocol());
+    boost::system::error_code ec;
+    acceptor.bind(endpoint, ec);
+    if (!ec) {
+      return AddressOf(endpoint);
+    }
+  }
 }
 
 Process::Process(const std::string& program,
@@ -91,11 +104,9 @@
 }
 
 int Process::Wait() {
-  if (!ended_) {
-    int status = 0;
-    waitpid(pid_, &status, 0);
-    ended_ = true;
-    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  if (!WaitFor([this] { return !Running(); })) {
+    Signal(SIGKILL);
+    WaitFor([this] { return !Running(); });
   }
   return exit_code_;
 }
@@ -241,6 +252,22 @@
   return net::Fetch(options);
 }
 
+std::string SendRaw(const std::string& address,
+                    const std::string& bytes,
+                    bool half_close) {
+  asio::io_context context;
+  tcp::socket socket(context);
+  boost::system::error_code ec;
+  socket.connect(EndpointOf(address), ec);
+  asio::write(socket, asio::buffer(bytes), ec);
+  if (half_close) {
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+  }
+  std::string reply;
+  asio::read(socket, asio::dynamic_buffer(reply), ec);
+  return reply;
+}
+
 json::value ParseBody(const std::string& body) {
   boost::system::error_code ec;
   json::value parsed = json::parse(body, ec);
@@ -275,14 +302,19 @@
                         {"http", json::parse(http)}};
   const std::string file =
       folder_.Write(it->name + ".json", json::serialize(settings));
-  it->process = std::make_unique<Process>(
-      SHALLOTLUG_ENTRY_PROGRAM,
-      std::vector<std::string>{"serve", "--settings=" + file},
-      folder_.Path() + "/" + it->name + ".out");
+  it->settings = file;
+  StartAgain(*it);
   entries_.push_back(std::move(it));
   return *entries_.back();
 }
 
+void Installation::StartAgain(EntryProcess& entry) const {
+  entry.process = std::make_unique<Process>(
+      SHALLOTLUG_ENTRY_PROGRAM,
+      std::vector<std::string>{"serve", "--settings=" + entry.settings},
+      folder_.Path() + "/" + entry.name + ".out");
+}
+
 AgentProcess& Installation::AddAgent(const std::vector<std::string>& seeds,
                                      const std::string& key) {
   auto it = std::make_unique<AgentProcess>();
@@ -331,6 +363,18 @@
 bool Installation::SetLiveTarget(const EntryProcess& entry,
                                  const std::string& name,
                                  Millis finish_within) const {
+  return SetTarget(entry, name, "live", finish_within);
+}
+
+bool Installation::SetBatchTarget(const EntryProcess& entry,
+                                  const std::string& name) const {
+  return SetTarget(entry, name, "batch", Millis(3'600'000));
+}
+
+bool Installation::SetTarget(const EntryProcess& entry,
+                             const std::string& name,
+                             const std::string& kind,
+                             Millis finish_within) const {
   return WaitFor([&] {
     net::HttpFetchOptions options;
     options.address = entry.operators;
@@ -341,7 +385,7 @@
         json::object{{"change_id", "set-" + name},
                      {"base_version", 0},
                      {"customer", "c"},
-                     {"kind", "live"},
+                     {"kind", kind},
                      {"finish_within_ms", finish_within.count()}});
     const auto response = net::Fetch(options);
     return response && response.value().status == 200;
@@ -364,8 +408,18 @@
   return lines;
 }
 
+std::size_t Installation::Starts(const AgentProcess& agent,
+                                 const std::string& body) const {
+  std::size_t count = 0;
+  for (const json::value& it : History(agent, "start")) {
+    count += it.at("body").as_string() == body ? 1 : 0;
+  }
+  return count;
+}
+
 std::int64_t Installation::Metric(const std::string& address,
-                                  const std::string& name) {
+                                  const std::string& name,
+                                  const std::string& label) {
   const auto response = Call(address, "GET", "/metrics");
   if (!response) {
     return -1;
@@ -373,7 +427,8 @@
   std::int64_t sum = 0;
   std::istringstream lines(response.value().body);
   for (std::string line; std::getline(lines, line);) {
-    if (line.starts_with(name + "{") || line.starts_with(name + " ")) {
+    if ((line.starts_with(name + "{") || line.starts_with(name + " ")) &&
+        line.find(label) != std::string::npos) {
       sum += std::stoll(line.substr(line.rfind(' ') + 1));
     }
   }
--- a/apps/tests/processes.h
+++ b/apps/tests/processes.h
@@ -22,8 +22,9 @@
 /// for so long.
 constexpr Millis kPatience{60'000};
 
-/// @brief A free loopback address. It is free until somebody else binds it, so
-/// a test that loses that race fails to start its process.
+/// @brief A free loopback address below the range that the system gives to
+/// connections and to port 0, so that only another test can take it before its
+/// process binds it.
 std::string FreeAddress();
 
 /// @brief Calls `condition` until it is true or kPatience has passed.
@@ -52,7 +53,7 @@
 
   void Signal(int number) const;
 
-  /// @brief Waits for its end.
+  /// @brief Waits for its end; kills it when kPatience has passed.
   /// @return The exit code, or -1 when it did not exit by itself.
   int Wait();
 
@@ -111,6 +112,12 @@
     const std::string& body = "",
     Millis timeout = kPatience);
 
+/// @brief Sends raw bytes, optionally ends the stream, and reads until the
+/// other end closes.
+std::string SendRaw(const std::string& address,
+                    const std::string& bytes,
+                    bool half_close);
+
 /// @brief Parses a body; null when it is no JSON.
 boost::json::value ParseBody(const std::string& body);
 
@@ -120,6 +127,7 @@
   std::string operators;
   std::string peers;
   std::string metrics;
+  std::string settings;  ///< File.
   std::unique_ptr<Process> process;
 };
 
@@ -141,6 +149,10 @@
   /// @param http JSON of the member `http` of the settings.
   EntryProcess& AddEntry(const std::string& http = "{}");
 
+  /// @brief Starts an entry again under its old name and addresses, after its
+  /// process has ended.
+  void StartAgain(EntryProcess& entry) const;
+
   /// @brief Adds an agent and its backend server.
   /// @param seeds Addresses of the peer listeners of entries.
   AgentProcess& AddAgent(const std::vector<std::string>& seeds,
@@ -158,13 +170,21 @@
                      const std::string& name,
                      Millis finish_within) const;
 
+  /// @brief Creates a class for long jobs of the customer `c`.
+  bool SetBatchTarget(const EntryProcess& entry, const std::string& name) const;
+
   /// @brief The history of a backend server, filtered by `what`.
   std::vector<boost::json::value> History(const AgentProcess& agent,
                                           const std::string& what) const;
 
-  /// @brief Value of a metric, added up over its labels; -1 when unreachable.
+  /// @brief Starts of tasks with this body at a backend server.
+  std::size_t Starts(const AgentProcess& agent, const std::string& body) const;
+
+  /// @brief Value of a metric, added up over the series that contain `label`;
+  /// -1 when unreachable.
   static std::int64_t Metric(const std::string& address,
-                             const std::string& name);
+                             const std::string& name,
+                             const std::string& label = "");
 
   const std::string& LogControl() const { return log_control_; }
   std::string LogOf(const std::string& name) const;
@@ -173,6 +193,11 @@
   const std::string operator_token = "token of the process tests";
 
  private:
+  bool SetTarget(const EntryProcess& entry,
+                 const std::string& name,
+                 const std::string& kind,
+                 Millis finish_within) const;
+
   TemporaryFolder folder_;
   std::string log_address_;
   std::string log_control_;
--- a/packages/agent/src/links.cc
+++ b/packages/agent/src/links.cc
@@ -1,5 +1,6 @@
 #include "links.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gang_messages.h"
@@ -22,6 +23,14 @@
 // Covers the last messages to a member; its link then closes as silent.
 constexpr Millis kForgetMemberAfter{1000};
 
+void Erase(State& state, std::map<LinkId, Link>::iterator it) {
+  const auto target = state.dial_targets.find(it->second.dialled);
+  if (target != state.dial_targets.end() && target->second.link == it->first) {
+    target->second.link.reset();
+  }
+  state.links.erase(it);
+}
+
 void Drop(State& state, LinkId link, const std::string& reason, Outbox& out) {
   const auto it = state.links.find(link);
   if (it == state.links.end()) {
@@ -30,7 +39,7 @@
   out.closes.push_back({link, reason});
   state.counters.AddTo("shallotlug_agent_links_closed_total",
                        {{"reason", reason}});
-  state.links.erase(it);
+  Erase(state, it);
 }
 
 bool EntryLinked(const State& state, const EntryRef& entry) {
@@ -42,28 +51,17 @@
   return false;
 }
 
-bool AddressLinked(const State& state, const std::string& address) {
-  for (const auto& [id, link] : state.links) {
-    if (link.dialled == address) {
-      return true;
-    }
-  }
-  return false;
-}
-
 // A seed that no entry lists as its own address is a balancer: it is redialled
 // even while linked, because another entry may answer.
 bool IsBalancer(const DialTarget& target) {
   return target.seed && target.last_mentioned == TimePoint{};
 }
 
-bool WantsLink(const State& state,
-               const std::string& address,
-               const DialTarget& target) {
+bool WantsLink(const State& state, const DialTarget& target) {
   if (IsBalancer(target)) {
     return true;
   }
-  if (AddressLinked(state, address)) {
+  if (target.link) {
     return false;
   }
   return !target.behind || !EntryLinked(state, *target.behind);
@@ -97,7 +95,7 @@
     const DialTarget& target = item.second;
     const Millis unused = now - target.last_mentioned;
     if (target.peer == PeerRole::kAgent) {
-      return unused > kForgetMemberAfter;
+      return unused > kForgetMemberAfter && !target.link;
     }
     return connected && !target.seed && unused > kForgetEntryAfter;
   });
@@ -119,6 +117,7 @@
   const auto it = state.dial_targets.find(event.dialled);
   if (it != state.dial_targets.end()) {
     it->second.pending = false;
+    it->second.link = event.link;
   }
   if (event.peer == PeerRole::kAgent) {
     SendOn(state, event.link, PeerHello{state.options.self}, out);
@@ -139,7 +138,7 @@
     Log(out, LogLevel::kInfo, "entry_link_down",
         {{"entry", it->second.entry->name.value}});
   }
-  state.links.erase(it);
+  Erase(state, it);
 }
 
 bool NoteReceived(State& state, LinkId link, TimePoint now) {
@@ -192,6 +191,17 @@
   }
 }
 
+std::vector<EntryName> LinkedEntries(const State& state) {
+  std::vector<EntryName> names;
+  for (const auto& [id, link] : state.links) {
+    if (link.entry) {
+      names.push_back(link.entry->name);
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
 void CloseSilentLinks(State& state, TimePoint now, Outbox& out) {
   std::vector<LinkId> silent;
   for (const auto& [id, link] : state.links) {
@@ -207,7 +217,7 @@
 void DialDueTargets(State& state, TimePoint now, Outbox& out) {
   ForgetTargets(state, now);
   for (auto& [address, target] : state.dial_targets) {
-    if (!DialDue(state, target, now) || !WantsLink(state, address, target)) {
+    if (!DialDue(state, target, now) || !WantsLink(state, target)) {
       continue;
     }
     target.last_dial = now;
@@ -217,11 +227,6 @@
   }
 }
 
-bool IsEntryLink(const State& state, LinkId link) {
-  const auto it = state.links.find(link);
-  return it != state.links.end() && it->second.peer == PeerRole::kEntry;
-}
-
 void SendOn(State& state, LinkId link, Message message, Outbox& out) {
   if (state.links.contains(link)) {
     out.sends.push_back({link, std::move(message)});
@@ -230,7 +235,7 @@
 
 void SendToEntries(State& state, const Message& message, Outbox& out) {
   for (const auto& [id, link] : state.links) {
-    if (link.peer == PeerRole::kEntry) {
+    if (link.entry) {
       out.sends.push_back({id, message});
     }
   }
--- a/packages/agent/src/links_test.cc
+++ b/packages/agent/src/links_test.cc
@@ -15,12 +15,12 @@
     Options options;
     options.self = {AgentName("a"), Incarnation{1}};
     options.entry_seeds = {kSeed};
-    state_ = MakeState(options, now_);
+    state = MakeState(options, now);
   }
 
   Outbox After(Millis time, const Inbox& inbox = {}) {
-    now_ += time;
-    return Step(*state_, inbox, now_);
+    now += time;
+    return Step(*state, inbox, now);
   }
 
   Outbox Up(LinkId link, const std::string& address) {
@@ -50,8 +50,8 @@
         [&](const Dial& dial) { return dial.address == address; });
   }
 
-  TimePoint now_{Millis{50'000}};
-  StatePtr state_;
+  TimePoint now{Millis{50'000}};
+  StatePtr state;
 };
 
 // Guards against an agent that entries learn nothing about.
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -28,7 +28,8 @@
 struct DialTarget {
   PeerRole peer = PeerRole::kEntry;
   bool seed = false;
-  bool pending = false;  ///< Neither LinkUp nor LinkDown has come yet.
+  bool pending = false;        ///< Neither LinkUp nor LinkDown has come yet.
+  std::optional<LinkId> link;  ///< The newest link to this address.
   TimePoint last_dial{};
   TimePoint last_mentioned{};      ///< By an entry or a job.
   std::optional<EntryRef> behind;  ///< Entry that answered there last.
@@ -70,8 +71,9 @@
   PeerTime lease_until{};  ///< Latest lease sent; backend server's clock.
   bool reported = false;   ///< Listed by the last report.
   bool throttleable = false;
-  bool throttled = false;  ///< Asked to throttle.
-  bool stopping = false;   ///< Asked to stop or to checkpoint.
+  bool throttled = false;           ///< Asked to throttle.
+  bool reported_throttled = false;  ///< In the last report.
+  bool stopping = false;            ///< Asked to stop or to checkpoint.
   double progress = 0;
 };
 
@@ -218,6 +220,7 @@
   int free_slots = 0;
   bool leaving = false;
   bool reachable = false;
+  std::vector<EntryName> linked_entries;
 
   bool operator==(const StartableView&) const = default;
 };
--- a/packages/decision/include/shallotlug/decision/plan.h
+++ b/packages/decision/include/shallotlug/decision/plan.h
@@ -45,12 +45,16 @@
 
 struct PlanOptions {
   /// Upper bound of waiting jobs looked at in one plan.
-  std::size_t scan_limit = 2000;
+  std::size_t scan_limit = 1000;
   /// Migrations that may be under way at once, as a share of running jobs.
   double migration_budget = 0.02;
-  /// Free accelerators kept for live requests at each worker that has none
-  /// that can be throttled.
+  /// Lower bound of that, so that a small cluster can open a rack.
+  std::size_t least_migrations = 32;
+  /// Accelerators for each worker, on average over the cluster, that gangs
+  /// leave free or to work that can be throttled, if there is a live class.
   int live_headroom = 1;
+  /// The same, as a multiple of what live requests use now.
+  double live_reserve = 1.2;
   bool keep_guarantees = true;  ///< Tests disable it to show that it matters.
   /// Waiting jobs for which blocks are kept free in one plan.
   std::size_t reservation_limit = 4;
--- a/packages/entry/src/agents.cc
+++ b/packages/entry/src/agents.cc
@@ -29,6 +29,7 @@
     return;
   }
   it->second.linked = false;
+  state.witnesses.stale = true;
   RefreshCandidate(state, it->second);
   SyncWorker(state, it->second);
   Log(state, LogLevel::kInfo, "agent_link_down", {{"agent", name.value}});
@@ -120,14 +121,19 @@
   if (agent == nullptr) {
     return;
   }
+  // Compared before the old report is replaced.
+  const bool changes_placement =
+      !agent->reported || ChangesPlacement(*agent, report);
   std::vector<RunningAttempt> attempts = std::move(agent->report.attempts);
+  state.witnesses.stale |=
+      !agent->reported || agent->report.linked_entries != report.linked_entries;
   agent->report = report;
   if (!report.has_attempts) {
     agent->report.attempts = std::move(attempts);
   }
   OnFreshReport(state, agent->clock, report);
   const bool changed =
-      !agent->reported || ChangesPlacement(*agent, report) ||
+      changes_placement ||
       agent->health != decision::StateOf(state.health, agent->ref.name);
   agent->reported = true;
   agent->clock = {report.now, state.now};
