--- a/bench/event_loop.cc
+++ b/bench/event_loop.cc
@@ -660,6 +660,7 @@
     }
     if (free > 0 && asked > 0) {
       stranded_ += stranded / asked / free;
+      out_.stranded_accelerators += stranded / asked;
       ++samples_;
     }
     if (open_jobs_ > 0) {
@@ -670,6 +671,7 @@
 
   void Finish() {
     out_.stranded_share = samples_ > 0 ? stranded_ / samples_ : 0;
+    out_.stranded_accelerators /= std::max(1, samples_);
     out_.mean_completion =
         out_.finished > 0 ? completion_ / static_cast<double>(out_.finished)
                           : 0;
--- a/bench/event_loop.h
+++ b/bench/event_loop.h
@@ -24,7 +24,8 @@
   double mean_completion = 0;            ///< Long jobs, from submission.
   std::vector<double> gang16_wait;       ///< Submission to first start.
   std::vector<double> guaranteed_start;  ///< First plan to start of reclaims.
-  double stranded_share = 0;             ///< Time average.
+  double stranded_share = 0;         ///< Of free accelerators, time average.
+  double stranded_accelerators = 0;  ///< Time average.
   std::size_t finished = 0;
   std::size_t failed = 0;  ///< Jobs that are not repeatable and failed.
   std::size_t preempted = 0;
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -1,11 +1,13 @@
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cmath>
 #include <cstdio>
 #include <string>
 #include <vector>
 
 #include "event_loop.h"
 #include "figure.h"
+#include "guarantee_cells.h"
 #include "scale.h"
 #include "test_state.h"
 
@@ -20,7 +22,7 @@
   }
   std::sort(values.begin(), values.end());
   const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(q * last + 0.5)];
+  return values[static_cast<std::size_t>(std::llround(q * last))];
 }
 
 double InTarget(const RunResult& it) {
@@ -47,6 +49,8 @@
   add("batch_mean_completion", a.mean_completion / 1000, "s",
       b.mean_completion / 1000);
   add("stranded_share", 100 * a.stranded_share, "%", 100 * b.stranded_share);
+  add("stranded_accelerators", a.stranded_accelerators, "acc",
+      b.stranded_accelerators);
   add("gang16_wait_p99", Quantile(a.gang16_wait, 0.99) / 1000, "s",
       Quantile(b.gang16_wait, 0.99) / 1000);
   add("gang16_wait_median", Quantile(a.gang16_wait, 0.5) / 1000, "s",
@@ -140,6 +144,7 @@
   }
   if (wants("guarantees")) {
     append(MeasureGuarantees());
+    append(MeasureGuaranteeCells(1));
   }
   if (wants("scale")) {
     append(MeasureScale(1));
--- a/packages/decision/src/guarantees.cc
+++ b/packages/decision/src/guarantees.cc
@@ -118,7 +118,9 @@
 std::vector<GuaranteeStatus> GuaranteeStates(const Cluster& cluster,
                                              const Targets& targets) {
   const Cluster::Tables& tables = cluster.tables();
-  GuaranteeState state(tables, LinesOf(targets));
+  // Derive takes groups from the lines that it cannot satisfy.
+  const std::vector<GuaranteeLine> wanted = LinesOf(targets);
+  GuaranteeState state(tables, wanted);
   state.Derive();
   const GuaranteeStanding standing = StandingOf(tables, state);
   std::vector<GuaranteeLine> accepted;
@@ -129,17 +131,17 @@
                       GuaranteeStanding::kNone, it.target.guarantee.groups, 0});
     }
   }
-  for (const LineState& it : state.Lines()) {
+  for (std::size_t n = 0; n < wanted.size(); ++n) {
     const auto row = std::find_if(
         rows.begin(), rows.end(),
-        [&](const GuaranteeStatus& r) { return r.name == it.line.name; });
-    GuaranteeLine line = it.line;
-    line.groups = GroupsThatFit(tables, accepted, it.line);
-    row->groups_short = it.line.groups - line.groups;
+        [&](const GuaranteeStatus& r) { return r.name == wanted[n].name; });
+    GuaranteeLine line = wanted[n];
+    line.groups = GroupsThatFit(tables, accepted, wanted[n]);
+    row->groups_short = wanted[n].groups - line.groups;
+    const bool all_used = state.Lines()[n].GroupsUsed() == wanted[n].groups;
     row->standing = row->groups_short > 0 ? GuaranteeStanding::kShort
-                    : it.GroupsUsed() == it.line.groups
-                        ? GuaranteeStanding::kHeld
-                        : standing;
+                    : all_used            ? GuaranteeStanding::kHeld
+                                          : standing;
     accepted.push_back(std::move(line));
   }
   return rows;
--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -154,12 +154,23 @@
     if (shape.tasks == 1 || !serves_live_) {
       return true;
     }
-    const int room = trial_.Index().All().blocks[0] + tables_.throttleable -
-                     shape.tasks * shape.accelerators_per_task;
+    const int size = shape.tasks * shape.accelerators_per_task;
+    const int room =
+        trial_.Index().All().blocks[0] + tables_.throttleable - size;
     const int keep = options_.live_headroom * static_cast<int>(tables_.alive) +
                      static_cast<int>(std::ceil(options_.live_reserve *
                                                 tables_.live_accelerators));
-    return room >= keep;
+    // A gang that does not fit beside the room at all starts when no other
+    // gang runs.
+    return room >= keep || room >= SchedulableAccelerators() - size;
+  }
+
+  int SchedulableAccelerators() const {
+    int sum = 0;
+    for (const WorkerRow& it : tables_.workers) {
+      sum += it.alive && it.schedulable ? it.info.accelerators : 0;
+    }
+    return sum;
   }
 
   void PlaceOther(const RankedJob& it) {
