Accept a raised guarantee only against the guarantees it was checked with

Cause: two entries checked guarantees of different classes against their own folds and both changes were accepted (scenario guarantees_race: 24 accelerators promised, 16 exist). A call held while a paused entry refreshed got its deadline from the end of the hold (fuzz: a start 8 s late). Change: a change names the revision of the guarantees it was checked against; the fold rejects it when another guarantee came first. Held calls keep their arrival time.

--- a/packages/entry/src/config.cc
+++ b/packages/entry/src/config.cc
@@ -45,6 +45,58 @@
   return text + "; read it again and repeat the change";
 }
 
+void AddIssue(Findings& findings, const char* path, const char* message) {
+  Finding finding;
+  finding.path = path;
+  finding.message = message;
+  findings.push_back(std::move(finding));
+}
+
+// The configuration as it would be after the change.
+Targets With(const Targets& targets, const ClassTarget& target) {
+  Targets changed = targets;
+  std::erase_if(changed.entries, [&](const VersionedTarget& it) {
+    return it.target.name == target.name;
+  });
+  changed.entries.push_back({target, targets.revision + 1, false});
+  std::sort(changed.entries.begin(), changed.entries.end(),
+            [](const VersionedTarget& a, const VersionedTarget& b) {
+              return a.target.name < b.target.name;
+            });
+  return changed;
+}
+
+void ReplyExceedsCapacity(State& state,
+                          CallId call,
+                          const std::vector<std::string>& faults) {
+  Count(state, "shallotlug_entry_error_replies_total", "exceeds_capacity");
+  api::ErrorReply reply;
+  reply.code = api::ErrorCode::kExceedsCapacity;
+  reply.reason = "exceeds_capacity";
+  reply.message = "all guarantees together exceed what exists";
+  for (const std::string& it : faults) {
+    AddIssue(reply.findings, "/guarantee", it.c_str());
+  }
+  Reply(state, call, std::move(reply));
+}
+
+// Another guarantee was accepted after this change was checked. Says whether
+// the change would still fit.
+void ReplyGuaranteesChanged(State& state,
+                            CallId call,
+                            const stream::ConfigChange& change) {
+  const std::vector<std::string> faults = decision::CheckGuarantees(
+      state.jobs.cluster,
+      With(stream::Current(state.config), change.record.target));
+  if (!faults.empty()) {
+    ReplyExceedsCapacity(state, call, faults);
+    return;
+  }
+  ReplyError(state, call, api::ErrorCode::kConflict, "guarantees_changed",
+             "another guarantee was accepted at the same time; repeat the "
+             "change with a new change id");
+}
+
 void ReplyVerdict(State& state,
                   CallId call,
                   const stream::ConfigChange& change) {
@@ -53,6 +105,10 @@
     Reply(state, call, api::ChangeReply{ToApi(change)});
     return;
   }
+  if (change.guarantees_changed) {
+    ReplyGuaranteesChanged(state, call, change);
+    return;
+  }
   Count(state, "shallotlug_entry_config_changes_total", "lost_race");
   ReplyError(state, call, api::ErrorCode::kConflict, "version_conflict",
              DescribeWinner(state.config, change));
@@ -64,13 +120,6 @@
          record.base_version == set.base_version;
 }
 
-void AddIssue(Findings& findings, const char* path, const char* message) {
-  Finding finding;
-  finding.path = path;
-  finding.message = message;
-  findings.push_back(std::move(finding));
-}
-
 Findings Validate(const api::SetTargetCall& set) {
   Findings findings;
   const ClassTarget& target = set.target;
@@ -102,30 +151,10 @@
 }
 
 bool RaisesGuarantee(const State& state, const api::SetTargetCall& set) {
-  const Guarantee& wanted = set.target.guarantee;
-  if (set.remove || wanted.groups == 0) {
-    return false;
-  }
-  const VersionedTarget* now =
-      stream::FindTarget(stream::Current(state.config), set.target.name);
-  return now == nullptr || now->target.customer != set.target.customer ||
-         now->target.guarantee.within != wanted.within ||
-         now->target.guarantee.groups < wanted.groups ||
-         now->target.guarantee.accelerators < wanted.accelerators;
-}
-
-// The configuration as it would be after the change.
-Targets With(const Targets& targets, const ClassTarget& target) {
-  Targets changed = targets;
-  std::erase_if(changed.entries, [&](const VersionedTarget& it) {
-    return it.target.name == target.name;
-  });
-  changed.entries.push_back({target, targets.revision + 1, false});
-  std::sort(changed.entries.begin(), changed.entries.end(),
-            [](const VersionedTarget& a, const VersionedTarget& b) {
-              return a.target.name < b.target.name;
-            });
-  return changed;
+  const Targets& targets = stream::Current(state.config);
+  return !set.remove &&
+         stream::RaisesGuarantee(stream::FindTarget(targets, set.target.name),
+                                 set.target);
 }
 
 // Checks raised guarantees against capacity; answers and returns false when
@@ -145,15 +174,7 @@
   if (faults.empty()) {
     return true;
   }
-  Count(state, "shallotlug_entry_error_replies_total", "exceeds_capacity");
-  api::ErrorReply reply;
-  reply.code = api::ErrorCode::kExceedsCapacity;
-  reply.reason = "exceeds_capacity";
-  reply.message = "all guarantees together exceed what exists";
-  for (const std::string& it : faults) {
-    AddIssue(reply.findings, "/guarantee", it.c_str());
-  }
-  Reply(state, call, std::move(reply));
+  ReplyExceedsCapacity(state, call, faults);
   return false;
 }
 
@@ -203,8 +224,9 @@
     return;
   }
   const TimePoint give_up_at = state.now + state.options.log_timeout;
-  stream::TargetChangeRecord record{set.change_id, set.target, set.base_version,
-                                    set.remove};
+  stream::TargetChangeRecord record{
+      set.change_id, set.target, set.base_version, set.remove,
+      stream::GuaranteesRevision(stream::Current(state.config))};
   if (state.shutting_down) {
     ReplyError(state, call, api::ErrorCode::kNotAccepted, "shutting_down",
                "the entry is leaving; nothing was recorded");
--- a/packages/entry/src/live.cc
+++ b/packages/entry/src/live.cc
@@ -84,9 +84,9 @@
   request.request_class = target.name;
   request.accelerators = target.accelerators;
   request.target = target.finish_within;
-  request.accepted = state.now;
+  request.accepted = state.call_arrived;
   request.deadline =
-      state.now +
+      state.call_arrived +
       (timeout > Millis(0) ? timeout : target.finish_within + kDefaultGrace);
   request.callers = {call};
   return request;
--- a/packages/entry/src/pause.cc
+++ b/packages/entry/src/pause.cc
@@ -49,7 +49,7 @@
       state.refresh.held.size() >= state.options.pending_request_limit) {
     return false;
   }
-  state.refresh.held.push_back(call);
+  state.refresh.held.push_back({call, state.now});
   return true;
 }
 
@@ -71,7 +71,7 @@
   }
 }
 
-std::vector<IncomingCall> TakeHeld(State& state) {
+std::vector<HeldCall> TakeHeld(State& state) {
   const bool read = state.config_io.reader.caught_up &&
                     state.config_io.reader.caught_up_at >= state.refresh.since;
   if (state.refresh.active &&
@@ -81,10 +81,10 @@
   if (state.refresh.active) {
     return {};
   }
-  std::vector<IncomingCall> held = std::exchange(state.refresh.held, {});
+  std::vector<HeldCall> held = std::exchange(state.refresh.held, {});
   const auto gone = std::exchange(state.refresh.gone, {});
   std::erase_if(held,
-                [&](const IncomingCall& it) { return gone.contains(it.id); });
+                [&](const HeldCall& it) { return gone.contains(it.call.id); });
   return held;
 }
 
--- a/packages/entry/src/pause.h
+++ b/packages/entry/src/pause.h
@@ -20,7 +20,7 @@
                    const AgentReport& report);
 
 /// @brief The held calls once the refresh has ended, otherwise nothing.
-std::vector<IncomingCall> TakeHeld(State& state);
+std::vector<HeldCall> TakeHeld(State& state);
 
 }  // namespace shallotlug::entry
 
--- a/packages/entry/src/state.h
+++ b/packages/entry/src/state.h
@@ -101,11 +101,18 @@
   stream::AppendQueue appends;
 };
 
+/// @brief A call that waits for a refresh. Its deadline counts from its
+/// arrival.
+struct HeldCall {
+  IncomingCall call;
+  TimePoint arrived{};
+};
+
 /// @brief Calls that wait until a resumed entry has the configuration again.
 struct Refresh {
   bool active = false;
   TimePoint since{};
-  std::vector<IncomingCall> held;
+  std::vector<HeldCall> held;
   std::unordered_set<CallId> gone;  ///< Callers of held calls that left.
 };
 
@@ -136,6 +143,7 @@
   TimePoint now{};
   TimePoint started{};
   TimePoint last_step{};
+  TimePoint call_arrived{};  ///< Of the call that is being handled.
 
   std::map<LinkId, Link> links;
   std::map<AgentName, Agent> agents;
--- a/packages/entry/src/step.cc
+++ b/packages/entry/src/step.cc
@@ -140,9 +140,11 @@
 }
 
 void TakeCalls(State& state, const Inbox& inbox) {
-  for (const IncomingCall& it : TakeHeld(state)) {
-    Dispatch(state, it);
+  for (const HeldCall& it : TakeHeld(state)) {
+    state.call_arrived = it.arrived;
+    Dispatch(state, it.call);
   }
+  state.call_arrived = state.now;
   for (const IncomingCall& it : inbox.calls) {
     if (!Hold(state, it)) {
       Dispatch(state, it);
--- a/packages/stream/include/shallotlug/stream/config_fold.h
+++ b/packages/stream/include/shallotlug/stream/config_fold.h
@@ -20,6 +20,8 @@
   TargetChangeRecord record;
   std::uint64_t offset = 0;
   bool accepted = false;
+  /// Rejected because a guarantee that it was not checked against came first.
+  bool guarantees_changed = false;
   /// Version of the class after the change: its own when accepted, otherwise
   /// that of the change that won.
   std::uint64_t version = 0;
@@ -68,6 +70,14 @@
 const VersionedTarget* FindTarget(const Targets& targets,
                                   const ClassName& name);
 
+/// @brief The newest version among classes with a guarantee; 0 without any.
+/// A change that raises a guarantee is accepted only if it was checked against
+/// this revision, because guarantees of different classes share the workers.
+std::uint64_t GuaranteesRevision(const Targets& targets);
+
+/// @brief Whether `wanted` asks for more than `now`, which may be null.
+bool RaisesGuarantee(const VersionedTarget* now, const ClassTarget& wanted);
+
 /// @brief What a peer at `since` lacks; the whole when `since` is 0 or not a
 /// revision of this history.
 ConfigUpdate MakeConfigUpdate(const Targets& targets, std::uint64_t since);
--- a/packages/stream/include/shallotlug/stream/config_record.h
+++ b/packages/stream/include/shallotlug/stream/config_record.h
@@ -20,6 +20,9 @@
   ClassTarget target;
   std::uint64_t base_version = 0;  ///< 0: the class must not exist.
   bool remove = false;
+  /// The guarantees that the change was checked against; see
+  /// GuaranteesRevision.
+  std::uint64_t guarantees_at = 0;
 
   bool operator==(const TargetChangeRecord&) const = default;
 };
--- a/packages/stream/src/config_fold.cc
+++ b/packages/stream/src/config_fold.cc
@@ -52,10 +52,17 @@
   const VersionedTarget* entry = FindEntry(fold.folded, record.target.name);
   const bool exists = entry != nullptr && !entry->removed;
   const std::uint64_t version = exists ? entry->version : 0;
-  ConfigChange change{record, offset, false, version};
+  ConfigChange change;
+  change.record = record;
+  change.offset = offset;
+  change.version = version;
   // A removal of a class that does not exist changes nothing.
-  change.accepted =
-      record.base_version == version && (exists || !record.remove);
+  change.guarantees_changed =
+      !record.remove &&
+      RaisesGuarantee(exists ? entry : nullptr, record.target) &&
+      record.guarantees_at < GuaranteesRevision(fold.folded);
+  change.accepted = record.base_version == version &&
+                    (exists || !record.remove) && !change.guarantees_changed;
   if (change.accepted) {
     change.version = offset + 1;
     fold.folded.revision = offset + 1;
@@ -186,6 +193,27 @@
   return found ? &*it : nullptr;
 }
 
+std::uint64_t GuaranteesRevision(const Targets& targets) {
+  std::uint64_t revision = 0;
+  for (const VersionedTarget& it : targets.entries) {
+    if (!it.removed && it.target.guarantee.groups > 0) {
+      revision = std::max(revision, it.version);
+    }
+  }
+  return revision;
+}
+
+bool RaisesGuarantee(const VersionedTarget* now, const ClassTarget& wanted) {
+  const Guarantee& guarantee = wanted.guarantee;
+  if (guarantee.groups == 0) {
+    return false;
+  }
+  return now == nullptr || now->target.customer != wanted.customer ||
+         now->target.guarantee.within != guarantee.within ||
+         now->target.guarantee.groups < guarantee.groups ||
+         now->target.guarantee.accelerators < guarantee.accelerators;
+}
+
 ConfigUpdate MakeConfigUpdate(const Targets& targets, std::uint64_t since) {
   ConfigUpdate update;
   update.base_revision = since <= targets.revision ? since : 0;
--- a/packages/stream/src/config_record.cc
+++ b/packages/stream/src/config_record.cc
@@ -12,6 +12,7 @@
   record.target = ReadTarget(reader.Object("target"), ok);
   record.base_version = reader.Unsigned("base_version");
   record.remove = reader.Flag("remove");
+  record.guarantees_at = reader.Unsigned("guarantees_at");
   if (!ok || !reader.ok || record.change_id.empty()) {
     return ParseFault::kMalformed;
   }
@@ -47,6 +48,7 @@
   object["target"] = ToJson(record.target);
   object["base_version"] = record.base_version;
   object["remove"] = record.remove;
+  object["guarantees_at"] = record.guarantees_at;
   return json::serialize(object);
 }
 
