--- a/packages/harness/include/shallotlug/harness/oracle.h
+++ b/packages/harness/include/shallotlug/harness/oracle.h
@@ -55,12 +55,12 @@
   void Declare(const std::string& name, const DeclaredWork& work);
 
   // Seen by workers.
-  /// @param attempt number of a job's attempt; 0 for a live request.
+  /// @param attempt names a job's attempt; empty for a live request.
   void TaskStarted(Millis at,
                    int worker,
                    const TaskId& task,
                    const std::string& name,
-                   std::uint32_t attempt,
+                   const std::string& attempt,
                    AcceleratorMask accelerators);
   void TaskThrottled(Millis at, int worker, const TaskId& task, bool throttled);
   void TaskEnded(Millis at,
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -251,9 +251,12 @@
 
 void World::Tamper(Message& message) {
   if (auto* propose = std::get_if<ProposeJob>(&message)) {
-    propose->spec.body = Stamp(propose->spec.body, propose->attempt.number);
+    propose->spec.body = Stamp(
+        propose->spec.body, propose->attempt.number,
+        propose->members.empty() ? AgentRef{} : propose->members.front().agent);
   } else if (auto* reserve = std::get_if<Reserve>(&message)) {
-    reserve->spec.body = Stamp(reserve->spec.body, reserve->attempt.number);
+    reserve->spec.body = Stamp(reserve->spec.body, reserve->attempt.number,
+                               reserve->coordinator);
   } else if (auto* report = std::get_if<AgentReport>(&message)) {
     for (RunningAttempt& attempt : report->attempts) {
       attempt.spec.body = RemoveStamp(attempt.spec.body).body;
