--- a/packages/harness/src/guards_test.cc
+++ b/packages/harness/src/guards_test.cc
@@ -146,12 +146,24 @@
      "replay 100 percent between entry all and agent all for 20s\n"
      "break entry all from agent all\n"
      "wait 5s\n"},
-    {"entry.warm_up", Promise::kExpectation,
-     "cluster entries=2 agents=4 seed=1\n"
-     "submit j1 through entry 1 run=20s tasks=4 accelerators=6 repeatable=no\n"
-     "expect job j1 running within 10s\n"
-     "restart entry all\n"
-     "expect job j1 finished within 60s\n"},
+    {"entry.warm_up", Promise::kP1,
+     "cluster entries=1 agents=2 seed=1\n"
+     "set target deposit as c1 through entry 1 customer=authority groups=2 "
+     "per_group=8 within=worker\n"
+     "expect change c1 in_force within 10s\n"
+     "submit j1 through entry 1 run=100s repeatable=no\n"
+     "expect job j1 accepted within 5s\n"
+     "log slow 1900ms for 60s\n"
+     "restart agent all\n"
+     "restart entry 1\n"
+     "wait 8s\n"
+     "calm\n"
+     "wait 8s\n"
+     "submit j2 through entry 1 customer=authority class=deposit run=2s "
+     "tasks=2 accelerators=8\n"
+     "expect job j2 accepted within 2s\n"
+     "expect reclaimed job j2 within 1700ms\n"
+     "cancel job j1 through entry 1\n"},
     {"entry.keep_guarantees", Promise::kP1,
      "cluster entries=2 agents=4 seed=1\n"
      "set target deposit as c1 through entry 1 customer=authority groups=2 "
