Test that accelerators come free and lost claims are recovered

Cause: a report that was compared with itself went unnoticed by the entry's own tests, as did the warm-up guard. Change: tests of a second job on the accelerators of a finished one, of a shape that fits once its worker has arrived, and of an attempt whose claim was lost with an entry during an outage of the log.

--- a/packages/entry/src/jobs_test.cc
+++ b/packages/entry/src/jobs_test.cc
@@ -232,6 +232,28 @@
   EXPECT_EQ(CountSent<StopJob>(), 0U);
 }
 
+// Guards against an entry that plans before it has heard what runs: an attempt
+// whose claim was lost with another entry in an outage is kept and claimed.
+TEST_F(JobsTest, AttemptOfALostClaimIsKept) {
+  Entry().jobs.plan_not_before = now + Millis(300);
+  const JobId id = Accept(1, Submit("k"));
+  log_up = false;
+  Wait(Millis(1000));
+  const ProposeJob proposal = Proposed();
+  log_up = true;
+  entry.reset();
+  options.self.incarnation = Incarnation{8};
+  sends.clear();
+  Run();
+  Connect(1, "a1");
+  Connect(2, "a2");
+  List(proposal);
+  Wait(Millis(5000));
+  EXPECT_EQ(CountSent<ProposeJob>(), 0U);
+  EXPECT_EQ(CountSent<StopJob>(), 0U);
+  EXPECT_EQ(StateOfJob(id), api::JobState::kRunning);
+}
+
 // Guards against a cancelled job that keeps its accelerators, and counts each
 // job of the salvo once.
 TEST_F(JobsTest, CancelledJobsAreStoppedAndStayCancelled) {
@@ -269,6 +291,39 @@
   EXPECT_TRUE(Entry().jobs.tracks.empty());
 }
 
+// Guards against accelerators that stay in use in the planner's tables after
+// the reports say that they are free.
+TEST_F(JobsTest, AcceleratorsOfAFinishedJobComeFree) {
+  api::SubmitJobCall whole = Submit("k1");
+  whole.spec.shape = {2, 8, Adjacency::kAny};
+  Accept(1, whole);
+  Wait(Millis(200));
+  const ProposeJob first = Proposed();
+  for (auto& [link, report] : reports) {
+    report.accelerators.assign(8, AcceleratorUse::kGang);
+    Receive(link, report);
+  }
+  Report(first, JobPhase::kFinished);
+  for (auto& [link, report] : reports) {
+    report.accelerators.assign(8, AcceleratorUse::kFree);
+  }
+  whole.key = "k2";
+  const JobId second = Accept(2, whole);
+  Wait(Millis(500));
+  EXPECT_EQ(Proposed().attempt.job, second);
+}
+
+// Guards against a refusal that outlives the arrival of a worker.
+TEST_F(JobsTest, ShapeFitsOnceItsWorkerHasArrived) {
+  api::SubmitJobCall submit = Submit("k");
+  submit.spec.shape = {3, 8, Adjacency::kAny};
+  Call(1, submit);
+  EXPECT_EQ(ErrorOf(1), api::ErrorCode::kCanNeverRun);
+  Connect(3, "a3");
+  Call(2, submit);
+  EXPECT_NE(ReplyOf<api::JobReply>(2), nullptr);
+}
+
 // Guards against a job that is continued from the start after a checkpoint.
 TEST_F(JobsTest, CheckpointIsPassedToTheNextAttempt) {
   Accept(1, Submit("k"));
