Keep jobs that cannot be repeated off workers under probe in the plan

Cause: every plan placed such a job on a worker under probe, the entry refused it, and its accelerators counted as taken, so that other gangs found no room (scenario probe_blocks_waiting). Change: the cluster tables know workers under probe and the plan avoids them.

--- a/packages/decision/include/shallotlug/decision/cluster.h
+++ b/packages/decision/include/shallotlug/decision/cluster.h
@@ -65,6 +65,8 @@
   /// @brief A worker that is not schedulable gets no new work (leaving, silent
   /// or quarantined) but keeps what it has.
   void SetSchedulable(WorkerIndex worker, bool schedulable);
+  /// @brief A worker under probe gets only jobs that may be repeated.
+  void SetRepeatableOnly(WorkerIndex worker, bool repeatable_only);
   /// @brief Accelerators that are not available and not capacity, such as
   /// faulty ones or those of work that the planner does not know.
   void SetOtherUse(WorkerIndex worker, AcceleratorMask mask);
--- a/packages/decision/src/cluster.cc
+++ b/packages/decision/src/cluster.cc
@@ -130,6 +130,14 @@
   Refresh(*tables_, RowOf(worker));
 }
 
+void Cluster::SetRepeatableOnly(WorkerIndex worker, bool repeatable_only) {
+  if (repeatable_only) {
+    tables_->repeatable_only.insert(RowOf(worker));
+  } else {
+    tables_->repeatable_only.erase(RowOf(worker));
+  }
+}
+
 void Cluster::SetOtherUse(WorkerIndex worker, AcceleratorMask mask) {
   tables_->workers[RowOf(worker)].other = mask;
   Refresh(*tables_, RowOf(worker));
--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -59,6 +59,10 @@
       MostTasks(tables, job.shape, workers) < job.shape.tasks) {
     workers.clear();
   }
+  if (!job.repeatable) {
+    workers.insert(tables.repeatable_only.begin(),
+                   tables.repeatable_only.end());
+  }
   return workers;
 }
 
--- a/packages/entry/src/cluster_sync.cc
+++ b/packages/entry/src/cluster_sync.cc
@@ -76,6 +76,14 @@
   return (state.jobs.cluster.Free(*agent.worker) & all) == all;
 }
 
+void SyncSchedulable(State& state, const Agent& agent) {
+  decision::Cluster& cluster = state.jobs.cluster;
+  cluster.SetSchedulable(*agent.worker, IsSchedulable(state, agent));
+  cluster.SetRepeatableOnly(*agent.worker,
+                            decision::StateOf(state.health, agent.ref.name) !=
+                                decision::HealthState::kHealthy);
+}
+
 void SyncWorkersOf(State& state,
                    const std::vector<decision::Allocation>& tasks) {
   for (const decision::Allocation& it : tasks) {
@@ -84,8 +92,7 @@
     if (agent != state.agents.end() && agent->second.worker == it.worker &&
         agent->second.reported) {
       SyncOtherUse(state, agent->second);
-      state.jobs.cluster.SetSchedulable(it.worker,
-                                        IsSchedulable(state, agent->second));
+      SyncSchedulable(state, agent->second);
     }
   }
 }
@@ -120,7 +127,7 @@
   if (agent.reported) {
     SyncOtherUse(state, agent);
   }
-  state.jobs.cluster.SetSchedulable(*agent.worker, IsSchedulable(state, agent));
+  SyncSchedulable(state, agent);
   state.jobs.dirty = true;
 }
 
