--- a/tools/lib/evidence.py
+++ b/tools/lib/evidence.py
@@ -24,13 +24,14 @@
     return out
 
 
-def starts_by_client(histories):
-    """How often the request of each client was started, over all workers."""
+def starts_by_client(histories, key="client"):
+    """How often the request of each client was started, over all workers. A caller never sends a
+    second request under a new id, except after a proven not_run."""
     counts = collections.Counter()
     for lines in histories.values():
         for it in lines:
             if it["what"] == "start" and it["live"]:
-                counts[json.loads(it["body"])["client"]] += 1
+                counts[json.loads(it["body"])[key]] += 1
     return counts
 
 
