--- a/bench/event_loop.cc
+++ b/bench/event_loop.cc
@@ -189,6 +189,12 @@
            decision::HealthState::kHealthy;
   }
 
+  /// Whether no live request can start here before a gang ends.
+  bool WaitsForever(std::size_t worker) const {
+    return live_masks_[worker] == 0 && ThrottleRoom(worker) == 0 &&
+           cluster_.Free(WorkerIndex(worker)) == 0;
+  }
+
   void RouteRequest(std::size_t request) {
     std::vector<decision::LiveCandidate> candidates;
     for (std::size_t n = 0; n < in_.workers.size(); ++n) {
@@ -197,7 +203,9 @@
       it.free = std::popcount(cluster_.Free(WorkerIndex(n)));
       it.live_capacity = it.free + ThrottleRoom(n);
       it.in_flight = std::popcount(live_masks_[n]);
-      it.expected_wait = Millis(100) * queues_[n].size();
+      it.expected_wait =
+          WaitsForever(n) ? Millis(std::chrono::hours(1))
+                          : Millis(100) * static_cast<int>(queues_[n].size());
       candidates.push_back(it);
     }
     const auto chosen =
@@ -321,6 +329,22 @@
         queues_[n].pop_front();
       }
     }
+    RerouteRefused();
+  }
+
+  /// An agent refuses queued requests that cannot finish in time any more; the
+  /// entry sends them to another agent.
+  void RerouteRefused() {
+    std::vector<std::size_t> refused;
+    for (std::size_t n = 0; n < queues_.size(); ++n) {
+      if (WaitsForever(n)) {
+        refused.insert(refused.end(), queues_[n].begin(), queues_[n].end());
+        queues_[n].clear();
+      }
+    }
+    for (const std::size_t it : refused) {
+      RouteRequest(it);
+    }
   }
 
   // Long jobs.
--- a/packages/decision/include/shallotlug/decision/plan.h
+++ b/packages/decision/include/shallotlug/decision/plan.h
@@ -54,7 +54,7 @@
   /// leave free or to work that can be throttled, if there is a live class.
   int live_headroom = 1;
   /// The same, as a multiple of what live requests use now.
-  double live_reserve = 1;
+  double live_reserve = 1.2;
   bool keep_guarantees = true;  ///< Tests disable it to show that it matters.
   /// Waiting jobs for which blocks are kept free in one plan.
   std::size_t reservation_limit = 4;
