Keep the order of the members of LiveCandidate

Cause: a member added in the middle changes the meaning of positional initialization elsewhere. Change: free is the last member.

--- a/packages/decision/include/shallotlug/decision/live_route.h
+++ b/packages/decision/include/shallotlug/decision/live_route.h
@@ -14,9 +14,9 @@
   bool usable = false;  ///< Linked, heard from, not leaving, not quarantined.
   bool probing = false;
   int live_capacity = 0;   ///< Accelerators that are free or can be throttled.
-  int free = 0;            ///< Accelerators that need no throttling.
   int in_flight = 0;       ///< Sent by this entry since the last report.
   Millis expected_wait{};  ///< From the last report.
+  int free = 0;            ///< Accelerators that need no throttling.
 };
 
 /// @brief Picks an agent by power of two choices over expected wait, or nothing
