Take the calls that arrive together with a request to stop

Cause: a shutdown that arrived in the same step as a call was handled first, so that a call that had reached the entry before was refused. Change: the shutdown begins after the calls of its step.

--- a/packages/entry/src/step.cc
+++ b/packages/entry/src/step.cc
@@ -211,15 +211,16 @@
   state.out = Outbox{};
   state.now = now;
   CheckPause(state);
-  if (inbox.shutdown_requested) {
-    BeginShutdown(state);
-  }
   TakeLinks(state, inbox);
   for (const Received& it : inbox.received) {
     OnReceived(state, it);
   }
   TakeLog(state, inbox);
   TakeCalls(state, inbox);
+  // Calls that came together with the request to stop are still taken.
+  if (inbox.shutdown_requested) {
+    BeginShutdown(state);
+  }
   KeepHouse(state);
   HandleRequestTimers(state);
   PlanJobs(state);
