--- a/packages/entry/src/operations_test.cc
+++ b/packages/entry/src/operations_test.cc
@@ -36,6 +36,16 @@
   EXPECT_TRUE(may_exit);
 }
 
+// Guards against refusing a call that had arrived before the request to stop.
+TEST_F(OperationsTest, CallThatComesWithTheShutdownIsTaken) {
+  Inbox inbox;
+  inbox.shutdown_requested = true;
+  inbox.calls.push_back({CallId{1}, OneShot()});
+  Run(inbox);
+  EXPECT_EQ(CountSent<StartRequest>(), 1U);
+  EXPECT_FALSE(may_exit);
+}
+
 // Guards against an entry that never exits because the log is down.
 TEST_F(OperationsTest, ShutdownDoesNotWaitForTheLog) {
   log_up = false;
