--- a/bench/main.cc
+++ b/bench/main.cc
@@ -1,11 +1,13 @@
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cmath>
 #include <cstdio>
 #include <string>
 #include <vector>
 
 #include "event_loop.h"
 #include "figure.h"
+#include "guarantee_cells.h"
 #include "scale.h"
 #include "test_state.h"
 
@@ -20,7 +22,7 @@
   }
   std::sort(values.begin(), values.end());
   const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(q * last + 0.5)];
+  return values[static_cast<std::size_t>(std::llround(q * last))];
 }
 
 double InTarget(const RunResult& it) {
@@ -35,6 +37,7 @@
   const Workload workload = MakeWorkload(deployment, 0.9, seed);
   const RunResult a = Run(workload, Policy::kPlanner, {}, seed);
   const RunResult b = Run(workload, Policy::kFirstFit, {}, seed);
+  const RunResult strict = Run(workload, Policy::kStrictFifo, {}, seed);
   const auto add = [&](const std::string& name, double value,
                        const std::string& unit, double baseline) {
     out.push_back({prefix + name, value, unit, baseline, seed});
@@ -46,10 +49,18 @@
   add("batch_mean_completion", a.mean_completion / 1000, "s",
       b.mean_completion / 1000);
   add("stranded_share", 100 * a.stranded_share, "%", 100 * b.stranded_share);
+  add("stranded_accelerators", a.stranded_accelerators, "acc",
+      b.stranded_accelerators);
   add("gang16_wait_p99", Quantile(a.gang16_wait, 0.99) / 1000, "s",
       Quantile(b.gang16_wait, 0.99) / 1000);
   add("gang16_wait_median", Quantile(a.gang16_wait, 0.5) / 1000, "s",
       Quantile(b.gang16_wait, 0.5) / 1000);
+  add("gang16_wait_p99_strict_fifo", Quantile(a.gang16_wait, 0.99) / 1000, "s",
+      Quantile(strict.gang16_wait, 0.99) / 1000);
+  add("batch_done_strict_fifo", a.batch_done / 1000, "s",
+      strict.batch_done / 1000);
+  add("stranded_share_strict_fifo", 100 * a.stranded_share, "%",
+      100 * strict.stranded_share);
   add("reclaim_start_max", Quantile(a.guaranteed_start, 1), "ms", 1700);
   add("finished", static_cast<double>(a.finished), "jobs",
       static_cast<double>(b.finished));
@@ -133,6 +144,7 @@
   }
   if (wants("guarantees")) {
     append(MeasureGuarantees());
+    append(MeasureGuaranteeCells(1));
   }
   if (wants("scale")) {
     append(MeasureScale(1));
--- a/packages/entry/src/cluster_sync.cc
+++ b/packages/entry/src/cluster_sync.cc
@@ -28,6 +28,7 @@
   }
   if (state.jobs.ever_seen_agents.insert(agent.ref.name).second) {
     state.jobs.ever_seen.AddWorker(info);
+    state.jobs.known_shapes.clear();
   }
 }
 
@@ -115,6 +116,7 @@
 
 void SyncWorker(State& state, Agent& agent) {
   EnsureWorker(state, agent);
+  agent.health = decision::StateOf(state.health, agent.ref.name);
   if (agent.reported) {
     SyncOtherUse(state, agent);
   }
--- a/packages/entry/src/pause.cc
+++ b/packages/entry/src/pause.cc
@@ -45,16 +45,18 @@
 }
 
 bool Hold(State& state, const IncomingCall& call) {
-  if (!state.refresh.active || !DependsOnConfig(call.call)) {
+  if (!state.refresh.active || !DependsOnConfig(call.call) ||
+      state.refresh.held.size() >= state.options.pending_request_limit) {
     return false;
   }
-  state.refresh.held.push_back(call);
+  state.refresh.held.push_back({call, state.now});
   return true;
 }
 
 void DropHeld(State& state, CallId call) {
-  std::erase_if(state.refresh.held,
-                [&](const IncomingCall& it) { return it.id == call; });
+  if (!state.refresh.held.empty()) {
+    state.refresh.gone.insert(call);
+  }
 }
 
 void OnFreshReport(State& state,
@@ -69,7 +71,7 @@
   }
 }
 
-std::vector<IncomingCall> TakeHeld(State& state) {
+std::vector<HeldCall> TakeHeld(State& state) {
   const bool read = state.config_io.reader.caught_up &&
                     state.config_io.reader.caught_up_at >= state.refresh.since;
   if (state.refresh.active &&
@@ -79,7 +81,11 @@
   if (state.refresh.active) {
     return {};
   }
-  return std::exchange(state.refresh.held, {});
+  std::vector<HeldCall> held = std::exchange(state.refresh.held, {});
+  const auto gone = std::exchange(state.refresh.gone, {});
+  std::erase_if(held,
+                [&](const HeldCall& it) { return gone.contains(it.call.id); });
+  return held;
 }
 
 }  // namespace shallotlug::entry
--- a/packages/entry/src/state.h
+++ b/packages/entry/src/state.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "shallotlug/decision/live_route.h"
@@ -37,6 +38,8 @@
   int in_flight = 0;  ///< Live requests since the last report.
   std::optional<std::size_t> routing_row;
   std::optional<decision::WorkerIndex> worker;
+  /// As of the last update of the planner's tables.
+  decision::HealthState health = decision::HealthState::kHealthy;
   std::uint64_t config_revision = 0;  ///< Last reported.
   std::uint64_t config_sent = 0;      ///< Last pushed on this link.
   TimePoint config_sent_at{};
@@ -87,6 +90,9 @@
   TimePoint caught_up_at{};
   bool caught_up = false;  ///< Reached the end at least once.
   bool failing = false;
+  /// Reads given up without a result. A result that comes while there are some
+  /// may be theirs, so it does not prove where the stream ended after `opened`.
+  int lost = 0;
 };
 
 /// @brief Reads and appends of one stream.
@@ -95,11 +101,19 @@
   stream::AppendQueue appends;
 };
 
+/// @brief A call that waits for a refresh. Its deadline counts from its
+/// arrival.
+struct HeldCall {
+  IncomingCall call;
+  TimePoint arrived{};
+};
+
 /// @brief Calls that wait until a resumed entry has the configuration again.
 struct Refresh {
   bool active = false;
   TimePoint since{};
-  std::vector<IncomingCall> held;
+  std::vector<HeldCall> held;
+  std::unordered_set<CallId> gone;  ///< Callers of held calls that left.
 };
 
 /// @brief Tokens for retries: a share of the successes plus a floor.
@@ -129,6 +143,7 @@
   TimePoint now{};
   TimePoint started{};
   TimePoint last_step{};
+  TimePoint call_arrived{};  ///< Of the call that is being handled.
 
   std::map<LinkId, Link> links;
   std::map<AgentName, Agent> agents;
@@ -157,7 +172,7 @@
   stream::EntriesFold entries;
   StreamIo entry_io;
   TimePoint next_announcement{};
-  bool was_planner = false;
+  bool planner = false;  ///< As of the last housekeeping.
   Witnesses witnesses;
 
   Jobs jobs;
