--- a/packages/base/include/shallotlug/base/ids.h
+++ b/packages/base/include/shallotlug/base/ids.h
@@ -19,6 +19,7 @@
   explicit StringId(std::string text) : value(std::move(text)) {}
 
   bool empty() const { return value.empty(); }
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive in std::pair.
   auto operator<=>(const StringId&) const = default;
 
   friend std::ostream& operator<<(std::ostream& out, const StringId& id) {
--- a/packages/harness/include/shallotlug/harness/process.h
+++ b/packages/harness/include/shallotlug/harness/process.h
@@ -16,6 +16,7 @@
   Role role = Role::kEntry;
   int index = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive.
   auto operator<=>(const ProcessRef&) const = default;
 };
 
--- a/packages/harness/src/oracle_test.cc
+++ b/packages/harness/src/oracle_test.cc
@@ -22,12 +22,11 @@
 class OracleTest : public testing::Test {
  protected:
   void DeclareJob(const std::string& name, int tasks, bool repeatable = true) {
-    oracle_.Declare(
+    oracle.Declare(
         name, {ToBody({name, Millis(100), false}), repeatable, true, tasks});
   }
   void DeclareRequest(const std::string& name) {
-    oracle_.Declare(name,
-                    {ToBody({name, Millis(100), false}), false, false, 1});
+    oracle.Declare(name, {ToBody({name, Millis(100), false}), false, false, 1});
   }
   void Start(int at,
              int worker,
@@ -35,15 +34,15 @@
              const std::string& name,
              const std::string& attempt,
              AcceleratorMask mask) {
-    oracle_.TaskStarted(Millis(at), worker, TaskId(task), name, attempt, mask);
+    oracle.TaskStarted(Millis(at), worker, TaskId(task), name, attempt, mask);
   }
   void End(int at, int worker, const std::string& task, bool finished = false) {
-    oracle_.TaskEnded(Millis(at), worker, TaskId(task),
-                      finished ? agent::TaskEventKind::kFinished
-                               : agent::TaskEventKind::kStopped);
+    oracle.TaskEnded(Millis(at), worker, TaskId(task),
+                     finished ? agent::TaskEventKind::kFinished
+                              : agent::TaskEventKind::kStopped);
   }
 
-  Oracle oracle_;
+  Oracle oracle;
 };
 
 // Guards against an oracle that misses the use of accelerators of a stopped
@@ -54,10 +53,10 @@
   Start(0, 1, "a", "g", "1", kLow);
   Start(10, 2, "b", "g", "1", kLow);
   Start(20, 2, "c", "r", "", kHigh);
-  EXPECT_TRUE(oracle_.violations().empty());
+  EXPECT_TRUE(oracle.violations().empty());
   End(30, 2, "b");
   Start(40, 2, "d", "r", "", kLow);
-  EXPECT_THAT(Broken(oracle_), testing::Contains(Promise::kP2));
+  EXPECT_THAT(Broken(oracle), testing::Contains(Promise::kP2));
 }
 
 TEST_F(OracleTest, AllowsReuseOnceTheWholeGangHasStopped) {
@@ -68,8 +67,8 @@
   End(30, 2, "b");
   End(35, 1, "a");
   Start(40, 2, "d", "h", "1", kLow);
-  oracle_.Tick(Millis(20'000));
-  EXPECT_TRUE(oracle_.violations().empty());
+  oracle.Tick(Millis(20'000));
+  EXPECT_TRUE(oracle.violations().empty());
 }
 
 // Guards against an oracle that lets a gang run on in part.
@@ -78,19 +77,19 @@
   Start(0, 1, "a", "g", "1", kLow);
   Start(10, 2, "b", "g", "1", kLow);
   End(1000, 2, "b");
-  oracle_.Tick(Millis(7000));
-  EXPECT_TRUE(oracle_.violations().empty());
-  oracle_.Tick(Millis(7010));
-  oracle_.Tick(Millis(7020));
-  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+  oracle.Tick(Millis(7000));
+  EXPECT_TRUE(oracle.violations().empty());
+  oracle.Tick(Millis(7010));
+  oracle.Tick(Millis(7020));
+  EXPECT_EQ(Broken(oracle), std::vector{Promise::kP2});
 }
 
 TEST_F(OracleTest, SeesAGangThatNeverStartsAsAWhole) {
   DeclareJob("g", 3);
   Start(0, 1, "a", "g", "1", kLow);
   Start(10, 2, "b", "g", "1", kLow);
-  oracle_.Tick(Millis(6010));
-  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+  oracle.Tick(Millis(6010));
+  EXPECT_EQ(Broken(oracle), std::vector{Promise::kP2});
 }
 
 // A member that finished has done its part.
@@ -99,8 +98,8 @@
   Start(0, 1, "a", "g", "1", kLow);
   Start(10, 2, "b", "g", "1", kLow);
   End(1000, 2, "b", true);
-  oracle_.Tick(Millis(60'000));
-  EXPECT_TRUE(oracle_.violations().empty());
+  oracle.Tick(Millis(60'000));
+  EXPECT_TRUE(oracle.violations().empty());
 }
 
 TEST_F(OracleTest, SeesTwoTasksOnOneAcceleratorUnlessOneIsThrottled) {
@@ -108,40 +107,40 @@
   DeclareRequest("r");
   DeclareRequest("s");
   Start(0, 1, "a", "j", "1", 0xff);
-  oracle_.TaskThrottled(Millis(5), 1, TaskId("a"), true);
+  oracle.TaskThrottled(Millis(5), 1, TaskId("a"), true);
   Start(10, 1, "b", "r", "", 0x01);
-  EXPECT_TRUE(oracle_.violations().empty());
-  oracle_.TaskThrottled(Millis(20), 1, TaskId("a"), false);
-  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+  EXPECT_TRUE(oracle.violations().empty());
+  oracle.TaskThrottled(Millis(20), 1, TaskId("a"), false);
+  EXPECT_EQ(Broken(oracle), std::vector{Promise::kP2});
 }
 
 TEST_F(OracleTest, SeesAThrottledGang) {
   DeclareJob("g", 2);
   Start(0, 1, "a", "g", "1", kLow);
-  oracle_.TaskThrottled(Millis(5), 1, TaskId("a"), true);
-  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+  oracle.TaskThrottled(Millis(5), 1, TaskId("a"), true);
+  EXPECT_EQ(Broken(oracle), std::vector{Promise::kP2});
 }
 
 // Guards against an oracle that accepts a part of an answer or another's.
 TEST_F(OracleTest, SeesAWrongAnswer) {
   DeclareRequest("r");
   const std::string right = AnswerTo(ToBody({"r", Millis(100), false}));
-  oracle_.ToldAnswer(Millis(1), "r", right);
-  EXPECT_TRUE(oracle_.violations().empty());
-  oracle_.ToldAnswer(Millis(1), "r", right.substr(1));
-  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP3});
+  oracle.ToldAnswer(Millis(1), "r", right);
+  EXPECT_TRUE(oracle.violations().empty());
+  oracle.ToldAnswer(Millis(1), "r", right.substr(1));
+  EXPECT_EQ(Broken(oracle), std::vector{Promise::kP3});
 }
 
 TEST_F(OracleTest, SeesWorkThatRanBeforeOrAfterNotRun) {
   DeclareRequest("r");
   DeclareRequest("s");
-  oracle_.ToldNotRun(Millis(1), "r");
-  EXPECT_TRUE(oracle_.violations().empty());
+  oracle.ToldNotRun(Millis(1), "r");
+  EXPECT_TRUE(oracle.violations().empty());
   Start(10, 1, "a", "r", "", kLow);
   End(15, 1, "a");
   Start(20, 1, "b", "s", "", kLow);
-  oracle_.ToldNotRun(Millis(25), "s");
-  EXPECT_EQ(Broken(oracle_), (std::vector{Promise::kP4, Promise::kP4}));
+  oracle.ToldNotRun(Millis(25), "s");
+  EXPECT_EQ(Broken(oracle), (std::vector{Promise::kP4, Promise::kP4}));
 }
 
 TEST_F(OracleTest, SeesASecondStartOfUnrepeatableWork) {
@@ -151,22 +150,22 @@
   End(5, 1, "a");
   Start(10, 1, "b", "g", "1", kLow);
   Start(10, 2, "b", "g", "1", kLow);
-  EXPECT_TRUE(oracle_.violations().empty());
+  EXPECT_TRUE(oracle.violations().empty());
   Start(20, 2, "c", "r", "", kHigh);
   End(30, 1, "b");
   End(30, 2, "b");
   Start(40, 1, "d", "g", "2", kLow);
-  EXPECT_EQ(Broken(oracle_), (std::vector{Promise::kP5, Promise::kP5}));
+  EXPECT_EQ(Broken(oracle), (std::vector{Promise::kP5, Promise::kP5}));
 }
 
 TEST_F(OracleTest, SeesAStartOnALeavingWorker) {
   DeclareRequest("r");
   DeclareRequest("s");
-  oracle_.WorkerLeaving(Millis(1000), 1, true);
+  oracle.WorkerLeaving(Millis(1000), 1, true);
   Start(6000, 1, "a", "r", "", kLow);
-  EXPECT_TRUE(oracle_.violations().empty());
+  EXPECT_TRUE(oracle.violations().empty());
   Start(6010, 1, "b", "s", "", kHigh);
-  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP6});
+  EXPECT_EQ(Broken(oracle), std::vector{Promise::kP6});
 }
 
 // Guards against a job that is reported finished on the word of one member.
@@ -176,8 +175,8 @@
   Start(0, 1, "a", "g", "1", kLow);
   Start(10, 2, "b", "g", "1", kLow);
   End(20, 1, "a", true);
-  oracle_.ToldJobFinished(Millis(30), "g", result);
-  EXPECT_EQ(Broken(oracle_), std::vector{Promise::kP2});
+  oracle.ToldJobFinished(Millis(30), "g", result);
+  EXPECT_EQ(Broken(oracle), std::vector{Promise::kP2});
 }
 
 }  // namespace
