--- a/packages/entry/src/step.cc
+++ b/packages/entry/src/step.cc
@@ -140,9 +140,11 @@
 }
 
 void TakeCalls(State& state, const Inbox& inbox) {
-  for (const IncomingCall& it : TakeHeld(state)) {
-    Dispatch(state, it);
+  for (const HeldCall& it : TakeHeld(state)) {
+    state.call_arrived = it.arrived;
+    Dispatch(state, it.call);
   }
+  state.call_arrived = state.now;
   for (const IncomingCall& it : inbox.calls) {
     if (!Hold(state, it)) {
       Dispatch(state, it);
@@ -209,15 +211,16 @@
   state.out = Outbox{};
   state.now = now;
   CheckPause(state);
-  if (inbox.shutdown_requested) {
-    BeginShutdown(state);
-  }
   TakeLinks(state, inbox);
   for (const Received& it : inbox.received) {
     OnReceived(state, it);
   }
   TakeLog(state, inbox);
   TakeCalls(state, inbox);
+  // Calls that came together with the request to stop are still taken.
+  if (inbox.shutdown_requested) {
+    BeginShutdown(state);
+  }
   KeepHouse(state);
   HandleRequestTimers(state);
   PlanJobs(state);
