Learn of failing workers from the requests of all entries

Callers mint an id at one entry and send it through another, so the minting entry never saw the failures. Change: agents report finished and failed live requests; entries count those that were not their own.

--- a/packages/agent/src/backend_tasks.cc
+++ b/packages/agent/src/backend_tasks.cc
@@ -21,12 +21,12 @@
                 std::to_string(state.backend.next_task++));
 }
 
-void CountEnd(State& state, const TaskEvent& event) {
+void CountLiveEnd(State& state, const TaskEvent& event) {
   if (event.kind == TaskEventKind::kFinished) {
-    ++state.reporting.tasks_finished;
+    ++state.reporting.live_finished;
   }
   if (event.kind == TaskEventKind::kFailed) {
-    ++state.reporting.tasks_failed;
+    ++state.reporting.live_failed;
   }
 }
 
@@ -43,8 +43,11 @@
     return;
   }
   const TaskOwner owner = it->second.owner;
+  const bool live = it->second.live;
   state.backend.tasks.erase(it);
-  CountEnd(state, event);
+  if (live) {
+    CountLiveEnd(state, event);
+  }
   if (const auto* id = std::get_if<RequestId>(&owner)) {
     OnRequestTaskEnd(state, *id, event, now, out);
   } else if (const auto* member = std::get_if<MemberTask>(&owner)) {
--- a/packages/agent/src/reports.cc
+++ b/packages/agent/src/reports.cc
@@ -29,8 +29,8 @@
   report.live_running = LiveRunning(state);
   report.live_queued = static_cast<int>(state.live.queue.size());
   report.expected_wait = ExpectedWait(state, 1, state.live.queue.size());
-  report.tasks_finished = state.reporting.tasks_finished;
-  report.tasks_failed = state.reporting.tasks_failed;
+  report.live_finished = state.reporting.live_finished;
+  report.live_failed = state.reporting.live_failed;
   report.linked_entries = LinkedEntries(state);
   return report;
 }
--- a/packages/agent/src/state.h
+++ b/packages/agent/src/state.h
@@ -229,8 +229,8 @@
   TimePoint last{};
   StartableView view;
   std::vector<ListedAttempt> listed;
-  std::int64_t tasks_finished = 0;
-  std::int64_t tasks_failed = 0;
+  std::int64_t live_finished = 0;
+  std::int64_t live_failed = 0;
 };
 
 struct State {
--- a/packages/entry/src/agents.cc
+++ b/packages/entry/src/agents.cc
@@ -1,5 +1,6 @@
 #include "agents.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "attempts.h"
@@ -78,6 +79,33 @@
   OnAgentLinked(state, agent, new_life);
 }
 
+// Failures beyond this count in one report change nothing.
+constexpr std::int64_t kMaxFailuresPerReport = 8;
+
+// Takes in the results of live requests that other entries sent. An entry that
+// mints ids for callers who send them elsewhere would otherwise keep choosing a
+// worker that fails everything.
+void LearnFromOtherEntries(State& state,
+                           Agent& agent,
+                           const AgentReport& report) {
+  if (agent.reported) {
+    const std::int64_t finished =
+        report.live_finished - agent.report.live_finished - agent.own_finished;
+    const std::int64_t failed =
+        report.live_failed - agent.report.live_failed - agent.own_failed;
+    if (finished > 0) {
+      decision::RecordOutcome(state.health, agent.ref.name, {}, true,
+                              state.now);
+    }
+    for (std::int64_t n = 0; n < std::min(failed, kMaxFailuresPerReport); ++n) {
+      decision::RecordOutcome(state.health, agent.ref.name, {}, false,
+                              state.now);
+    }
+  }
+  agent.own_finished = 0;
+  agent.own_failed = 0;
+}
+
 }  // namespace
 
 void OnLinkUp(State& state, const LinkUp& up) {
@@ -127,6 +155,7 @@
   std::vector<RunningAttempt> attempts = std::move(agent->report.attempts);
   state.witnesses.stale |=
       !agent->reported || agent->report.linked_entries != report.linked_entries;
+  LearnFromOtherEntries(state, *agent, report);
   agent->report = report;
   if (!report.has_attempts) {
     agent->report.attempts = std::move(attempts);
--- a/packages/entry/src/live.cc
+++ b/packages/entry/src/live.cc
@@ -225,8 +225,11 @@
   const decision::HealthState before = decision::StateOf(state.health, agent);
   decision::RecordOutcome(state.health, agent, {}, success, state.now);
   const auto it = state.agents.find(agent);
-  if (it != state.agents.end() &&
-      decision::StateOf(state.health, agent) != before) {
+  if (it == state.agents.end()) {
+    return;
+  }
+  ++(success ? it->second.own_finished : it->second.own_failed);
+  if (decision::StateOf(state.health, agent) != before) {
     RefreshCandidate(state, it->second);
     SyncWorker(state, it->second);
   }
--- a/packages/entry/src/state.h
+++ b/packages/entry/src/state.h
@@ -36,6 +36,9 @@
   AgentReport report;
   TimePoint last_heard{};
   int in_flight = 0;  ///< Live requests since the last report.
+  /// Results of this entry's own live requests since the last report.
+  std::int64_t own_finished = 0;
+  std::int64_t own_failed = 0;
   std::optional<std::size_t> routing_row;
   std::optional<decision::WorkerIndex> worker;
   /// As of the last update of the planner's tables.
--- a/packages/protocol/include/shallotlug/protocol/messages.h
+++ b/packages/protocol/include/shallotlug/protocol/messages.h
@@ -177,9 +177,11 @@
   int free_slots = 0;
   int live_running = 0;
   int live_queued = 0;
-  Millis expected_wait{};           ///< For a live request that arrived now.
-  std::int64_t tasks_finished = 0;  ///< Since the agent's start.
-  std::int64_t tasks_failed = 0;
+  Millis expected_wait{};  ///< For a live request that arrived now.
+  /// Live requests that finished and that failed since the agent's start. Each
+  /// entry learns from them what the requests of other entries met.
+  std::int64_t live_finished = 0;
+  std::int64_t live_failed = 0;
   /// Entries that this agent is linked to. Entries learn from it that another
   /// entry is gone, long before its announcement on the log expires.
   std::vector<EntryName> linked_entries;
--- a/packages/protocol/src/codec.cc
+++ b/packages/protocol/src/codec.cc
@@ -442,8 +442,8 @@
   out.setLiveRunning(in.live_running);
   out.setLiveQueued(in.live_queued);
   out.setExpectedWait(in.expected_wait.count());
-  out.setTasksFinished(in.tasks_finished);
-  out.setTasksFailed(in.tasks_failed);
+  out.setLiveFinished(in.live_finished);
+  out.setLiveFailed(in.live_failed);
   out.setHasAttempts(in.has_attempts);
   WriteList(in.attempts, out.initAttempts(Count(in.attempts)));
   WriteNames(in.linked_entries,
@@ -460,8 +460,8 @@
   out.live_running = in.getLiveRunning();
   out.live_queued = in.getLiveQueued();
   out.expected_wait = Millis(in.getExpectedWait());
-  out.tasks_finished = in.getTasksFinished();
-  out.tasks_failed = in.getTasksFailed();
+  out.live_finished = in.getLiveFinished();
+  out.live_failed = in.getLiveFailed();
   out.has_attempts = in.getHasAttempts();
   ReadList(in.getAttempts(), out.attempts);
   ReadNames(in.getLinkedEntries(), out.linked_entries);
--- a/packages/protocol/src/messages.capnp
+++ b/packages/protocol/src/messages.capnp
@@ -196,8 +196,8 @@
   liveRunning @6 :Int32;
   liveQueued @7 :Int32;
   expectedWait @8 :Int64;
-  tasksFinished @9 :Int64;
-  tasksFailed @10 :Int64;
+  liveFinished @9 :Int64;
+  liveFailed @10 :Int64;
   hasAttempts @11 :Bool;
   attempts @12 :List(RunningAttempt);
   linkedEntries @13 :List(Text);
--- a/packages/protocol/src/messages.capnp.h
+++ b/packages/protocol/src/messages.capnp.h
@@ -2520,9 +2520,9 @@
 
   inline  ::int64_t getExpectedWait() const;
 
-  inline  ::int64_t getTasksFinished() const;
+  inline  ::int64_t getLiveFinished() const;
 
-  inline  ::int64_t getTasksFailed() const;
+  inline  ::int64_t getLiveFailed() const;
 
   inline bool getHasAttempts() const;
 
@@ -2592,11 +2592,11 @@
   inline  ::int64_t getExpectedWait();
   inline void setExpectedWait( ::int64_t value);
 
-  inline  ::int64_t getTasksFinished();
-  inline void setTasksFinished( ::int64_t value);
+  inline  ::int64_t getLiveFinished();
+  inline void setLiveFinished( ::int64_t value);
 
-  inline  ::int64_t getTasksFailed();
-  inline void setTasksFailed( ::int64_t value);
+  inline  ::int64_t getLiveFailed();
+  inline void setLiveFailed( ::int64_t value);
 
   inline bool getHasAttempts();
   inline void setHasAttempts(bool value);
@@ -5934,30 +5934,30 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t AgentReport::Reader::getTasksFinished() const {
+inline  ::int64_t AgentReport::Reader::getLiveFinished() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t AgentReport::Builder::getTasksFinished() {
+inline  ::int64_t AgentReport::Builder::getLiveFinished() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void AgentReport::Builder::setTasksFinished( ::int64_t value) {
+inline void AgentReport::Builder::setLiveFinished( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t AgentReport::Reader::getTasksFailed() const {
+inline  ::int64_t AgentReport::Reader::getLiveFailed() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t AgentReport::Builder::getTasksFailed() {
+inline  ::int64_t AgentReport::Builder::getLiveFailed() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void AgentReport::Builder::setTasksFailed( ::int64_t value) {
+inline void AgentReport::Builder::setLiveFailed( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
