--- a/packages/harness/src/fuzz_test.cc
+++ b/packages/harness/src/fuzz_test.cc
@@ -3,7 +3,6 @@
 #include <rapidcheck/gtest.h>
 #include <rapidcheck/state.h>
 
-#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <set>
@@ -136,9 +135,7 @@
 void AddJobOptions(Step& step) {
   step.options["run"] = ToString(Millis(Pick(1, 10) * 1000));
   step.options["tasks"] = std::to_string(Pick(1, kAgents));
-  // Larger gangs may need the room kept for live requests and never start; see
-  // the scenario gang_whole_cluster.
-  step.options["accelerators"] = std::to_string(Pick(1, 4));
+  step.options["accelerators"] = std::to_string(Pick(1, 8));
   if (Pick(0, 2) == 0) {
     step.options["repeatable"] = "no";
   }
@@ -164,11 +161,6 @@
     case Verb::kFreeze:
     case Verb::kShutdown:
       step.a = AnyProcess();
-      // A longer pause of an entry prolongs deadlines; see the scenario
-      // paused_entry_deadline.
-      if (verb == Verb::kFreeze && step.a.role == Role::kEntry) {
-        step.duration = std::min(step.duration, Millis(1900));
-      }
       break;
     case Verb::kDestroy:
     case Verb::kLeave:
