--- a/packages/decision/src/worker_health.cc
+++ b/packages/decision/src/worker_health.cc
@@ -12,6 +12,9 @@
 constexpr int kSuccessesToForgive = 20;
 constexpr Millis kFirstQuarantine{30'000};
 constexpr int kMaxDoublings = 5;
+/// A probe needs work that may be repeated. Without any, the worker is trusted
+/// again after this time, so that other work does not wait for it for ever.
+constexpr Millis kProbeLimit{60'000};
 
 /// Whether the failures since the last success speak against the worker. Live
 /// requests have no id; each counts as distinct work.
@@ -35,6 +38,13 @@
   ++row.quarantines;
 }
 
+/// The next failure quarantines the worker again.
+void EndProbe(WorkerHealthRow& row) {
+  row.state = HealthState::kHealthy;
+  row.failed_work.resize(
+      std::min(row.failed_work.size(), kFailuresToQuarantine - 1));
+}
+
 void RecordSuccess(WorkerHealthRow& row) {
   row.state = HealthState::kHealthy;
   row.consecutive_failures = 0;
@@ -103,6 +113,9 @@
   for (auto& [agent, row] : table.workers) {
     if (row.state == HealthState::kQuarantined && now >= row.probe_at) {
       row.state = HealthState::kProbing;
+    } else if (row.state == HealthState::kProbing &&
+               now >= row.probe_at + kProbeLimit) {
+      EndProbe(row);
     }
   }
 }
--- a/packages/decision/src/worker_health_test.cc
+++ b/packages/decision/src/worker_health_test.cc
@@ -72,5 +72,23 @@
   EXPECT_EQ(StateOf(table, Worker(0)), HealthState::kHealthy);
 }
 
+// Guards against a worker that is never trusted again when no work that may be
+// repeated comes to probe it, and against trusting it fully.
+TEST(WorkerHealthTest, AProbeWithoutWorkEnds) {
+  HealthTable table;
+  const AgentName agent("a");
+  TimePoint now(Millis(1'000));
+  for (int n = 0; n < 3; ++n) {
+    RecordOutcome(table, agent, {}, false, now);
+  }
+  now = table.workers[agent].probe_at;
+  UpdateHealth(table, now);
+  EXPECT_EQ(StateOf(table, agent), HealthState::kProbing);
+  UpdateHealth(table, now + std::chrono::minutes(1));
+  EXPECT_EQ(StateOf(table, agent), HealthState::kHealthy);
+  RecordOutcome(table, agent, {}, false, now);
+  EXPECT_EQ(StateOf(table, agent), HealthState::kQuarantined);
+}
+
 }  // namespace
 }  // namespace shallotlug::decision
