--- a/packages/harness/src/guards_test.cc
+++ b/packages/harness/src/guards_test.cc
@@ -200,7 +200,7 @@
 };
 
 // Registered by hand for plain names; see scenarios_test.cc.
-const bool kRegistered = [] {
+[[maybe_unused]] const bool registered = [] {
   for (const Mutation& mutation : kMutations) {
     std::string name = mutation.guard;
     name[name.find('.')] = '_';
--- a/packages/harness/src/scenarios_test.cc
+++ b/packages/harness/src/scenarios_test.cc
@@ -50,7 +50,7 @@
 
 // Registered by hand, because ctest appends the value of a parameter to the
 // name of a test, and KNOWN-RED.txt needs plain names.
-const bool kRegistered = [] {
+[[maybe_unused]] const bool registered = [] {
   for (const std::string& name : ScenarioFiles()) {
     testing::RegisterTest(
         "ScenarioTest", name.c_str(), nullptr, nullptr, __FILE__, __LINE__,
