--- a/packages/entry/src/live.cc
+++ b/packages/entry/src/live.cc
@@ -225,8 +225,11 @@
   const decision::HealthState before = decision::StateOf(state.health, agent);
   decision::RecordOutcome(state.health, agent, {}, success, state.now);
   const auto it = state.agents.find(agent);
-  if (it != state.agents.end() &&
-      decision::StateOf(state.health, agent) != before) {
+  if (it == state.agents.end()) {
+    return;
+  }
+  ++(success ? it->second.own_finished : it->second.own_failed);
+  if (decision::StateOf(state.health, agent) != before) {
     RefreshCandidate(state, it->second);
     SyncWorker(state, it->second);
   }
@@ -257,7 +260,10 @@
       FinishAnswered(state, id, outcome.answer);
       break;
     case RequestResult::kFailed:
-      NoteLiveResult(state, id.agent.name, false);
+      // A cancelled request says nothing about its worker.
+      if (outcome.reason != "cancelled") {
+        NoteLiveResult(state, id.agent.name, false);
+      }
       FinishError(state, id, api::ErrorCode::kFailed,
                   outcome.reason.empty() ? "failed" : outcome.reason,
                   "the backend server ran the request and reported a failure");
