Refuse numbers that are not finite in API bodies and log records

NaN passed both comparisons with the limits of an objective, so an operator's change was accepted for appending, but its record was written with the word NaN, which no reader parses: the change could never be resolved. Change: the range check of ObjectReader is written so that NaN fails it, and FieldReader::Real makes a record with a number that is not finite malformed.

--- a/packages/api/src/http_test.cc
+++ b/packages/api/src/http_test.cc
@@ -68,6 +68,20 @@
             ErrorCode::kNotFound);
 }
 
+// Guards against an objective of NaN, which passes both comparisons with its
+// limits and makes the record of the change unreadable.
+TEST(ParseCallTest, RefusesAnObjectiveThatIsNoNumber) {
+  for (const std::string number : {"0e999", "1e999", "-1e999"}) {
+    const ErrorReply error = Error(ParseCall(Operator(
+        "PUT", "/v1/targets/match",
+        R"({"change_id":"c1","base_version":0,"customer":"c","kind":"live",
+"finish_within_ms":800,"objective":)" +
+            number + "}")));
+    ASSERT_EQ(error.findings.size(), 1U) << number;
+    EXPECT_EQ(error.findings[0].path, "/objective");
+  }
+}
+
 // Guards against an empty cancel call that cancels everything.
 TEST(ParseCallTest, CancelNeedsIdsOrAClass) {
   EXPECT_EQ(
--- a/packages/base/src/object_reader.cc
+++ b/packages/base/src/object_reader.cc
@@ -64,7 +64,8 @@
   const double* it = std::get_if<double>(&node->value);
   const std::int64_t* n = std::get_if<std::int64_t>(&node->value);
   const double value = it ? *it : n ? static_cast<double>(*n) : max + 1;
-  if (value < min || value > max) {
+  // Also refuses NaN, which the JSON parser makes of numbers such as 0e999.
+  if (!(value >= min && value <= max)) {
     Fault(key, "must be a number from " + std::to_string(min) + " to " +
                    std::to_string(max));
     return;
--- a/packages/stream/src/config_fold_test.cc
+++ b/packages/stream/src/config_fold_test.cc
@@ -33,6 +33,22 @@
                        : static_cast<int>(it->target.finish_within.count());
 }
 
+// Guards against a number outside the range of double that is read as infinity
+// or NaN and makes the next snapshot unreadable.
+TEST(ConfigRecordTest, RefusesNumbersThatAreNotFinite) {
+  const std::string valid =
+      Format(TargetChangeRecord{"a", Target("x", 1000), 0, false});
+  const std::string key = R"("objective":)";
+  const std::size_t from = valid.find(key) + key.size();
+  const std::size_t length = valid.find(',', from) - from;
+  for (const std::string number : {"0e999", "1e999", "-1e999"}) {
+    std::string damaged = valid;
+    damaged.replace(from, length, number);
+    EXPECT_EQ(ParseConfigRecord(damaged), ConfigRecord(ParseFault::kMalformed))
+        << number;
+  }
+}
+
 // Guards against two operators' changes of one version both being accepted.
 TEST(ConfigFoldTest, FirstChangeInOffsetOrderWins) {
   ConfigFold fold;
--- a/packages/stream/src/json_fields.cc
+++ b/packages/stream/src/json_fields.cc
@@ -1,5 +1,7 @@
 #include "json_fields.h"
 
+#include <cmath>
+
 namespace shallotlug::stream {
 namespace {
 
@@ -56,6 +58,9 @@
 double FieldReader::Real(std::string_view key) {
   const json::value* it = Find(key);
   if (it != nullptr && it->is_double()) {
+    // The JSON parser makes infinity of 1e999 and NaN of 0e999. A record with
+    // NaN could not be formatted again for a snapshot.
+    ok = ok && std::isfinite(it->get_double());
     return it->get_double();
   }
   return it == nullptr ? 0 : static_cast<double>(Integer(key));
