Print long durations of scenarios so that they parse again

Cause: a duration such as 1000000min was printed as 60000000s, and the parser reads numbers up to 1000000 only. A scenario that the fuzzer prints could not be run again. Change: durations of more than 1000000 s are printed in minutes.

--- a/packages/harness/src/scenario.cc
+++ b/packages/harness/src/scenario.cc
@@ -99,6 +99,8 @@
     {Verb::kExpectBurst, "expect burst <name> final within <within>", "", ""},
 };
 
+constexpr int kMaxNumber = 1'000'000;
+
 struct Token {
   std::string_view text;
   int column = 0;
@@ -134,7 +136,7 @@
   const auto [end, ec] =
       std::from_chars(text.data(), text.data() + text.size(), number);
   if (ec != std::errc() || end != text.data() + text.size() || number < 0 ||
-      number > 1'000'000) {
+      number > kMaxNumber) {
     return std::nullopt;
   }
   return number;
@@ -389,6 +391,10 @@
 
 std::string ToString(Millis duration) {
   const std::int64_t count = duration.count();
+  // The parser reads no larger number of seconds.
+  if (count / 1000 > kMaxNumber && count % 60'000 == 0) {
+    return std::to_string(count / 60'000) + "min";
+  }
   return count % 1000 == 0 ? std::to_string(count / 1000) + "s"
                            : std::to_string(count) + "ms";
 }
--- a/packages/harness/src/scenario_test.cc
+++ b/packages/harness/src/scenario_test.cc
@@ -44,6 +44,16 @@
             "x.scenario:6:23: unexpected text\n");
 }
 
+// Guards against a long duration that is printed with more seconds than the
+// parser reads.
+TEST(ScenarioParserTest, PrintsLongDurationsThatParse) {
+  for (const char* text : {"999999ms", "1000000s", "16667min", "1000000min"}) {
+    const auto duration = ParseDuration(text);
+    ASSERT_TRUE(duration) << text;
+    EXPECT_EQ(ParseDuration(ToString(*duration)), duration) << text;
+  }
+}
+
 // Guards against a failing fuzz case that cannot be run again from its print.
 TEST(ScenarioParserTest, PrintsWhatItParses) {
   for (const std::string& text : Corpus()) {
