--- a/packages/agent/src/links.cc
+++ b/packages/agent/src/links.cc
@@ -67,6 +67,15 @@
   return !target.behind || !EntryLinked(state, *target.behind);
 }
 
+bool AnyEntryLink(const State& state) {
+  for (const auto& [id, link] : state.links) {
+    if (link.entry) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool DialDue(const State& state, const DialTarget& target, TimePoint now) {
   if (target.last_dial == TimePoint{}) {
     return true;
@@ -75,17 +84,10 @@
   if (target.pending) {
     return since >= kDialTimeout;
   }
-  return since >= (IsBalancer(target) ? state.options.seed_redial_interval
-                                      : kRedialInterval);
-}
-
-bool AnyEntryLink(const State& state) {
-  for (const auto& [id, link] : state.links) {
-    if (link.entry) {
-      return true;
-    }
-  }
-  return false;
+  // Without any entry, a balancer is the only way back.
+  const bool discover = IsBalancer(target) && AnyEntryLink(state);
+  return since >=
+         (discover ? state.options.seed_redial_interval : kRedialInterval);
 }
 
 // Addresses of entries are kept while no entry is linked: they may come back.
