Drop commands of an earlier incarnation in the fake backend server

Ruled out: the product; the client in net sends the incarnation with each command and the backend server refuses another one. The fake did not.

--- a/packages/harness/src/fake_worker.cc
+++ b/packages/harness/src/fake_worker.cc
@@ -119,8 +119,13 @@
   }
 }
 
-void FakeWorker::Handle(Millis now, const agent::BackendCommand& command) {
+void FakeWorker::Handle(Millis now,
+                        std::uint64_t incarnation,
+                        const agent::BackendCommand& command) {
   Tick(now);
+  if (incarnation != incarnation_) {
+    return;
+  }
   if (const auto* start = std::get_if<agent::StartTask>(&command)) {
     Start(now, *start);
   } else if (const auto* renew = std::get_if<agent::RenewLease>(&command)) {
--- a/packages/harness/src/processes.h
+++ b/packages/harness/src/processes.h
@@ -11,6 +11,13 @@
 
 namespace shallotlug::harness {
 
+/// @brief A command on its way to a backend server.
+struct PendingCommand {
+  Millis at{};
+  std::uint64_t incarnation = 0;
+  agent::BackendCommand command;
+};
+
 /// @brief An agent process, its machine's clock and its backend server.
 struct World::Agent {
   ProcessRef ref;
@@ -18,7 +25,9 @@
   ClockModel clock;
   agent::StatePtr state;
   std::unique_ptr<FakeWorker> worker;
-  std::deque<std::pair<Millis, agent::BackendCommand>> commands;
+  std::deque<PendingCommand> commands;
+  /// Of the backend server, by the last report that the agent has.
+  std::uint64_t backend_incarnation = 0;
   std::deque<std::pair<Millis, agent::BackendReport>> reports;
   bool alive = false;
   bool shutdown_due = false;
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -313,6 +313,7 @@
   inbox.links_down = std::move(arrivals.links_down);
   inbox.received = std::move(arrivals.received);
   while (!agent.reports.empty() && agent.reports.front().first <= now_) {
+    agent.backend_incarnation = agent.reports.front().second.incarnation;
     inbox.backend_reports.push_back(std::move(agent.reports.front().second));
     agent.reports.pop_front();
   }
@@ -332,14 +333,15 @@
   }
   for (agent::BackendCommand& command : outbox.backend_commands) {
     TraceCommand(agent.ref, command);
-    agent.commands.emplace_back(now_ + kCommandDelay, std::move(command));
+    agent.commands.push_back(
+        {now_ + kCommandDelay, agent.backend_incarnation, std::move(command)});
   }
   CheckRevision(agent.ref, agent::CurrentTargets(*agent.state).revision,
                 agent.highest_revision);
   if (outbox.may_exit) {
     // Commands that were handed to the shell still reach the backend server.
-    for (const auto& [at, command] : agent.commands) {
-      agent.worker->Handle(now_, command);
+    for (const PendingCommand& it : agent.commands) {
+      agent.worker->Handle(now_, it.incarnation, it.command);
     }
     Kill(agent.ref, false);
   }
@@ -412,11 +414,10 @@
   network_.Tick(now_);
   log_.Tick(now_);
   for (auto& agent : agents_) {
-    while (!agent->commands.empty() && agent->commands.front().first <= now_) {
-      const agent::BackendCommand command =
-          std::move(agent->commands.front().second);
+    while (!agent->commands.empty() && agent->commands.front().at <= now_) {
+      const PendingCommand pending = std::move(agent->commands.front());
       agent->commands.pop_front();
-      agent->worker->Handle(now_, command);
+      agent->worker->Handle(now_, pending.incarnation, pending.command);
     }
     agent->worker->Tick(now_);
     if (!agent->alive) {
