--- a/packages/decision/src/migration.cc
+++ b/packages/decision/src/migration.cc
@@ -13,9 +13,15 @@
 /// do not push it back and forth.
 constexpr Millis kMinStay{30'000};
 
+/// Work that cannot be checkpointed starts again, so it is stopped only while
+/// little is lost. With 2 min, gangs at the Authority waited up to 1.9 times as
+/// long as in the baseline, because such work stood in most racks.
+constexpr Millis kMostLost = std::chrono::minutes(10);
+
 bool MayMove(const MigrationContext& context, const RunningJob& job) {
-  return job.checkpointable && MayStop(job) && !job.stopping &&
-         job.tasks.size() == 1 && context.now - job.started >= kMinStay &&
+  const Millis age = context.now - job.started;
+  return (job.checkpointable || age < kMostLost) && MayStop(job) &&
+         !job.stopping && job.tasks.size() == 1 && age >= kMinStay &&
          !context.stopped.contains(job.attempt.job) &&
          (context.guarantees == nullptr || !context.guarantees->IsHeld(job));
 }
--- a/packages/decision/src/plan_test.cc
+++ b/packages/decision/src/plan_test.cc
@@ -201,6 +201,25 @@
       MakePlan(cluster, waiting, {}, {}, options, kNow).placements.empty());
 }
 
+// Guards gangs against work that cannot be checkpointed, and long runs of such
+// work against a restart.
+TEST(PlanTest, WorkThatStartsAgainIsStoppedForAShapeOnlyWhileLittleIsLost) {
+  const std::vector<WaitingJob> waiting = {
+      MakeWaiting("gang", {2, 8, Adjacency::kRack})};
+  for (const auto& [age, placed] :
+       {std::pair(Millis(60'000), 1U), std::pair(Millis(1'200'000), 0U)}) {
+    Cluster cluster = MakeCluster(3);
+    for (std::uint32_t n = 0; n < 3; ++n) {
+      RunningJob job = MakeRunning("r" + std::to_string(n), n, 0x01);
+      job.checkpointable = false;
+      job.started = kNow - age;
+      cluster.AddJob(job);
+    }
+    const Plan plan = MakePlan(cluster, waiting, {}, {}, {}, kNow);
+    EXPECT_EQ(plan.placements.size(), placed) << age.count();
+  }
+}
+
 // Guards live requests against gangs, which cannot be throttled.
 TEST(PlanTest, GangsLeaveRoomForLiveRequests) {
   const Cluster cluster = MakeCluster(4);
