--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -243,11 +243,9 @@
       if (tasks.empty()) {
         return {};
       }
-      Guarantees().Protect(tasks);
-      if (Guarantees().Feasible()) {
+      if (LeavesGuarantees(tasks)) {
         return tasks;
       }
-      Guarantees().Unprotect(tasks);
       trial_.RollBackTo(mark);
       rejected.insert(RowOf(tasks.front().worker));
     }
@@ -262,7 +260,7 @@
       return;
     }
     ++opened_;
-    if (job.repeatable && TryMigration(it)) {
+    if (TryMigration(it)) {
       return;
     }
     if (reservations_.size() < options_.reservation_limit) {
@@ -279,6 +277,24 @@
     return limit > under_way ? limit - under_way : 0;
   }
 
+  /// Protects the tasks if all unused guarantees stay placeable beside them.
+  bool LeavesGuarantees(const std::vector<Allocation>& tasks) {
+    if (lines_.empty()) {
+      return true;
+    }
+    for (const Allocation& it : tasks) {
+      if ((it.mask & ~Guarantees().Open().Mask(RowOf(it.worker))) != 0) {
+        return false;
+      }
+    }
+    Guarantees().Protect(tasks);
+    if (Guarantees().Feasible()) {
+      return true;
+    }
+    Guarantees().Unprotect(tasks);
+    return false;
+  }
+
   bool TryMigration(const RankedJob& it) {
     const std::size_t budget = MigrationBudget();
     if (budget == 0) {
@@ -286,6 +302,7 @@
     }
     const GuaranteeState* guarantees = lines_.empty() ? nullptr : &Guarantees();
     plan_.rows_examined += tables_.workers.size();
+    const std::size_t mark = trial_.Mark();
     std::optional<Placement> placement =
         OpenShape({tables_, guarantees, trial_, packer_, reservations_,
                    targets_, run_times_, stopped_, budget, now_},
@@ -293,6 +310,10 @@
     if (!placement) {
       return false;
     }
+    if (!it.job->repeatable && !LeavesGuarantees(placement->tasks)) {
+      trial_.RollBackTo(mark);
+      return false;
+    }
     for (const JobId& victim : placement->victims) {
       Stop(victim, true);
     }
--- a/packages/decision/src/plan_test.cc
+++ b/packages/decision/src/plan_test.cc
@@ -220,6 +220,23 @@
   }
 }
 
+// Guards gangs that cannot be stopped against starvation, and P1 against them.
+TEST(PlanTest, ShapeIsOpenedForAGangThatCannotBeStoppedBesideGuarantees) {
+  Cluster cluster = MakeCluster(3);
+  for (std::uint32_t n = 0; n < 3; ++n) {
+    cluster.AddJob(MakeRunning("r" + std::to_string(n), n, 0x01));
+  }
+  WaitingJob gang = MakeWaiting("gang", {2, 8, Adjacency::kRack});
+  gang.repeatable = false;
+  for (const auto& [groups, placed] : {std::pair(1, 1U), std::pair(2, 0U)}) {
+    const Targets targets =
+        MakeTargets("guaranteed", Millis(0), {groups, 8, Adjacency::kWorker});
+    const Plan plan = MakePlan(cluster, {gang}, targets, {}, {}, kNow);
+    EXPECT_EQ(plan.placements.size(), placed) << groups;
+    EXPECT_EQ(plan.preemptions.size(), 2 * placed) << groups;
+  }
+}
+
 // Guards live requests against gangs, which cannot be throttled.
 TEST(PlanTest, GangsLeaveRoomForLiveRequests) {
   const Cluster cluster = MakeCluster(4);
