--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -18,8 +18,9 @@
 
 /// Workers looked at for one with work of the same kind.
 constexpr int kSameKindTries = 32;
-/// Smaller shapes fit as soon as anything ends.
-constexpr int kLeastOpened = 4;
+/// Smaller shapes fit as soon as anything ends. With 4, blocks of 4 used up the
+/// reservations and the limit of openings before the gangs.
+constexpr int kLeastOpened = 8;
 
 void AddDemand(Demand& demand, int accelerators_per_task, int tasks) {
   demand[static_cast<std::size_t>(LevelFor(accelerators_per_task))] +=
