--- a/packages/decision/src/plan_test.cc
+++ b/packages/decision/src/plan_test.cc
@@ -167,6 +167,22 @@
   EXPECT_EQ(plan.placements[0].job, JobId("old"));
 }
 
+// Guards against gangs that wait while single tasks with less slack take every
+// rack.
+TEST(PlanTest, GangWithinARackGoesBeforeSingleTasks) {
+  const Cluster cluster = MakeCluster(3);
+  Targets targets = MakeTargets("batch", Millis(1'200'000), {});
+  targets.entries.push_back(
+      MakeTargets("gangs", Millis(3'600'000), {}).entries[0]);
+  WaitingJob gang = MakeWaiting("gang", {3, 8, Adjacency::kRack});
+  gang.job_class = ClassName("gangs");
+  const std::vector<WaitingJob> waiting = {
+      MakeWaiting("single", {1, 8, Adjacency::kAny}), gang};
+  const Plan plan = MakePlan(cluster, waiting, targets, {}, {}, kNow);
+  ASSERT_EQ(plan.placements.size(), 1U);
+  EXPECT_EQ(plan.placements[0].job, JobId("gang"));
+}
+
 // Guards gangs against starvation by scattered small work, and the budget.
 TEST(PlanTest, CheckpointableWorkIsMovedWithinTheBudgetToOpenAShape) {
   Cluster cluster = MakeCluster(3);
@@ -185,6 +201,42 @@
       MakePlan(cluster, waiting, {}, {}, options, kNow).placements.empty());
 }
 
+// Guards gangs against work that cannot be checkpointed, and long runs of such
+// work against a restart.
+TEST(PlanTest, WorkThatStartsAgainIsStoppedForAShapeOnlyWhileLittleIsLost) {
+  const std::vector<WaitingJob> waiting = {
+      MakeWaiting("gang", {2, 8, Adjacency::kRack})};
+  for (const auto& [age, placed] :
+       {std::pair(Millis(60'000), 1U), std::pair(Millis(1'200'000), 0U)}) {
+    Cluster cluster = MakeCluster(3);
+    for (std::uint32_t n = 0; n < 3; ++n) {
+      RunningJob job = MakeRunning("r" + std::to_string(n), n, 0x01);
+      job.checkpointable = false;
+      job.started = kNow - age;
+      cluster.AddJob(job);
+    }
+    const Plan plan = MakePlan(cluster, waiting, {}, {}, {}, kNow);
+    EXPECT_EQ(plan.placements.size(), placed) << age.count();
+  }
+}
+
+// Guards gangs that cannot be stopped against starvation, and P1 against them.
+TEST(PlanTest, ShapeIsOpenedForAGangThatCannotBeStoppedBesideGuarantees) {
+  Cluster cluster = MakeCluster(3);
+  for (std::uint32_t n = 0; n < 3; ++n) {
+    cluster.AddJob(MakeRunning("r" + std::to_string(n), n, 0x01));
+  }
+  WaitingJob gang = MakeWaiting("gang", {2, 8, Adjacency::kRack});
+  gang.repeatable = false;
+  for (const auto& [groups, placed] : {std::pair(1, 1U), std::pair(2, 0U)}) {
+    const Targets targets =
+        MakeTargets("guaranteed", Millis(0), {groups, 8, Adjacency::kWorker});
+    const Plan plan = MakePlan(cluster, {gang}, targets, {}, {}, kNow);
+    EXPECT_EQ(plan.placements.size(), placed) << groups;
+    EXPECT_EQ(plan.preemptions.size(), 2 * placed) << groups;
+  }
+}
+
 // Guards live requests against gangs, which cannot be throttled.
 TEST(PlanTest, GangsLeaveRoomForLiveRequests) {
   const Cluster cluster = MakeCluster(4);
