Add fuzz targets of the parsers, with seed corpora

Cause: the parsers of settings, API calls, log records, messages, request ids and scenarios were tested only with inputs written by hand and flipped bits. Change: packages/<name>/src/*_fuzz.cc hold one libFuzzer function each, with seeds in packages/<name>/corpus/<target>/. Where there is a formatter, what parses must be formatted and parsed again to the same value. The normal build links them with a runner that runs each corpus file and 3000 mutations of it with a fixed seed, as the ctest tests <name>.corpus.<target>. tools/fuzz-parsers builds and runs them with libFuzzer in build-fuzz.

--- a/cmake/ShallotlugPackage.cmake
+++ b/cmake/ShallotlugPackage.cmake
@@ -1,4 +1,5 @@
 include(GoogleTest)
+include(ShallotlugFuzz)
 
 # shallotlug_add_package(NAME
 #   [DEPENDS package...]      other packages of this workspace, public
@@ -7,7 +8,7 @@
 #   [TEST_LIBRARIES target...])
 #
 # Builds src/*.cc and src/*.c++ (generated Cap'n Proto code) into shallotlug_NAME and
-# src/*_test.cc into NAME_test.
+# src/*_test.cc into NAME_test. Each src/*_fuzz.cc becomes a fuzz target (ShallotlugFuzz.cmake).
 function(shallotlug_add_package name)
   cmake_parse_arguments(arg "" "" "DEPENDS;LIBRARIES;TEST_DEPENDS;TEST_LIBRARIES" ${ARGN})
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS src/*.cc src/*.c++)
@@ -40,6 +41,9 @@
     gtest_discover_tests(${name}_test TEST_PREFIX "${name}." DISCOVERY_MODE PRE_TEST
       PROPERTIES TIMEOUT 300)
   endif()
+  if(BUILD_TESTING)
+    shallotlug_add_fuzz_targets(${name})
+  endif()
 endfunction()
 
 # Adds each listed package that has a CMakeLists.txt.
