Read a guarantee without groups as no guarantee

Cause: a guarantee with 0 groups kept its other fields, which the formatter leaves out, so that a target read back differed from the one that was set. Change: ReadGuarantee resets a guarantee without groups. Result: libFuzzer found the input, now the corpus file set_target_no_groups. The corpus run of api and the tests of api pass; other packages were not run.

--- a/packages/api/src/http_test.cc
+++ b/packages/api/src/http_test.cc
@@ -82,6 +82,17 @@
   }
 }
 
+// Guards against a target that differs from the one that was set after an
+// operator's client has read it: no groups means no guarantee, in one form.
+TEST(ParseCallTest, ReadsAGuaranteeWithoutGroupsAsNone) {
+  const auto call = Get<SetTargetCall>(
+      ParseCall(Operator("PUT", "/v1/targets/match",
+                         R"({"change_id":"c1","base_version":0,"customer":"c",
+"kind":"live","finish_within_ms":800,
+"guarantee":{"groups":0,"accelerators":7,"within":"rack"}})")));
+  EXPECT_EQ(call.target.guarantee, Guarantee());
+}
+
 // Guards against an empty cancel call that cancels everything.
 TEST(ParseCallTest, CancelNeedsIdsOrAClass) {
   EXPECT_EQ(
--- a/packages/api/src/json.cc
+++ b/packages/api/src/json.cc
@@ -44,6 +44,10 @@
     to.within = static_cast<Adjacency>(*n);
   }
   reader.Finish();
+  if (to.groups == 0) {
+    // The formatter leaves out a guarantee without groups.
+    to = Guarantee();
+  }
 }
 
 }  // namespace
