Keep the guarantee state between plans and update it incrementally

Cause: a plan with work inside a guarantee derived the guarantee state of all workers and sorted all blocks by the cost of emptying them. Work whose guarantee was used up then tried every block, although only its own can take it.

Change: the cluster tables keep the state. Blocks are kept in the order of the cost of emptying them, by the slope of that cost over time. Changes of workers and of work that cannot be stopped still derive the state from scratch; so do states in which not all work can be held.

--- a/packages/decision/src/cluster.cc
+++ b/packages/decision/src/cluster.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 
+#include "guarantee_cache.h"
 #include "tables.h"
 
 namespace shallotlug::decision {
@@ -29,6 +30,7 @@
   const WorkerRow& row = tables.workers[worker];
   const int slots = FreeSlotsOf(row);
   tables.free->Update(worker, FreeOf(row), slots, row.alive && row.schedulable);
+  tables.guarantees->OccupancyChanged(worker);
 }
 
 std::uint32_t CentreRow(Cluster::Tables& tables, const DataCentreName& name) {
@@ -93,7 +95,9 @@
   return AllOf(row) & ~used;
 }
 
-Cluster::Cluster() : tables_(std::make_unique<Tables>()) {}
+Cluster::Cluster() : tables_(std::make_unique<Tables>()) {
+  tables_->guarantees = std::make_unique<GuaranteeCache>(*tables_);
+}
 Cluster::Cluster(Cluster&&) noexcept = default;
 Cluster& Cluster::operator=(Cluster&&) noexcept = default;
 Cluster::~Cluster() = default;
@@ -107,6 +111,7 @@
   tables_->workers.push_back(std::move(row));
   tables_->by_agent[info.agent] = worker;
   ++tables_->alive;
+  tables_->guarantees->Invalidate();
   Refresh(*tables_, worker);
   return WorkerIndex{worker};
 }
@@ -118,6 +123,7 @@
   }
   row.alive = false;
   --tables_->alive;
+  tables_->guarantees->Invalidate();
   const auto it = tables_->by_agent.find(row.info.agent);
   if (it != tables_->by_agent.end() && it->second == RowOf(worker)) {
     tables_->by_agent.erase(it);
@@ -126,7 +132,11 @@
 }
 
 void Cluster::SetSchedulable(WorkerIndex worker, bool schedulable) {
-  tables_->workers[RowOf(worker)].schedulable = schedulable;
+  bool& value = tables_->workers[RowOf(worker)].schedulable;
+  if (value != schedulable) {
+    tables_->guarantees->Invalidate();
+  }
+  value = schedulable;
   Refresh(*tables_, RowOf(worker));
 }
 
@@ -139,7 +149,11 @@
 }
 
 void Cluster::SetOtherUse(WorkerIndex worker, AcceleratorMask mask) {
-  tables_->workers[RowOf(worker)].other = mask;
+  AcceleratorMask& value = tables_->workers[RowOf(worker)].other;
+  if (value != mask) {
+    tables_->guarantees->Invalidate();
+  }
+  value = mask;
   Refresh(*tables_, RowOf(worker));
 }
 
@@ -147,6 +161,7 @@
   WorkerRow& row = tables_->workers[RowOf(worker)];
   tables_->live_accelerators += std::popcount(mask) - std::popcount(row.live);
   row.live = mask;
+  tables_->guarantees->OccupancyChanged(RowOf(worker));
 }
 
 void Cluster::AddJob(const RunningJob& job) {
@@ -163,6 +178,7 @@
   }
   tables_->throttleable += ThrottleableOf(row);
   AddTasks(*tables_, row);
+  tables_->guarantees->JobAdded(row);
 }
 
 void Cluster::RemoveJob(const JobId& job) {
@@ -170,6 +186,7 @@
   if (it == tables_->jobs.end()) {
     return;
   }
+  tables_->guarantees->JobRemoved(it->second);
   tables_->throttleable -= ThrottleableOf(it->second);
   RemoveTasks(*tables_, it->second);
   tables_->by_customer[it->second.customer].erase(OrderOf(it->second));
--- /dev/null
+++ b/packages/decision/src/guarantee_cache.cc
@@ -0,0 +1,57 @@
+#include "guarantee_cache.h"
+
+namespace shallotlug::decision {
+
+void GuaranteeCache::JobAdded(const RunningJob& job) {
+  if (!state_) {
+    return;
+  }
+  const std::optional<std::size_t> line = state_->LineOfClass(job.job_class);
+  if (!MayStop(job) || !state_->IsIncremental() ||
+      (line && state_->Lines()[*line].line.customer != job.customer)) {
+    Invalidate();
+    return;
+  }
+  if (!line || job.stopping) {
+    return;
+  }
+  CustomerChange& change = changes_[job.customer];
+  const std::set<JobOrder>& jobs = tables_->by_customer.at(job.customer);
+  if (jobs.rbegin()->id == job.attempt.job) {
+    change.appended.push_back(job.attempt.job);
+  } else {
+    change.rebind = true;
+  }
+}
+
+void GuaranteeCache::JobRemoved(const RunningJob& job) {
+  if (!state_) {
+    return;
+  }
+  if (!MayStop(job) || !state_->IsIncremental()) {
+    Invalidate();
+    return;
+  }
+  // Work that is not held has no effect on the state.
+  if (state_->IsHeld(job)) {
+    state_->Forget(job, changes_[job.customer]);
+  }
+}
+
+GuaranteeState& GuaranteeCache::Current(const std::vector<GuaranteeLine>& lines,
+                                        std::uint64_t& examined) {
+  if (state_ && lines_ == lines) {
+    state_->Update(changes_, examined);
+    if (!state_->IsIncremental() || state_->Feasible()) {
+      return *state_;
+    }
+  }
+  changes_.clear();
+  lines_ = lines;
+  state_.emplace(*tables_, lines);
+  state_->Derive();
+  examined += tables_->workers.size();
+  return *state_;
+}
+
+}  // namespace shallotlug::decision
--- a/packages/decision/src/guarantee_lines.h
+++ b/packages/decision/src/guarantee_lines.h
@@ -18,6 +18,8 @@
   int units = 1;  ///< Blocks of a group.
   int level = 0;  ///< Level of each block.
   Adjacency within = Adjacency::kAny;
+
+  bool operator==(const GuaranteeLine&) const = default;
 };
 
 /// @brief The guarantees in force, in the order of the targets.
--- a/packages/decision/src/guarantee_state.cc
+++ b/packages/decision/src/guarantee_state.cc
@@ -1,6 +1,7 @@
 #include "guarantee_state.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace shallotlug::decision {
 namespace {
@@ -94,10 +95,21 @@
 }
 
 void GuaranteeState::Derive() {
-  BindPinned();
+  const bool preferred = BindPinned();
   GiveUpShortGroups();
+  for (const LineState& it : lines_) {
+    pinned_blocks_.push_back(it.bound);
+  }
   const GuaranteeState before = *this;
   if (HoldAll(false)) {
+    // A job that uses the guarantee of another customer is bound in the order
+    // of its own customer, for which Update does not provide.
+    is_incremental_ =
+        preferred && Feasible() &&
+        std::all_of(held_.begin(), held_.end(), [&](const RunningJob* it) {
+          return lines_[*LineOfClass(it->job_class)].line.customer ==
+                 it->customer;
+        });
     return;
   }
   *this = before;
@@ -130,7 +142,8 @@
   }
 }
 
-void GuaranteeState::BindPinned() {
+/// Returns whether all of it could be bound as preferred.
+bool GuaranteeState::BindPinned() {
   std::vector<PinnedGroup> groups = PinnedGroups();
   for (const PinnedGroup& group : groups) {
     for (const RunningJob* it : group.jobs) {
@@ -138,7 +151,7 @@
     }
   }
   if (BindGroups(groups)) {
-    return;
+    return true;
   }
   // Some assignment of this work to lines was feasible when the last of it was
   // placed. It differs from the preferred one in few places, so those with the
@@ -146,10 +159,11 @@
   int tries = 0;
   for (int differences = 1; differences <= kMaxDifferences; ++differences) {
     if (SearchBinding(groups, 0, differences, tries)) {
-      return;
+      return false;
     }
   }
   BindGroups(groups);
+  return false;
 }
 
 /// Jobs of one class on one worker are bound together.
@@ -225,7 +239,7 @@
     }
     for (const JobOrder& order : it->second) {
       const RunningJob& job = tables_->jobs.at(order.id);
-      if (order.repeatable && !job.stopping && LineOfClass(job.job_class)) {
+      if (IsCandidate(job)) {
         jobs.push_back(&job);
       }
     }
@@ -247,6 +261,9 @@
     return false;
   }
   held_.insert(&job);
+  if (MayStop(job)) {
+    held_by_customer_[job.customer].insert(&job);
+  }
   return true;
 }
 
@@ -302,6 +319,9 @@
     ++state.bound_by_domain[DomainOf(state.line, it.worker)];
     bound_[it.worker] |= it.mask;
     SetOpen(it.worker);
+    if (records_) {
+      journal_.push_back({IndexOf(state), true, it});
+    }
   }
 }
 
@@ -309,9 +329,16 @@
                                   const std::vector<BlockRef>& blocks) {
   for (const BlockRef& it : blocks) {
     state.bound.erase(it);
-    --state.bound_by_domain[DomainOf(state.line, it.worker)];
+    const auto count =
+        state.bound_by_domain.find(DomainOf(state.line, it.worker));
+    if (--count->second == 0) {
+      state.bound_by_domain.erase(count);
+    }
     bound_[it.worker] &= ~it.mask;
     SetOpen(it.worker);
+    if (records_) {
+      journal_.push_back({IndexOf(state), false, it});
+    }
   }
 }
 
@@ -355,16 +382,221 @@
 
 void GuaranteeState::Protect(const std::vector<Allocation>& tasks) {
   for (const Allocation& it : tasks) {
-    protected_[RowOf(it.worker)] |= it.mask;
-    SetOpen(RowOf(it.worker));
+    const std::uint32_t worker = RowOf(it.worker);
+    SetProtected(worker, protected_[worker] | it.mask);
   }
 }
 
 void GuaranteeState::Unprotect(const std::vector<Allocation>& tasks) {
   for (const Allocation& it : tasks) {
-    protected_[RowOf(it.worker)] &= ~it.mask;
-    SetOpen(RowOf(it.worker));
+    const std::uint32_t worker = RowOf(it.worker);
+    SetProtected(worker, protected_[worker] & ~it.mask);
+  }
+}
+
+void GuaranteeState::SetProtected(std::uint32_t worker, AcceleratorMask mask) {
+  if (records_) {
+    journal_.push_back({std::nullopt, false, {worker, protected_[worker]}});
+  }
+  protected_[worker] = mask;
+  SetOpen(worker);
+}
+
+std::size_t GuaranteeState::Mark() {
+  records_ = true;
+  return journal_.size();
+}
+
+void GuaranteeState::RollBackTo(std::size_t mark) {
+  records_ = false;
+  while (journal_.size() > mark) {
+    const Undo it = journal_.back();
+    journal_.pop_back();
+    if (!it.line) {
+      SetProtected(it.block.worker, it.block.mask);
+    } else if (it.added) {
+      RemoveBlocks(lines_[*it.line], {it.block});
+    } else {
+      AddBlocks(lines_[*it.line], {it.block});
+    }
+  }
+  records_ = true;
+}
+
+bool GuaranteeState::IsCandidate(const RunningJob& job) const {
+  return MayStop(job) && !job.stopping && LineOfClass(job.job_class);
+}
+
+void GuaranteeState::Forget(const RunningJob& job, CustomerChange& change) {
+  held_.erase(&job);
+  held_by_customer_[job.customer].erase(&job);
+  change.rebind = true;
+  for (const Allocation& it : job.tasks) {
+    change.workers.insert(RowOf(it.worker));
+  }
+}
+
+/// Customers are bound one after the other, so a change concerns only customers
+/// that come later and have work on the same workers.
+void GuaranteeState::Update(CustomerChanges& changes, std::uint64_t& examined) {
+  records_ = false;
+  // A block whose work has ended must not be in the way of earlier customers.
+  for (auto& [customer, change] : changes) {
+    if (change.rebind) {
+      Unbind(customer, change);
+    }
+  }
+  while (!changes.empty()) {
+    const CustomerName customer = changes.begin()->first;
+    std::set<std::uint32_t> touched;
+    if (changes.begin()->second.rebind) {
+      Rebind(customer, changes, touched, examined);
+    } else {
+      for (const JobId& id : changes.begin()->second.appended) {
+        ++examined;
+        const auto job = tables_->jobs.find(id);
+        if (job != tables_->jobs.end() && IsCandidate(job->second) &&
+            !IsHeld(job->second)) {
+          Append(job->second, changes, touched);
+        }
+      }
+    }
+    changes.erase(customer);
+    for (const std::uint32_t worker : touched) {
+      ++examined;
+      for (const Occupant& it : tables_->workers[worker].occupants) {
+        if (customer < it.job->customer && IsCandidate(*it.job)) {
+          changes[it.job->customer].rebind = true;
+        }
+      }
+    }
+  }
+}
+
+void GuaranteeState::Append(const RunningJob& job,
+                            CustomerChanges& changes,
+                            std::set<std::uint32_t>& touched) {
+  UnbindLater(job, changes);
+  if (TryHold(job, false)) {
+    for (const Allocation& it : job.tasks) {
+      touched.insert(RowOf(it.worker));
+    }
+  }
+}
+
+void GuaranteeState::Rebind(const CustomerName& customer,
+                            CustomerChanges& changes,
+                            std::set<std::uint32_t>& touched,
+                            std::uint64_t& examined) {
+  CustomerChange& change = changes[customer];
+  Unbind(customer, change);
+  const auto jobs = tables_->by_customer.find(customer);
+  if (jobs != tables_->by_customer.end()) {
+    for (const JobOrder& order : jobs->second) {
+      ++examined;
+      const RunningJob& job = tables_->jobs.at(order.id);
+      if (IsCandidate(job)) {
+        UnbindLater(job, changes);
+        TryHold(job, false);
+      }
+    }
+  }
+  touched = change.workers;
+  const CustomerBinding after = BindingOf(customer);
+  std::vector<std::pair<std::size_t, BlockRef>> blocks;
+  std::set_symmetric_difference(
+      change.before->blocks.begin(), change.before->blocks.end(),
+      after.blocks.begin(), after.blocks.end(), std::back_inserter(blocks));
+  for (const auto& [line, block] : blocks) {
+    touched.insert(block.worker);
+  }
+  std::vector<const RunningJob*> held;
+  std::set_symmetric_difference(change.before->held.begin(),
+                                change.before->held.end(), after.held.begin(),
+                                after.held.end(), std::back_inserter(held));
+  for (const RunningJob* job : held) {
+    for (const Allocation& it : job->tasks) {
+      touched.insert(RowOf(it.worker));
+    }
+  }
+}
+
+CustomerBinding GuaranteeState::BindingOf(const CustomerName& customer) const {
+  CustomerBinding binding;
+  for (std::size_t n = 0; n < lines_.size(); ++n) {
+    if (lines_[n].line.customer != customer) {
+      continue;
+    }
+    for (const BlockRef& it : lines_[n].bound) {
+      if (!pinned_blocks_[n].contains(it)) {
+        binding.blocks.insert({n, it});
+      }
+    }
+  }
+  const auto held = held_by_customer_.find(customer);
+  if (held != held_by_customer_.end()) {
+    binding.held = held->second;
+  }
+  return binding;
+}
+
+void GuaranteeState::Unbind(const CustomerName& customer,
+                            CustomerChange& change) {
+  change.rebind = true;
+  if (change.before) {
+    return;
+  }
+  change.before = BindingOf(customer);
+  for (const auto& [line, block] : change.before->blocks) {
+    RemoveBlocks(lines_[line], {block});
+  }
+  std::set<std::uint32_t> workers = change.workers;
+  for (const RunningJob* job : change.before->held) {
+    held_.erase(job);
+    for (const Allocation& it : job->tasks) {
+      workers.insert(RowOf(it.worker));
+    }
+  }
+  held_by_customer_.erase(customer);
+  for (const std::uint32_t worker : workers) {
+    RefreshProtected(worker);
+  }
+}
+
+/// Unbinds later customers that are in the way of a job.
+void GuaranteeState::UnbindLater(const RunningJob& job,
+                                 CustomerChanges& changes) {
+  const LineState& state = lines_[*LineOfClass(job.job_class)];
+  const bool is_full =
+      state.line.units == 1 &&
+      static_cast<int>(state.bound.size()) >= state.line.groups;
+  for (const Allocation& task : job.tasks) {
+    const BlockRef block{RowOf(task.worker),
+                         BlockAround(task.mask, state.line.level)};
+    if (is_full || block.mask == 0 || state.bound.contains(block)) {
+      continue;
+    }
+    for (const Occupant& it : tables_->workers[block.worker].occupants) {
+      if (!(job.customer < it.job->customer) || !MayStop(*it.job) ||
+          !IsHeld(*it.job)) {
+        continue;
+      }
+      const int level = lines_[*LineOfClass(it.job->job_class)].line.level;
+      if ((BlockAround(it.mask, level) & block.mask) != 0) {
+        Unbind(it.job->customer, changes[it.job->customer]);
+      }
+    }
+  }
+}
+
+void GuaranteeState::RefreshProtected(std::uint32_t worker) {
+  AcceleratorMask mask = 0;
+  for (const Occupant& it : tables_->workers[worker].occupants) {
+    if (!MayStop(*it.job) || IsHeld(*it.job)) {
+      mask |= it.mask;
+    }
   }
+  SetProtected(worker, mask);
 }
 
 void GuaranteeState::SetOpen(std::uint32_t worker) {
--- a/packages/decision/src/guarantee_state.h
+++ b/packages/decision/src/guarantee_state.h
@@ -37,6 +37,23 @@
   int GroupsUsed() const;
 };
 
+/// @brief What one customer's work inside guarantees binds.
+struct CustomerBinding {
+  std::set<std::pair<std::size_t, BlockRef>> blocks;  ///< By line.
+  std::set<const RunningJob*> held;
+};
+
+/// @brief Changes of a customer's work that a GuaranteeState has not taken in.
+struct CustomerChange {
+  bool rebind = false;              ///< All its work has to be bound again.
+  std::vector<JobId> appended;      ///< New work that comes after all other.
+  std::set<std::uint32_t> workers;  ///< Those of held jobs that ended.
+  /// The binding before it was undone.
+  std::optional<CustomerBinding> before;
+};
+/// In the order in which customers are bound.
+using CustomerChanges = std::map<CustomerName, CustomerChange>;
+
 /// @brief Which work runs inside a guarantee, and what must stay reclaimable.
 ///
 /// Work inside a guarantee and work that cannot be stopped is protected. The
@@ -51,6 +68,20 @@
   /// order of start, as far as the unused groups of all lines still fit.
   void Derive();
 
+  /// @brief Whether Update gives the same result as Derive: all work was bound
+  /// in the preferred order.
+  bool IsIncremental() const { return is_incremental_; }
+  /// @brief Drops a held job that may be stopped and is about to end.
+  void Forget(const RunningJob& job, CustomerChange& change);
+  /// @brief Takes in changes of work that may be stopped, and clears them. When
+  /// the state is not feasible afterwards, it has to be derived anew.
+  void Update(CustomerChanges& changes, std::uint64_t& examined);
+
+  /// @brief Undoes TryBind, TryBindSafely, Protect and Unprotect back to a
+  /// mark. They are recorded after the first call of Mark.
+  std::size_t Mark();
+  void RollBackTo(std::size_t mark);
+
   bool Feasible() const { return open_.Holds(Unused()); }
   Needs Unused() const;
   const Capacity& Open() const { return open_; }
@@ -84,7 +115,7 @@
     bool is_bound = true;
   };
 
-  void BindPinned();
+  bool BindPinned();
   void GiveUpShortGroups();
   std::vector<PinnedGroup> PinnedGroups() const;
   bool BindGroups(const std::vector<PinnedGroup>& groups);
@@ -105,6 +136,30 @@
   void RemoveBlocks(LineState& state, const std::vector<BlockRef>& blocks);
   std::vector<const RunningJob*> HoldCandidates() const;
 
+  void Rebind(const CustomerName& customer,
+              CustomerChanges& changes,
+              std::set<std::uint32_t>& touched,
+              std::uint64_t& examined);
+  void Unbind(const CustomerName& customer, CustomerChange& change);
+  CustomerBinding BindingOf(const CustomerName& customer) const;
+  void Append(const RunningJob& job,
+              CustomerChanges& changes,
+              std::set<std::uint32_t>& touched);
+  void UnbindLater(const RunningJob& job, CustomerChanges& changes);
+  std::size_t IndexOf(const LineState& state) const {
+    return static_cast<std::size_t>(&state - lines_.data());
+  }
+  bool IsCandidate(const RunningJob& job) const;
+  void RefreshProtected(std::uint32_t worker);
+  void SetProtected(std::uint32_t worker, AcceleratorMask mask);
+
+  /// A block that was bound or unbound, or a mask that was protected before.
+  struct Undo {
+    std::optional<std::size_t> line;
+    bool added = false;
+    BlockRef block;
+  };
+
   const Cluster::Tables* tables_;
   std::vector<LineState> lines_;
   std::map<ClassName, std::size_t> by_class_;
@@ -112,6 +167,13 @@
   std::vector<AcceleratorMask> protected_;
   std::vector<AcceleratorMask> bound_;
   std::unordered_set<const RunningJob*> held_;
+  /// Held jobs that may be stopped.
+  std::map<CustomerName, std::set<const RunningJob*>> held_by_customer_;
+  /// Blocks of each line that work that cannot be stopped has bound.
+  std::vector<std::set<BlockRef>> pinned_blocks_;
+  bool is_incremental_ = false;
+  bool records_ = false;
+  std::vector<Undo> journal_;
   Capacity open_;
 };
 
--- a/packages/decision/src/guaranteed.cc
+++ b/packages/decision/src/guaranteed.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <bit>
+#include <limits>
+#include <tuple>
 
+#include "guarantee_cache.h"
 #include "victims.h"
 
 namespace shallotlug::decision {
@@ -16,8 +19,6 @@
 /// Prefers blocks that the customer holds already, which take nothing from
 /// anyone else.
 constexpr double kBoundBonus = 1e-6;
-/// Waiting for a live request costs less than stopping a job.
-constexpr double kLiveWait = 500;
 /// Free blocks beyond those needed, in case some must stay for other lines.
 constexpr std::size_t kSpareBlocks = 4;
 /// Blocks tried before all of them are.
@@ -68,26 +69,64 @@
                                                : PlaceOn(*request);
 }
 
-const std::vector<GuaranteedPlacer::Candidate>& GuaranteedPlacer::ReclaimOrder(
-    int level) {
-  std::vector<Candidate>& rows =
+GuaranteedPlacer::ReclaimOrder& GuaranteedPlacer::ReclaimOrderOf(int level) {
+  std::optional<ReclaimOrder>& order =
       reclaim_order_[static_cast<std::size_t>(level)];
-  if (!rows.empty()) {
-    return rows;
+  if (order) {
+    return *order;
   }
-  for (std::uint32_t n = 0; n < tables_.workers.size(); ++n) {
+  order.emplace(tables_.guarantees->Reclaim().Order(level, now_, examined_));
+  // Work that this plan stops already costs nothing more to stop.
+  for (const JobId& id : stopped_) {
+    for (const Allocation& it : tables_.jobs.at(id).tasks) {
+      order->repriced.insert(RowOf(it.worker));
+    }
+  }
+  for (const std::uint32_t worker : order->repriced) {
     ++examined_;
-    for (int block = 0; block < kLargestBlock / BlockSize(level); ++block) {
-      const BlockRef ref{n, BlockAt(level, block)};
-      if (IsOpen(ref)) {
-        rows.push_back({ref, false, StopCost(n, ref.mask)});
+    for (int n = 0; n < kLargestBlock / BlockSize(level); ++n) {
+      const BlockRef ref{worker, BlockAt(level, n)};
+      order->repriced_rows.push_back({ref, false, StopCost(worker, ref.mask)});
+    }
+  }
+  std::stable_sort(order->repriced_rows.begin(), order->repriced_rows.end(),
+                   IsCheaper);
+  return *order;
+}
+
+bool GuaranteedPlacer::IsCheaper(const Candidate& a, const Candidate& b) {
+  return std::tie(a.cost, a.block) < std::tie(b.cost, b.block);
+}
+
+/// The n-th cheapest block to empty; null when there are fewer.
+const GuaranteedPlacer::Candidate* GuaranteedPlacer::Nth(ReclaimOrder& order,
+                                                         std::size_t n) {
+  while (order.rows.size() <= n) {
+    while (!order.next) {
+      const std::optional<ReclaimIndex::Entry> entry = order.cursor.Next();
+      if (!entry) {
+        break;
       }
+      ++examined_;
+      if (!order.repriced.contains(entry->worker)) {
+        order.next = Candidate{{entry->worker, entry->mask},
+                               false,
+                               static_cast<double>(entry->cost)};
+      }
+    }
+    const bool has_repriced = order.repriced_used < order.repriced_rows.size();
+    if (has_repriced &&
+        (!order.next ||
+         IsCheaper(order.repriced_rows[order.repriced_used], *order.next))) {
+      order.rows.push_back(order.repriced_rows[order.repriced_used++]);
+    } else if (order.next) {
+      order.rows.push_back(*order.next);
+      order.next.reset();
+    } else {
+      return nullptr;
     }
   }
-  std::stable_sort(
-      rows.begin(), rows.end(),
-      [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
-  return rows;
+  return &order.rows[n];
 }
 
 /// Places on single blocks: the customer's own, then those that cost least to
@@ -95,33 +134,35 @@
 std::optional<Placement> GuaranteedPlacer::PlaceOnCheapest(
     const Request& request) {
   const LineState& state = state_.Lines()[request.line];
-  const std::vector<Candidate>& order = ReclaimOrder(state.line.level);
-  for (const std::size_t limit : {kCheapestTried, order.size()}) {
+  // A line without an unused group takes work only in its own blocks.
+  const bool is_full =
+      static_cast<int>(state.bound.size()) >= state.line.groups;
+  const std::size_t all = is_full ? 0 : std::numeric_limits<int>::max();
+  for (const std::size_t limit : {std::min(kCheapestTried, all), all}) {
     std::vector<Candidate> rows;
     for (const BlockRef& it : state.bound) {
       rows.push_back({it, true, 0});
     }
     const std::size_t wanted = rows.size() + limit;
-    for (const Candidate& it : order) {
-      if (rows.size() >= wanted) {
+    for (std::size_t n = 0; rows.size() < wanted; ++n) {
+      const Candidate* row = Nth(ReclaimOrderOf(state.line.level), n);
+      if (row == nullptr) {
         break;
       }
-      if (IsOpen(it.block)) {
-        rows.push_back(it);
+      ++examined_;
+      if (IsOpen(row->block)) {
+        rows.push_back(*row);
       }
     }
     std::erase_if(rows, [&](const Candidate& it) {
       return request.avoid->contains(it.block.worker);
     });
-    const std::optional<GuaranteeState> before =
-        request.blocks > 1 ? std::optional(state_) : std::nullopt;
+    const std::size_t before = state_.Mark();
     std::vector<Allocation> tasks;
     if (Fill(request, rows, tasks)) {
       return Finish(request, std::move(tasks));
     }
-    if (before) {
-      state_ = *before;
-    }
+    state_.RollBackTo(before);
   }
   return std::nullopt;
 }
@@ -187,15 +228,12 @@
   if (static_cast<int>(candidates.size()) < request.blocks) {
     return std::nullopt;
   }
-  const std::optional<GuaranteeState> before =
-      request.blocks > 1 ? std::optional(state_) : std::nullopt;
+  const std::size_t before = state_.Mark();
   std::vector<Allocation> tasks;
   if (Fill(request, candidates, tasks)) {
     return Finish(request, std::move(tasks));
   }
-  if (before) {
-    state_ = *before;
-  }
+  state_.RollBackTo(before);
   return std::nullopt;
 }
 
@@ -246,12 +284,12 @@
       options.begin(), options.end(),
       [](const Option& a, const Option& b) { return a.cost < b.cost; });
   for (const Option& it : options) {
-    const GuaranteeState before = state_;
+    const std::size_t before = state_.Mark();
     std::vector<Allocation> tasks;
     if (Fill(request, it.candidates, tasks)) {
       return Finish(request, std::move(tasks));
     }
-    state_ = before;
+    state_.RollBackTo(before);
   }
   return std::nullopt;
 }
@@ -334,7 +372,7 @@
                                   AcceleratorMask mask) const {
   // The agent grants accelerators in live use when the requests have ended.
   const AcceleratorMask live = tables_.workers[worker].live & mask;
-  double cost = kLiveWait * std::popcount(live);
+  auto cost = static_cast<double>(kLiveWait * std::popcount(live));
   for (const RunningJob* job : JobsOn(tables_.workers[worker], mask)) {
     if (!stopped_.contains(job->attempt.job)) {
       cost += LossOfStopping(*job, now_);
--- a/packages/decision/src/guaranteed.h
+++ b/packages/decision/src/guaranteed.h
@@ -8,6 +8,7 @@
 
 #include "guarantee_state.h"
 #include "packer.h"
+#include "reclaim_index.h"
 #include "shallotlug/decision/plan.h"
 
 namespace shallotlug::decision {
@@ -46,6 +47,19 @@
     bool bound = false;
     double cost = 0;
   };
+  /// Blocks of a level by the cost of emptying them, read as far as needed.
+  struct ReclaimOrder {
+    explicit ReclaimOrder(ReclaimIndex::Cursor blocks)
+        : cursor(std::move(blocks)) {}
+
+    ReclaimIndex::Cursor cursor;
+    std::vector<Candidate> rows;    ///< Read so far.
+    std::optional<Candidate> next;  ///< Read from the cursor, not yet in rows.
+    /// Workers whose costs this plan has changed, and their blocks.
+    std::set<std::uint32_t> repriced;
+    std::vector<Candidate> repriced_rows;
+    std::size_t repriced_used = 0;
+  };
   struct Request {
     const WaitingJob* job = nullptr;
     const std::set<std::uint32_t>* avoid = nullptr;
@@ -57,7 +71,9 @@
   std::optional<Request> Match(const WaitingJob& job, std::size_t line) const;
   std::optional<Placement> PlaceOnFree(const Request& request);
   std::optional<Placement> PlaceOnCheapest(const Request& request);
-  const std::vector<Candidate>& ReclaimOrder(int level);
+  ReclaimOrder& ReclaimOrderOf(int level);
+  const Candidate* Nth(ReclaimOrder& order, std::size_t n);
+  static bool IsCheaper(const Candidate& a, const Candidate& b);
   bool IsOpen(const BlockRef& block) const {
     return (block.mask & ~state_.Open().Mask(block.worker)) == 0;
   }
@@ -89,8 +105,8 @@
   Trial& trial_;
   const MaskCosts& costs_;
   TimePoint now_;
-  /// All blocks of a level by the cost of emptying them, made on first use.
-  std::array<std::vector<Candidate>, kLevels> reclaim_order_;
+  /// Made on first use.
+  std::array<std::optional<ReclaimOrder>, kLevels> reclaim_order_;
   std::set<JobId> stopped_;
   std::uint64_t examined_ = 0;
 };
--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "guarantee_cache.h"
 #include "guaranteed.h"
 #include "migration.h"
 #include "never_placeable.h"
@@ -103,6 +104,9 @@
       }
     }
     plan_.rows_examined += packer_.Examined();
+    if (guarantees_ != nullptr) {
+      guarantees_->RollBackTo(0);
+    }
     return std::move(plan_);
   }
 
@@ -113,13 +117,12 @@
         [&](const GuaranteeLine& it) { return it.name == name; });
   }
 
-  /// Derived on first use: work without a guarantee that may be stopped needs
+  /// Fetched on first use: work without a guarantee that may be stopped needs
   /// none of it.
   GuaranteeState& Guarantees() {
-    if (!guarantees_) {
-      guarantees_.emplace(tables_, lines_);
-      guarantees_->Derive();
-      plan_.rows_examined += tables_.workers.size();
+    if (guarantees_ == nullptr) {
+      guarantees_ = &tables_.guarantees->Current(lines_, plan_.rows_examined);
+      guarantees_->Mark();
     }
     return *guarantees_;
   }
@@ -311,7 +314,7 @@
   MaskCosts costs_;
   Trial trial_;
   Packer packer_;
-  std::optional<GuaranteeState> guarantees_;
+  GuaranteeState* guarantees_ = nullptr;  ///< Kept in the tables.
   Reservations reservations_;
   std::set<JobId> placed_;
   std::set<JobId> stopped_;
--- a/packages/decision/src/tables.h
+++ b/packages/decision/src/tables.h
@@ -2,6 +2,7 @@
 #define SHALLOTLUG_DECISION_TABLES_H_
 
 #include <map>
+#include <memory>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -12,6 +13,8 @@
 
 namespace shallotlug::decision {
 
+class GuaranteeCache;
+
 /// @brief A task on a worker. The job lives in Tables::jobs.
 struct Occupant {
   const RunningJob* job = nullptr;
@@ -57,6 +60,8 @@
   /// Behind a pointer, so that a plan over a const cluster can try changes and
   /// undo them.
   std::unique_ptr<FreeIndex> free = std::make_unique<FreeIndex>();
+  /// Behind a pointer for the same reason.
+  std::unique_ptr<GuaranteeCache> guarantees;
 };
 
 /// @brief All accelerators of the worker.
--- a/packages/decision/src/victims.cc
+++ b/packages/decision/src/victims.cc
@@ -8,21 +8,45 @@
 /// Stopping and starting again costs about a second of checkpoint and start.
 constexpr Millis kRestart{2000};
 
+int AcceleratorsOf(const RunningJob& job) {
+  int accelerators = 0;
+  for (const Allocation& it : job.tasks) {
+    accelerators += std::popcount(it.mask);
+  }
+  return accelerators;
+}
+
 }  // namespace
 
 double LossOfStopping(const RunningJob& job, TimePoint now) {
   if (job.stopping) {
     return 0;
   }
-  int accelerators = 0;
-  for (const Allocation& it : job.tasks) {
-    accelerators += std::popcount(it.mask);
-  }
+  const int accelerators = AcceleratorsOf(job);
   const Millis lost = job.checkpointable ? Millis(0) : now - job.started;
   return static_cast<double>(accelerators) *
          static_cast<double>((lost + kRestart).count());
 }
 
+/// Agrees with LossOfStopping.
+ReclaimCost CostOfEmptying(const WorkerRow& row, AcceleratorMask mask) {
+  ReclaimCost cost;
+  cost.constant = kLiveWait * std::popcount(row.live & mask);
+  for (const Occupant& it : row.occupants) {
+    if ((it.mask & mask) == 0 || it.job->stopping) {
+      continue;
+    }
+    const std::int64_t accelerators = AcceleratorsOf(*it.job);
+    cost.constant += accelerators * kRestart.count();
+    if (!it.job->checkpointable) {
+      cost.slope += accelerators;
+      cost.constant -=
+          accelerators * it.job->started.time_since_epoch().count();
+    }
+  }
+  return cost;
+}
+
 std::vector<const RunningJob*> JobsOn(const WorkerRow& row,
                                       AcceleratorMask mask) {
   std::vector<const RunningJob*> jobs;
