Bind a full customer again without looking at all its jobs

Change: once a customer's lines are full, only its work in blocks that are bound already is looked at. tools/bench scale now reclaims a group without a free worker after each of 200 changes of other work.

--- a/bench/scale.cc
+++ b/bench/scale.cc
@@ -166,12 +166,69 @@
   out.push_back({prefix + "_placed", plan.placed ? 1.0 : 0.0, "jobs", 1, seed});
 }
 
+/// Ends all work of a class, so that its guarantee is unused, and reclaims one
+/// group after each of a number of changes of other work.
+void AddReclaim(Figures& out,
+                BigCluster& big,
+                int workers,
+                std::uint64_t seed) {
+  constexpr int kChanges = 200;
+  const WaitingJob job = MakeWaiting(0, {1, 8, Adjacency::kAny});
+  std::vector<JobId> others;
+  for (const JobId& id : big.jobs) {
+    const decision::RunningJob& it = *big.cluster.FindJob(id);
+    if (it.job_class == job.job_class) {
+      big.cluster.RemoveJob(id);
+    } else if (it.shape.accelerators_per_task > 0) {
+      others.push_back(id);
+    }
+  }
+  // Without a free worker, the guarantee is reclaimed from other work.
+  for (int n = 0; n < workers; ++n) {
+    const WorkerIndex worker{static_cast<std::uint32_t>(n)};
+    const AcceleratorMask free = big.cluster.Free(worker);
+    if (free == decision::LowMask(decision::kLargestBlock)) {
+      big.cluster.SetOtherUse(worker, 1);
+    }
+  }
+  PlanCost(big, job);
+  Cost sum;
+  Cost largest;
+  int placed = 0;
+  for (int n = 0; n < kChanges; ++n) {
+    const auto index = static_cast<std::size_t>(n) * others.size() / kChanges;
+    decision::RunningJob moved = *big.cluster.FindJob(others[index]);
+    big.cluster.RemoveJob(others[index]);
+    if (n % 2 == 0) {
+      moved.started = kNow + Millis(n);
+      big.cluster.AddJob(moved);
+    }
+    const Cost cost = PlanCost(big, job);
+    sum.rows += cost.rows;
+    sum.millis += cost.millis;
+    largest.rows = std::max(largest.rows, cost.rows);
+    largest.millis = std::max(largest.millis, cost.millis);
+    placed += cost.placed ? 1 : 0;
+  }
+  const Cost scan = ScanCost(big, workers, job);
+  const std::string prefix = "reclaim_after_change_" + std::to_string(workers);
+  out.push_back(
+      {prefix + "_rows_mean", sum.rows / kChanges, "rows", scan.rows, seed});
+  out.push_back({prefix + "_rows_max", largest.rows, "rows", scan.rows, seed});
+  out.push_back(
+      {prefix + "_time_mean", sum.millis / kChanges, "ms", scan.millis, seed});
+  out.push_back(
+      {prefix + "_time_max", largest.millis, "ms", scan.millis, seed});
+  out.push_back({prefix + "_placed", static_cast<double>(placed), "jobs",
+                 kChanges, seed});
+}
+
 }  // namespace
 
 Figures MeasureScale(std::uint64_t seed) {
   Figures out;
   for (const int workers : {1750, 3500, 7000, 14'000}) {
-    const BigCluster big(workers, seed);
+    BigCluster big(workers, seed);
     AddScale(out, big, workers, "single",
              MakeWaiting(1, {1, 2, Adjacency::kAny}), seed);
     AddScale(out, big, workers, "rack",
@@ -180,6 +237,7 @@
              MakeWaiting(1, {32, 2, Adjacency::kAny}), seed);
     AddScale(out, big, workers, "guaranteed",
              MakeWaiting(0, {1, 8, Adjacency::kAny}), seed);
+    AddReclaim(out, big, workers, seed);
   }
   return out;
 }
--- a/packages/decision/src/guarantee_state.cc
+++ b/packages/decision/src/guarantee_state.cc
@@ -86,6 +86,7 @@
       open_(*tables.free) {
   for (GuaranteeLine& it : lines) {
     by_class_[it.name] = lines_.size();
+    by_owner_[it.customer].push_back(lines_.size());
     lines_.push_back({std::move(it), {}, {}, true});
   }
   for (std::uint32_t n = 0; n < tables.workers.size(); ++n) {
@@ -484,23 +485,77 @@
   }
 }
 
+void GuaranteeState::BindCustomer(const CustomerName& customer,
+                                  CustomerChanges& changes,
+                                  std::uint64_t& examined) {
+  const auto jobs = tables_->by_customer.find(customer);
+  if (jobs == tables_->by_customer.end()) {
+    return;
+  }
+  const auto bind = [&](const JobOrder& order) {
+    ++examined;
+    const RunningJob& job = tables_->jobs.at(order.id);
+    if (IsCandidate(job)) {
+      UnbindLater(job, changes);
+      TryHold(job, false);
+    }
+  };
+  auto it = jobs->second.begin();
+  for (; it != jobs->second.end() && !IsFull(customer); ++it) {
+    bind(*it);
+  }
+  if (it == jobs->second.end()) {
+    return;
+  }
+  // The rest is held only in blocks that are bound already.
+  for (const JobOrder& order : JobsInBound(customer, examined)) {
+    if (!(order < *it)) {
+      bind(order);
+    }
+  }
+}
+
+const std::vector<std::size_t>& GuaranteeState::LinesOfCustomer(
+    const CustomerName& customer) const {
+  static const std::vector<std::size_t> kNone;
+  const auto it = by_owner_.find(customer);
+  return it == by_owner_.end() ? kNone : it->second;
+}
+
+/// Whether no line of the customer binds another block.
+bool GuaranteeState::IsFull(const CustomerName& customer) const {
+  const std::vector<std::size_t>& lines = LinesOfCustomer(customer);
+  return std::all_of(lines.begin(), lines.end(), [&](std::size_t n) {
+    const LineState& it = lines_[n];
+    return it.line.units == 1 &&
+           static_cast<int>(it.bound.size()) >= it.line.groups;
+  });
+}
+
+std::set<JobOrder> GuaranteeState::JobsInBound(const CustomerName& customer,
+                                               std::uint64_t& examined) const {
+  std::set<JobOrder> orders;
+  for (const std::size_t n : LinesOfCustomer(customer)) {
+    for (const BlockRef& block : lines_[n].bound) {
+      ++examined;
+      for (const Occupant& it : tables_->workers[block.worker].occupants) {
+        if (it.job->customer == customer) {
+          orders.insert(
+              {MayStop(*it.job), it.job->started, it.job->attempt.job});
+        }
+      }
+    }
+  }
+  return orders;
+}
+
 void GuaranteeState::Rebind(const CustomerName& customer,
                             CustomerChanges& changes,
                             std::set<std::uint32_t>& touched,
                             std::uint64_t& examined) {
   CustomerChange& change = changes[customer];
   Unbind(customer, change);
-  const auto jobs = tables_->by_customer.find(customer);
-  if (jobs != tables_->by_customer.end()) {
-    for (const JobOrder& order : jobs->second) {
-      ++examined;
-      const RunningJob& job = tables_->jobs.at(order.id);
-      if (IsCandidate(job)) {
-        UnbindLater(job, changes);
-        TryHold(job, false);
-      }
-    }
-  }
+  BindCustomer(customer, changes, examined);
   touched = change.workers;
   const CustomerBinding after = BindingOf(customer);
   std::vector<std::pair<std::size_t, BlockRef>> blocks;
@@ -523,10 +578,7 @@
 
 CustomerBinding GuaranteeState::BindingOf(const CustomerName& customer) const {
   CustomerBinding binding;
-  for (std::size_t n = 0; n < lines_.size(); ++n) {
-    if (lines_[n].line.customer != customer) {
-      continue;
-    }
+  for (const std::size_t n : LinesOfCustomer(customer)) {
     for (const BlockRef& it : lines_[n].bound) {
       if (!pinned_blocks_[n].contains(it)) {
         binding.blocks.insert({n, it});
--- a/packages/decision/src/guarantee_state.h
+++ b/packages/decision/src/guarantee_state.h
@@ -140,6 +140,14 @@
               CustomerChanges& changes,
               std::set<std::uint32_t>& touched,
               std::uint64_t& examined);
+  void BindCustomer(const CustomerName& customer,
+                    CustomerChanges& changes,
+                    std::uint64_t& examined);
+  const std::vector<std::size_t>& LinesOfCustomer(
+      const CustomerName& customer) const;
+  bool IsFull(const CustomerName& customer) const;
+  std::set<JobOrder> JobsInBound(const CustomerName& customer,
+                                 std::uint64_t& examined) const;
   void Unbind(const CustomerName& customer, CustomerChange& change);
   CustomerBinding BindingOf(const CustomerName& customer) const;
   void Append(const RunningJob& job,
@@ -163,6 +171,7 @@
   const Cluster::Tables* tables_;
   std::vector<LineState> lines_;
   std::map<ClassName, std::size_t> by_class_;
+  std::map<CustomerName, std::vector<std::size_t>> by_owner_;
   std::vector<AcceleratorMask> base_;
   std::vector<AcceleratorMask> protected_;
   std::vector<AcceleratorMask> bound_;
