Take worker changes into the kept guarantee state

Cause: each change of a worker led to a derivation from scratch.

Change: a change of a worker without work that cannot be stopped binds only the customers with work on it again. New workers still lead to a derivation.

--- a/packages/decision/src/cluster.cc
+++ b/packages/decision/src/cluster.cc
@@ -123,7 +123,7 @@
   }
   row.alive = false;
   --tables_->alive;
-  tables_->guarantees->Invalidate();
+  tables_->guarantees->WorkerChanged(RowOf(worker));
   const auto it = tables_->by_agent.find(row.info.agent);
   if (it != tables_->by_agent.end() && it->second == RowOf(worker)) {
     tables_->by_agent.erase(it);
@@ -134,9 +134,9 @@
 void Cluster::SetSchedulable(WorkerIndex worker, bool schedulable) {
   bool& value = tables_->workers[RowOf(worker)].schedulable;
   if (value != schedulable) {
-    tables_->guarantees->Invalidate();
+    value = schedulable;
+    tables_->guarantees->WorkerChanged(RowOf(worker));
   }
-  value = schedulable;
   Refresh(*tables_, RowOf(worker));
 }
 
@@ -151,9 +151,9 @@
 void Cluster::SetOtherUse(WorkerIndex worker, AcceleratorMask mask) {
   AcceleratorMask& value = tables_->workers[RowOf(worker)].other;
   if (value != mask) {
-    tables_->guarantees->Invalidate();
+    value = mask;
+    tables_->guarantees->WorkerChanged(RowOf(worker));
   }
-  value = mask;
   Refresh(*tables_, RowOf(worker));
 }
 
--- a/packages/decision/src/guarantee_cache.cc
+++ b/packages/decision/src/guarantee_cache.cc
@@ -1,5 +1,7 @@
 #include "guarantee_cache.h"
 
+#include <algorithm>
+
 namespace shallotlug::decision {
 
 void GuaranteeCache::JobAdded(const RunningJob& job) {
@@ -38,11 +40,26 @@
   }
 }
 
+void GuaranteeCache::WorkerChanged(std::uint32_t worker) {
+  if (!state_) {
+    return;
+  }
+  const std::vector<Occupant>& tasks = tables_->workers[worker].occupants;
+  if (!state_->IsIncremental() ||
+      std::any_of(tasks.begin(), tasks.end(),
+                  [](const Occupant& it) { return !MayStop(*it.job); })) {
+    Invalidate();
+    return;
+  }
+  state_->RefreshCapacity(worker, changes_);
+}
+
 GuaranteeState& GuaranteeCache::Current(const std::vector<GuaranteeLine>& lines,
                                         std::uint64_t& examined) {
   if (state_ && lines_ == lines) {
     state_->Update(changes_, examined);
-    if (!state_->IsIncremental() || state_->Feasible()) {
+    if (!state_->IsIncremental() ||
+        (state_->PinnedFeasible() && state_->Feasible())) {
       return *state_;
     }
   }
--- a/packages/decision/src/guarantee_cache.h
+++ b/packages/decision/src/guarantee_cache.h
@@ -12,9 +12,10 @@
 
 /// @brief The guarantee state of a cluster, kept between plans.
 ///
-/// Changes of work that may be stopped are applied incrementally. Changes of
-/// workers and of work that cannot be stopped, and states in which not all
-/// work inside guarantees can be held, lead to a derivation from scratch.
+/// Changes of work that may be stopped, and of workers without other work, are
+/// applied incrementally. New workers, changes of work that cannot be stopped,
+/// and states in which not all work inside guarantees can be held, lead to a
+/// derivation from scratch.
 class GuaranteeCache {
  public:
   explicit GuaranteeCache(const Cluster::Tables& tables)
@@ -24,7 +25,9 @@
   void JobAdded(const RunningJob& job);
   /// @brief Called before a job leaves the tables.
   void JobRemoved(const RunningJob& job);
-  /// @brief Called when a worker's capacity changed or a worker was added.
+  /// @brief Called when a worker's capacity changed.
+  void WorkerChanged(std::uint32_t worker);
+  /// @brief Called when a worker was added.
   void Invalidate() { state_.reset(); }
   /// @brief Called when the work on a worker changed.
   void OccupancyChanged(std::uint32_t worker) { reclaim_.MarkChanged(worker); }
--- a/packages/decision/src/guarantee_state.cc
+++ b/packages/decision/src/guarantee_state.cc
@@ -83,6 +83,7 @@
       base_(tables.workers.size()),
       protected_(tables.workers.size()),
       bound_(tables.workers.size()),
+      pinned_open_(*tables.free),
       open_(*tables.free) {
   for (GuaranteeLine& it : lines) {
     by_class_[it.name] = lines_.size();
@@ -101,6 +102,8 @@
   for (const LineState& it : lines_) {
     pinned_blocks_.push_back(it.bound);
   }
+  pinned_open_ = open_;
+  pinned_unused_ = Unused();
   const GuaranteeState before = *this;
   if (HoldAll(false)) {
     // A job that uses the guarantee of another customer is bound in the order
@@ -437,6 +440,18 @@
   }
 }
 
+void GuaranteeState::RefreshCapacity(std::uint32_t worker,
+                                     CustomerChanges& changes) {
+  base_[worker] = BaseOf(tables_->workers[worker]);
+  pinned_open_.Set(worker, base_[worker]);
+  SetOpen(worker);
+  for (const Occupant& it : tables_->workers[worker].occupants) {
+    if (IsCandidate(*it.job)) {
+      changes[it.job->customer].rebind = true;
+    }
+  }
+}
+
 /// Customers are bound one after the other, so a change concerns only customers
 /// that come later and have work on the same workers.
 void GuaranteeState::Update(CustomerChanges& changes, std::uint64_t& examined) {
--- a/packages/decision/src/guarantee_state.h
+++ b/packages/decision/src/guarantee_state.h
@@ -73,6 +73,11 @@
   bool IsIncremental() const { return is_incremental_; }
   /// @brief Drops a held job that may be stopped and is about to end.
   void Forget(const RunningJob& job, CustomerChange& change);
+  /// @brief Takes in a change of a worker on which all work may be stopped.
+  void RefreshCapacity(std::uint32_t worker, CustomerChanges& changes);
+  /// @brief Whether all unused groups fit beside the work that cannot be
+  /// stopped. If not, Derive binds it in another way.
+  bool PinnedFeasible() const { return pinned_open_.Holds(pinned_unused_); }
   /// @brief Takes in changes of work that may be stopped, and clears them. When
   /// the state is not feasible afterwards, it has to be derived anew.
   void Update(CustomerChanges& changes, std::uint64_t& examined);
@@ -180,6 +185,9 @@
   std::map<CustomerName, std::set<const RunningJob*>> held_by_customer_;
   /// Blocks of each line that work that cannot be stopped has bound.
   std::vector<std::set<BlockRef>> pinned_blocks_;
+  /// The open capacity and the unused groups when only that work was bound.
+  Capacity pinned_open_;
+  Needs pinned_unused_;
   bool is_incremental_ = false;
   bool records_ = false;
   std::vector<Undo> journal_;
