--- a/packages/decision/src/guarantee_state.cc
+++ b/packages/decision/src/guarantee_state.cc
@@ -532,9 +532,9 @@
 
 const std::vector<std::size_t>& GuaranteeState::LinesOfCustomer(
     const CustomerName& customer) const {
-  static const std::vector<std::size_t> kNone;
+  static const std::vector<std::size_t> none;
   const auto it = by_owner_.find(customer);
-  return it == by_owner_.end() ? kNone : it->second;
+  return it == by_owner_.end() ? none : it->second;
 }
 
 /// Whether no line of the customer binds another block.
