--- a/packages/base/include/shallotlug/base/ids.h
+++ b/packages/base/include/shallotlug/base/ids.h
@@ -48,6 +48,7 @@
   AgentName name;
   Incarnation incarnation{};
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive in std::pair.
   auto operator<=>(const AgentRef&) const = default;
 };
 
@@ -56,6 +57,7 @@
   EntryName name;
   Incarnation incarnation{};
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive in std::pair.
   auto operator<=>(const EntryRef&) const = default;
 };
 
@@ -64,6 +66,7 @@
   JobId job;
   std::uint32_t number = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive in std::pair.
   auto operator<=>(const Attempt&) const = default;
 };
 
--- a/packages/protocol/include/shallotlug/protocol/request_id.h
+++ b/packages/protocol/include/shallotlug/protocol/request_id.h
@@ -22,6 +22,7 @@
   PeerTime expires{};
   std::array<std::uint64_t, 2> random{};
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive in std::pair.
   auto operator<=>(const RequestId&) const = default;
 };
 
