--- a/tools/lib/demo.py
+++ b/tools/lib/demo.py
@@ -8,7 +8,7 @@
 from evidence import partial_gangs, spans, starts_by_client
 from installation import Installation, call
 
-CLIENTS = 120
+CLIENTS = 240
 CLIENT_THREADS = 12
 ARCHIVE_JOBS = 40
 GANG = "reconstruction-1"
@@ -64,6 +64,12 @@
     return "unreachable"
 
 
+def gang_start(trial):
+    """When the first member of the gang began, on this machine's monotonic clock in seconds."""
+    starts = [it[5] for it in spans(trial.histories()) if "gang" in json.loads(it[2] or "{}")]
+    return min(starts) / 1000 if starts else None
+
+
 class Clients:
     """Salons: each mints an id and repeats it through any entry until it has its answer."""
 
@@ -171,9 +177,9 @@
     say("The authority asks its guaranteed shape back: a gang of 16 over two workers of a rack.")
     asked = time.monotonic()
     gang = submit(trial, GANG, "reconstruction", "authority", 2, 8, 2000, {"gang": GANG})
-    trial.wait_until("the gang", lambda: job_state(trial, gang) in ("running", "finished"))
-    say("  The gang runs %.1f s after it was asked for; checkpoints take 1 s here."
-        % (time.monotonic() - asked))
+    trial.wait_until("the gang", lambda: gang_start(trial) is not None)
+    say("  It began %.1f s after it was asked for; checkpoints take 1 s here."
+        % (gang_start(trial) - asked))
 
     say("Entry 1 is killed in the middle of it (SIGKILL).")
     trial.kill("entry-1")
