Open peer listeners and parse record heads in one place each

A backend server's progress of 0e999 is read as NaN and would make job records unreadable. Change: OpenPeerLinks, ParseRecordObject; progress outside 0 to 1 counts as 0.

--- a/packages/net/src/agent_shell.cc
+++ b/packages/net/src/agent_shell.cc
@@ -6,8 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "backend_client.h"
-#include "peer_links.h"
-#include "role_loop.h"
+#include "role_listeners.h"
 #include "shallotlug/agent/agent.h"
 #include "shallotlug/base/logging.h"
 
@@ -41,7 +40,9 @@
                  BackendHandlers()) {}
 
   int Run() {
-    if (!OpenLinks() || !OpenMetrics()) {
+    links_ = OpenPeerLinks(context_, loop_, settings_.peers_listen,
+                           settings_.shared_key, Counters(), inbox_);
+    if (!links_ || !OpenMetrics()) {
       return 1;
     }
     WriteLog({LogLevel::kInfo,
@@ -75,34 +76,6 @@
             }};
   }
 
-  bool OpenLinks() {
-    PeerLinkOptions options;
-    options.listen = settings_.peers_listen;
-    options.shared_key = settings_.shared_key;
-    PeerLinkHandlers handlers;
-    handlers.on_up = [this](LinkUp event) {
-      inbox_.links_up.push_back(std::move(event));
-      loop_.Wake();
-    };
-    handlers.on_down = [this](LinkDown event) {
-      inbox_.links_down.push_back(std::move(event));
-      loop_.Wake();
-    };
-    handlers.on_received = [this](Received event) {
-      inbox_.received.push_back(std::move(event));
-      loop_.Wake();
-    };
-    handlers.on_log = WriteLog;
-    auto links =
-        PeerLinks::Open(context_, options, Counters(), std::move(handlers));
-    if (!links) {
-      LogListenFailure("peers", settings_.peers_listen, links.error());
-      return false;
-    }
-    links_.emplace(std::move(links.value()));
-    return true;
-  }
-
   bool OpenMetrics() {
     const auto opened =
         metrics_.Listen(context_, settings_.metrics_listen,
--- a/packages/net/src/backend_client.cc
+++ b/packages/net/src/backend_client.cc
@@ -77,6 +77,12 @@
   std::uint64_t sequence = 0;
 };
 
+// The parser reads numbers such as 0e999 as NaN, which no record may hold.
+double ProgressOf(const json::object& task) {
+  const double progress = task.at("progress").to_number<double>();
+  return progress >= 0 && progress <= 1 ? progress : 0;
+}
+
 std::optional<Status> ParseStatus(const HttpResponse& response) {
   if (response.status != 200) {
     return std::nullopt;
@@ -94,8 +100,7 @@
       out.report.usage.push_back(
           {TaskId(TextOf(task, "task")),
            task.at("accelerators").to_number<AcceleratorMask>(),
-           task.at("throttled").as_bool(),
-           task.at("progress").to_number<double>()});
+           task.at("throttled").as_bool(), ProgressOf(task)});
     }
     for (const json::value& it : body.at("events").as_array()) {
       out.report.events.push_back(ParseEvent(it.as_object()));
--- a/packages/stream/src/config_record.cc
+++ b/packages/stream/src/config_record.cc
@@ -67,20 +67,16 @@
 }
 
 ConfigRecord ParseConfigRecord(std::string_view data) {
-  const std::optional<json::object> object = ParseObject(data);
-  if (!object) {
-    return ParseFault::kMalformed;
-  }
-  FieldReader reader{*object};
-  const std::int64_t version = reader.Integer("v");
-  const std::string kind = reader.Text("kind");
-  if (!reader.ok) {
-    return ParseFault::kMalformed;
+  const auto parsed = ParseRecordObject(data);
+  if (const auto* fault = std::get_if<ParseFault>(&parsed)) {
+    return *fault;
   }
-  if (version == kRecordVersion && kind == "change") {
+  const auto& [object, kind] = std::get<RecordObject>(parsed);
+  FieldReader reader{object};
+  if (kind == "change") {
     return ReadChange(reader);
   }
-  if (version == kRecordVersion && kind == "snapshot") {
+  if (kind == "snapshot") {
     return ReadSnapshot(reader);
   }
   return ParseFault::kUnknownKind;
--- a/packages/stream/src/job_record.cc
+++ b/packages/stream/src/job_record.cc
@@ -219,19 +219,12 @@
 }
 
 JobRecord ParseJobRecord(std::string_view data) {
-  const std::optional<json::object> object = ParseObject(data);
-  if (!object) {
-    return ParseFault::kMalformed;
-  }
-  FieldReader reader{*object};
-  const std::int64_t version = reader.Integer("v");
-  const std::string kind = reader.Text("kind");
-  if (!reader.ok) {
-    return ParseFault::kMalformed;
-  }
-  if (version != kRecordVersion) {
-    return ParseFault::kUnknownKind;
+  const auto parsed = ParseRecordObject(data);
+  if (const auto* fault = std::get_if<ParseFault>(&parsed)) {
+    return *fault;
   }
+  const auto& [object, kind] = std::get<RecordObject>(parsed);
+  FieldReader reader{object};
   if (kind == "submitted") {
     return ReadSubmitted(reader);
   }
--- a/packages/stream/src/json_fields.cc
+++ b/packages/stream/src/json_fields.cc
@@ -119,6 +119,24 @@
   return value.get_object();
 }
 
+std::variant<RecordObject, ParseFault> ParseRecordObject(
+    std::string_view data) {
+  std::optional<json::object> object = ParseObject(data);
+  if (!object) {
+    return ParseFault::kMalformed;
+  }
+  FieldReader reader{*object};
+  const std::int64_t version = reader.Integer("v");
+  std::string kind = reader.Text("kind");
+  if (!reader.ok) {
+    return ParseFault::kMalformed;
+  }
+  if (version != kRecordVersion) {
+    return ParseFault::kUnknownKind;
+  }
+  return RecordObject{std::move(*object), std::move(kind)};
+}
+
 json::object NewRecordObject(std::string_view kind) {
   return {{"v", kRecordVersion}, {"kind", json::string_view(kind)}};
 }
--- a/packages/stream/src/json_fields.h
+++ b/packages/stream/src/json_fields.h
@@ -6,10 +6,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include <boost/json.hpp>
 
 #include "shallotlug/base/work.h"
+#include "shallotlug/stream/parse_fault.h"
 
 namespace shallotlug::stream {
 
@@ -37,6 +39,16 @@
 /// @brief Parses an object; nothing when the text is not one.
 std::optional<json::object> ParseObject(std::string_view data);
 
+/// @brief A record of this version whose fields have not been read.
+struct RecordObject {
+  json::object object;
+  std::string kind;
+};
+
+/// @brief Parses what every record begins with. Another version is
+/// kUnknownKind.
+std::variant<RecordObject, ParseFault> ParseRecordObject(std::string_view data);
+
 /// @brief Starts a record of a kind.
 json::object NewRecordObject(std::string_view kind);
 
