Keep work that cannot be stopped off workers that are partly unavailable

Cause: the new property Guarantees (and its shrunk case, scenario guarantee_transient_use) found a guaranteed shape that never came back. After a backend server restarted, its accelerators looked used by unknown work for some milliseconds; the guaranteed group on that worker was given up, and a job that cannot be repeated took one of the free accelerators for its whole run. Ruled out: the kept guarantee state (the same case fails without it). Change: jobs that cannot be repeated avoid workers with unavailable accelerators. Result: the scenario fails before and passes after.

--- a/packages/cli/src/run.cc
+++ b/packages/cli/src/run.cc
@@ -160,6 +160,10 @@
   const std::vector<std::string> words(rest.begin() + 1, rest.end());
   const Command* command = FindCommand(words);
   if (!command) {
+    if (!words.empty()) {
+      std::cerr << "shallotlug: unknown command \"" << words.front()
+                << "\"\n\n";
+    }
     std::cerr << HelpText(words);
     return kExitUsage;
   }
--- a/packages/decision/src/cluster.cc
+++ b/packages/decision/src/cluster.cc
@@ -152,6 +152,11 @@
   AcceleratorMask& value = tables_->workers[RowOf(worker)].other;
   if (value != mask) {
     value = mask;
+    if (mask != 0) {
+      tables_->partly_unavailable.insert(RowOf(worker));
+    } else {
+      tables_->partly_unavailable.erase(RowOf(worker));
+    }
     tables_->guarantees->WorkerChanged(RowOf(worker));
   }
   Refresh(*tables_, RowOf(worker));
--- a/packages/decision/src/plan.cc
+++ b/packages/decision/src/plan.cc
@@ -64,6 +64,11 @@
   if (!job.repeatable) {
     workers.insert(tables.repeatable_only.begin(),
                    tables.repeatable_only.end());
+    // While part of a worker is unavailable, a guaranteed group does not fit on
+    // it and is given up. Mostly that part comes back within a second, and work
+    // that cannot be stopped would keep the group out for good.
+    workers.insert(tables.partly_unavailable.begin(),
+                   tables.partly_unavailable.end());
   }
   return workers;
 }
--- a/packages/decision/src/tables.h
+++ b/packages/decision/src/tables.h
@@ -46,7 +46,8 @@
 
 struct Cluster::Tables {
   std::vector<WorkerRow> workers;
-  std::set<std::uint32_t> repeatable_only;  ///< Workers under probe.
+  std::set<std::uint32_t> repeatable_only;     ///< Workers under probe.
+  std::set<std::uint32_t> partly_unavailable;  ///< Workers with other use.
   std::unordered_map<AgentName, std::uint32_t> by_agent;
   std::unordered_map<DataCentreName, std::uint32_t> centres;
   std::map<std::pair<DataCentreName, RackName>, std::uint32_t> racks;
