Give running jobs their tasks on workers that are heard after them

Cause: the property Guarantees (shrunk: scenario guarantee_after_entry_restart) found a guaranteed shape that was not reclaimed. An entry that restarts reads the claimed jobs before it has heard all agents; the tasks on workers heard later stayed unknown use, which no plan may stop. Ruled out: the placement (the same tables with all tasks place the shape) and the kept guarantee state.

--- a/packages/entry/src/cluster_sync.cc
+++ b/packages/entry/src/cluster_sync.cc
@@ -1,5 +1,7 @@
 #include "cluster_sync.h"
 
+#include <utility>
+
 #include "job_table.h"
 
 namespace shallotlug::entry {
@@ -25,6 +27,7 @@
   }
   if (!agent.worker) {
     agent.worker = cluster.AddWorker(info);
+    state.jobs.workers_added = true;
   }
   if (state.jobs.ever_seen_agents.insert(agent.ref.name).second) {
     state.jobs.ever_seen.AddWorker(info);
@@ -111,6 +114,7 @@
   const auto track = state.jobs.tracks.find(row.spec.id);
   if (track != state.jobs.tracks.end()) {
     job.stopping = track->second.stopping.has_value();
+    job.submitted = track->second.submitted;
     job.started =
         track->second.running_since.value_or(track->second.claimed_at);
     job.progress = std::max(job.progress, track->second.progress);
@@ -150,6 +154,17 @@
   SyncWorkersOf(state, touched);
 }
 
+void SyncJobsOfNewWorkers(State& state) {
+  if (!std::exchange(state.jobs.workers_added, false)) {
+    return;
+  }
+  for (const auto& [job, row] : state.jobs.fold.rows) {
+    if (row.standing == stream::JobStanding::kClaimed) {
+      SyncJob(state, job);
+    }
+  }
+}
+
 void RemoveDeadWorkers(State& state) {
   for (auto& [name, agent] : state.agents) {
     if (agent.worker && !agent.linked &&
--- a/packages/entry/src/cluster_sync.h
+++ b/packages/entry/src/cluster_sync.h
@@ -12,6 +12,10 @@
 /// @brief Brings a job's accelerators up to date with its row.
 void SyncJob(State& state, const JobId& job);
 
+/// @brief Gives running jobs their tasks on workers that were added since the
+/// last call.
+void SyncJobsOfNewWorkers(State& state);
+
 /// @brief Removes workers whose agent has been unlinked for long.
 void RemoveDeadWorkers(State& state);
 
--- a/packages/entry/src/job_track.h
+++ b/packages/entry/src/job_track.h
@@ -111,6 +111,8 @@
   decision::RunTimes run_times;
   std::deque<OffsetSample> offsets;
   bool dirty = true;  ///< Something changed since the last plan.
+  /// A worker was added; jobs that were read before it lack their tasks there.
+  bool workers_added = false;
   TimePoint next_plan{};
   TimePoint next_full_plan{};
   TimePoint next_reconcile{};
--- a/packages/entry/src/step.cc
+++ b/packages/entry/src/step.cc
@@ -197,6 +197,7 @@
   CloseSilentLinks(state);
   decision::UpdateHealth(state.health, state.now);
   RemoveDeadWorkers(state);
+  SyncJobsOfNewWorkers(state);
   KeepEntries(state);
   RecordFinals(state);
   AnswerAcknowledgedSubmits(state);
