Read the jobs stream every 100 ms

The planner was not the entry that accepted the job and learned of it up to 500 ms later from the log; with the plan interval and a checkpoint of 1 s that is more than 1.7 s. Ruled out: placement and preemption, which followed within one plan. Change: the jobs stream is read again 100 ms after a read (the read itself waits at the service).

--- a/packages/entry/include/shallotlug/entry/entry.h
+++ b/packages/entry/include/shallotlug/entry/entry.h
@@ -28,6 +28,9 @@
   Millis heartbeat_interval{1000};
   Millis link_silence_limit{3000};
   Millis config_poll_interval{500};
+  /// The planner learns of a job from the log when another entry accepted it.
+  /// At 500 ms, a start with a checkpoint of 1 s took more than 1.7 s.
+  Millis job_poll_interval{100};
   Millis announce_interval{10'000};
   Millis announce_expiry{30'000};
   Millis request_id_lifetime{600'000};
--- a/packages/entry/src/log.cc
+++ b/packages/entry/src/log.cc
@@ -5,6 +5,8 @@
 
 #include "config.h"
 #include "job_table.h"
+#include "shallotlug/stream/job_record.h"
+
 #include "peers.h"
 #include "replies.h"
 #include "snapshots.h"
@@ -15,6 +17,12 @@
 // A read whose result never came is started again after this many time-outs.
 constexpr int kLostReadTimeouts = 4;
 
+Millis PollInterval(const State& state, const StreamReader& reader) {
+  return reader.stream == stream::kJobStream
+             ? state.options.job_poll_interval
+             : state.options.config_poll_interval;
+}
+
 void NoteReadFailure(State& state, StreamReader& reader) {
   Count(state, "shallotlug_entry_log_read_failures_total", reader.stream);
   reader.due = state.now + state.options.config_poll_interval;
@@ -44,8 +52,7 @@
     reader.caught_up = true;
     reader.caught_up_at = reader.opened;
   }
-  reader.due =
-      at_end ? state.now + state.options.config_poll_interval : state.now;
+  reader.due = at_end ? state.now + PollInterval(state, reader) : state.now;
 }
 
 void DriveReader(State& state, StreamReader& reader) {
