--- a/packages/entry/src/job_table.cc
+++ b/packages/entry/src/job_table.cc
@@ -1,6 +1,7 @@
 #include "job_table.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "attempts.h"
@@ -106,14 +107,20 @@
   SendStop(state, claim->coordinator, claim->attempt, StopReason::kSuperseded);
 }
 
-void OnOwnRecordRead(State& state, const std::string& id) {
+// The job of a record that this entry queued; the record is settled now.
+std::optional<JobId> TakeOwnRecord(State& state, const std::string& id) {
   const auto it = state.jobs.own_records.find(id);
   if (it == state.jobs.own_records.end()) {
-    return;
+    return std::nullopt;
   }
-  const JobId job = it->second;
+  JobId job = std::move(it->second);
   state.jobs.own_records.erase(it);
-  JobTrack* track = FindTrack(state, job);
+  return job;
+}
+
+void OnOwnRecordRead(State& state, const std::string& id) {
+  const std::optional<JobId> job = TakeOwnRecord(state, id);
+  JobTrack* track = job ? FindTrack(state, *job) : nullptr;
   if (track == nullptr) {
     return;
   }
@@ -125,9 +132,9 @@
   }
   const OwnRecord record = std::move(*own);
   track->own.erase(own);
-  StopLoser(state, job, record);
-  NoteJobBurn(state, job, record);
-  state.jobs.fold.changed.push_back(job);
+  StopLoser(state, *job, record);
+  NoteJobBurn(state, *job, record);
+  state.jobs.fold.changed.push_back(*job);
 }
 
 void ForgetTrack(State& state, const JobId& job, JobTrack& track) {
@@ -253,13 +260,8 @@
     return;  // Takes effect when it is read back.
   }
   OnCancelRecord(state, notice.record_id, notice.kind);
-  const auto it = state.jobs.own_records.find(notice.record_id);
-  if (it == state.jobs.own_records.end()) {
-    return;
-  }
-  const JobId job = it->second;
-  state.jobs.own_records.erase(it);
-  JobTrack* track = FindTrack(state, job);
+  const std::optional<JobId> job = TakeOwnRecord(state, notice.record_id);
+  JobTrack* track = job ? FindTrack(state, *job) : nullptr;
   if (track == nullptr) {
     return;
   }
@@ -270,8 +272,8 @@
     track->waiting.reset();
     track->not_before = state.now + state.options.log_timeout;
   }
-  Rebuild(state, job, *track);
-  SyncJob(state, job);
+  Rebuild(state, *job, *track);
+  SyncJob(state, *job);
 }
 
 bool JobsKnown(const State& state) {
--- a/packages/standin/src/backend_server.cc
+++ b/packages/standin/src/backend_server.cc
@@ -14,6 +14,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/outcome/try.hpp>
 
+#include "call_after.h"
 #include "shallotlug/net/http_server.h"
 #include "target.h"
 
@@ -91,24 +92,11 @@
     return boost::outcome_v2::success();
   }
 
-  void After(Millis wait, std::function<void()> call) {
-    if (wait <= Millis(0)) {
-      call();
-      return;
-    }
-    const auto it = std::make_shared<asio::steady_timer>(context, wait);
-    it->async_wait(
-        [it, call = std::move(call)](const boost::system::error_code& ec) {
-          if (!ec) {
-            call();
-          }
-        });
-  }
-
   void Reply(ExchangeId id, HttpResponse response) {
-    After(delay, [this, id, response = std::move(response)]() mutable {
-      server->Reply(id, std::move(response));
-    });
+    CallAfter(context, delay,
+              [this, id, response = std::move(response)]() mutable {
+                server->Reply(id, std::move(response));
+              });
   }
 
   void OnRequest(ExchangeId id, const HttpRequest& request) {
@@ -248,7 +236,7 @@
       return;
     }
     pollers.push_back({id, since});
-    After(wait, [this, id] {
+    CallAfter(context, wait, [this, id] {
       const auto it =
           std::find_if(pollers.begin(), pollers.end(),
                        [id](const Poller& p) { return p.exchange == id; });
--- a/packages/standin/src/log_service.cc
+++ b/packages/standin/src/log_service.cc
@@ -16,6 +16,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/outcome/try.hpp>
 
+#include "call_after.h"
 #include "shallotlug/net/http_server.h"
 #include "target.h"
 
@@ -106,21 +107,6 @@
     return boost::outcome_v2::success();
   }
 
-  // Calls back after a delay, or at once.
-  void After(Clock::duration delay, std::function<void()> call) {
-    if (delay <= Clock::duration::zero()) {
-      call();
-      return;
-    }
-    const auto timer = std::make_shared<asio::steady_timer>(context, delay);
-    timer->async_wait(
-        [timer, call = std::move(call)](const boost::system::error_code& ec) {
-          if (!ec) {
-            call();
-          }
-        });
-  }
-
   void Reply(ExchangeId id, HttpResponse response) {
     if (server) {
       server->Reply(id, std::move(response));
@@ -143,7 +129,7 @@
       return;
     }
     if (request.method == "GET") {
-      After(delay, [this, id, target] { OnRead(id, target); });
+      CallAfter(context, delay, [this, id, target] { OnRead(id, target); });
       return;
     }
     if (request.method != "POST") {
@@ -156,10 +142,9 @@
     next_append =
         std::max(next_append, now) +
         std::chrono::nanoseconds(1'000'000'000) / options.appends_per_second;
-    After(delay + (next_append - now),
-          [this, id, name = target.path[2], body = std::move(request.body)] {
-            OnAppend(id, name, body);
-          });
+    CallAfter(context, delay + (next_append - now),
+              [this, id, name = target.path[2],
+               body = std::move(request.body)] { OnAppend(id, name, body); });
   }
 
   void OnAppend(ExchangeId id,
@@ -223,7 +208,7 @@
       return;
     }
     stream.waiting.push_back({id, from, limit, Clock::now() + wait});
-    After(wait, [this, id, name] { EndWait(id, name); });
+    CallAfter(context, wait, [this, id, name] { EndWait(id, name); });
   }
 
   void EndWait(ExchangeId id, const std::string& name) {
--- a/tools/lib/demo.py
+++ b/tools/lib/demo.py
@@ -155,13 +155,7 @@
 
 def run(trial):
     say("Starting the log stand-in, two entries, four workers in two racks.")
-    trial.start_log()
-    trial.start_entry("entry-1", "bergen")
-    trial.start_entry("entry-2", "bergen")
-    for n in range(4):
-        trial.start_worker("worker-%d" % (n + 1), "bergen", "rack-%d" % (n // 2 + 1))
-    trial.wait_until("four workers at both entries", lambda: all(
-        trial.ready(it) and trial.live_workers(it) == 4 for it in trial.entries))
+    trial.start_two_racks()
     set_targets(trial)
 
     say("Archive work fills all 32 accelerators (%d jobs of one)." % ARCHIVE_JOBS)
--- a/tools/lib/experiment.py
+++ b/tools/lib/experiment.py
@@ -29,13 +29,7 @@
 
 def run(build, fault, rate, seconds, html):
     with Installation(build) as trial:
-        trial.start_log()
-        trial.start_entry("entry-1", "bergen")
-        trial.start_entry("entry-2", "bergen")
-        for n in range(4):
-            trial.start_worker("worker-%d" % (n + 1), "bergen", "rack-%d" % (n // 2 + 1))
-        trial.wait_until("four workers at both entries", lambda: all(
-            trial.ready(it) and trial.live_workers(it) == 4 for it in trial.entries))
+        trial.start_two_racks()
         code, output = trial.operator("target", "set", "match", "--customer=fargekort",
                                       "--kind=live", "--finish_within=2s")
         if code != 0:
--- a/tools/lib/installation.py
+++ b/tools/lib/installation.py
@@ -99,6 +99,16 @@
             "shared_key": SHARED_KEY})
         self.start(name, "apps/shallotlug-agent", "--settings=" + path)
 
+    def start_two_racks(self):
+        """Starts two entries and four workers in two racks, and waits until all know each other."""
+        self.start_log()
+        self.start_entry("entry-1", "bergen")
+        self.start_entry("entry-2", "bergen")
+        for n in range(4):
+            self.start_worker("worker-%d" % (n + 1), "bergen", "rack-%d" % (n // 2 + 1))
+        self.wait_until("four workers at both entries", lambda: all(
+            self.ready(it) and self.live_workers(it) == 4 for it in self.entries))
+
     def kill(self, name):
         self.processes[name].send_signal(signal.SIGKILL)
         self.processes[name].wait()
