Find a silent store and a lost scheduler sooner

Cause: calls to the store waited a fixed second or more for an answer, so that entries noticed the end of a silent outage up to two seconds late and refused jobs meanwhile, and a lost scheduler was replaced after 1.6 to 2.1 s. Response times now set the time-outs (RFC 6298), the scheduler writes every 250 ms, and entries claim after 900 ms. Submissions are logged with what the decisions about them depend on.

--- a/packages/joblog/include/shallotlug/joblog/authority.h
+++ b/packages/joblog/include/shallotlug/joblog/authority.h
@@ -16,13 +16,13 @@
 inline constexpr const char* kSchedulerProducer = "scheduler";
 
 /// @brief The scheduler appends at least this often.
-inline constexpr Millis kAuthorityInterval{500};
+inline constexpr Millis kAuthorityInterval{250};
 /// @brief A scheduler that was not heard on the log for so long has lost its
 /// place, although the log can be read.
-inline constexpr Millis kAuthorityTimeout{1'500};
+inline constexpr Millis kAuthorityTimeout{900};
 /// @brief Entries claim one after the other, in the order of their names, to
 /// keep most claims free of conflicts.
-inline constexpr Millis kClaimStagger{120};
+inline constexpr Millis kClaimStagger{30};
 
 /// @brief What an entry knows of the scheduler from the log.
 struct AuthorityView {
--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "shallotlug/joblog/authority.h"
+#include "shallotlug/joblog/response_timer.h"
 
 namespace shallotlug::scheduler {
 
@@ -14,7 +15,6 @@
 
 namespace {
 
-constexpr Millis kAppendTimeout{1'000};
 constexpr Millis kAppendRetry{50};
 // Entries share few claim slots; equal ones are told apart by the log.
 constexpr std::size_t kClaimRanks = 6;
@@ -70,6 +70,8 @@
   std::uint64_t running_epoch = 0;  ///< Of the term it belongs to; 0: a claim.
   bool repeat = false;  ///< The batch goes again, with its sequence.
   TimePoint retry_at{};
+  joblog::ResponseTimer response_timer;
+  TimePoint sent_at{};  ///< Of the running append.
   bool retiring = false;
   std::vector<LogLine> log;
 
@@ -77,7 +79,7 @@
   void StepDown(const std::string& reason, TimePoint now);
   void CheckAgents(Now now);
   std::optional<RoleAppend> Claim(std::uint64_t nonce, TimePoint now);
-  RoleAppend Send();
+  RoleAppend Send(TimePoint now);
   void OnClaimed(const AppendResult& result, Now now);
   void OnBatch(const AppendResult& result, Now now);
 };
@@ -160,7 +162,7 @@
     return it.Claim(nonce, now.local);
   }
   if (it.repeat) {
-    return it.Send();
+    return it.Send(now.local);
   }
   it.CheckAgents(now);
   Term& term = *it.term;
@@ -170,16 +172,16 @@
     claim.entry = it.options.entry;
     claim.resigned = true;
     it.batch = {workload::Encode(claim)};
-    return it.Send();
+    return it.Send(now.local);
   }
   it.batch = term.scheduler.Plan(it.policy, now);
   if (!it.batch.empty()) {
-    return it.Send();
+    return it.Send(now.local);
   }
   term.scheduler.Commit();
   if (now.local - term.appended_at >= joblog::kAuthorityInterval) {
     it.batch = {workload::Encode(it.ledger.claim)};
-    return it.Send();
+    return it.Send(now.local);
   }
   return std::nullopt;
 }
@@ -208,19 +210,21 @@
   // store would take the second claim for a repetition of the first.
   append.options.producer = {joblog::kSchedulerProducer, pending.claim.epoch,
                              pending.claim.nonce};
-  append.options.timeout = kAppendTimeout;
+  append.options.timeout = response_timer.Timeout();
+  sent_at = now;
   claiming = std::move(pending);
   running = true;
   running_epoch = 0;
   return append;
 }
 
-RoleAppend Role::Impl::Send() {
+RoleAppend Role::Impl::Send(TimePoint now) {
   RoleAppend append;
   append.records = batch;
   append.options.producer = {joblog::kSchedulerProducer, term->epoch,
                              term->sequence};
-  append.options.timeout = kAppendTimeout;
+  append.options.timeout = response_timer.Timeout();
+  sent_at = now;
   running = true;
   running_epoch = term->epoch;
   return append;
@@ -229,6 +233,7 @@
 void Role::OnAppended(const AppendResult& result, Now now) {
   Impl& it = *impl_;
   it.running = false;
+  it.response_timer.OnAppend(result.status, now.local - it.sent_at);
   if (it.running_epoch == 0) {
     it.OnClaimed(result, now);
   } else if (it.term && it.term->epoch == it.running_epoch) {
--- a/packages/service/src/follow_loop.cc
+++ b/packages/service/src/follow_loop.cc
@@ -32,21 +32,38 @@
 
 void FollowLoop::Call() {
   const joblog::FollowCall call = follower_.Next();
+  const TimePoint began = ReadClock();
+  const Millis timeout = response_timer_.Timeout();
   if (call.kind == joblog::FollowCall::Kind::kNewest) {
-    client_.ReadNewest(options_.topic, call.after_key,
-                       [this](const joblog::NewestResult& result) {
+    client_.ReadNewest(options_.topic, call.after_key, timeout,
+                       [this, began](const joblog::NewestResult& result) {
+                         Measure(result.status, Millis(0), began);
                          follower_.OnNewest(result, ReadClock());
                          OnAnswer(result.status, result.detail);
                        });
     return;
   }
-  client_.Read(options_.topic, call.from, options_.wait,
-               [this](const joblog::ReadResult& result) {
+  // A store that was lost is asked for an answer at once.
+  const Millis wait = lost_ ? Millis(0) : options_.wait;
+  client_.Read(options_.topic, call.from, wait, timeout,
+               [this, wait, began](const joblog::ReadResult& result) {
+                 Measure(result.status, wait, began);
                  follower_.OnRead(result, ReadClock());
                  OnAnswer(result.status, result.detail);
                });
 }
 
+void FollowLoop::Measure(ReadStatus status, Millis wait, TimePoint began) {
+  const Millis took = ReadClock() - began;
+  if (status != ReadStatus::kUnavailable) {
+    // An answer that came before the wait was over says only that the store
+    // is not slower than this.
+    response_timer_.OnAnswer(took > wait ? took - wait : Millis(0));
+  } else if (took >= wait + response_timer_.Timeout()) {
+    response_timer_.OnTimeout();
+  }
+}
+
 void FollowLoop::OnAnswer(ReadStatus status, const std::string& detail) {
   const bool lost = status == ReadStatus::kUnavailable;
   if (lost != lost_) {
--- a/packages/service/src/follow_loop.h
+++ b/packages/service/src/follow_loop.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "shallotlug/joblog/follower.h"
+#include "shallotlug/joblog/response_timer.h"
 #include "shallotlug/platform/store_client.h"
 
 namespace shallotlug::service {
@@ -33,12 +34,14 @@
 
  private:
   void Call();
+  void Measure(joblog::ReadStatus status, Millis wait, TimePoint began);
   void OnAnswer(joblog::ReadStatus status, const std::string& detail);
 
   boost::asio::steady_timer timer_;
   platform::StoreClient client_;
   FollowOptions options_;
   joblog::Follower follower_;
+  joblog::ResponseTimer response_timer_;
   std::function<void()> on_page_;
   bool lost_ = false;
 };
--- a/packages/service/src/job_api.cc
+++ b/packages/service/src/job_api.cc
@@ -1,5 +1,6 @@
 #include "job_api.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "clocks.h"
@@ -26,6 +27,34 @@
   WriteLog({LogLevel::kInfo, event, std::move(all)});
 }
 
+/// @brief What the decisions about a job depend on.
+std::vector<Label> Facts(const workload::Job& job) {
+  std::int64_t tasks = 0;
+  std::int64_t accelerators = 0;
+  Millis estimate{0};
+  bool gang = false;
+  bool same_rack = false;
+  bool saves = false;
+  for (const workload::Step& it : job.steps) {
+    tasks += it.count;
+    accelerators = std::max(accelerators, it.count * it.need.accelerators);
+    estimate += it.estimate;
+    gang = gang || it.gang;
+    same_rack = same_rack || it.same_rack;
+    saves = saves || it.saves_checkpoints;
+  }
+  return {{"queue", job.queue},
+          {"priority", std::to_string(job.terms.priority)},
+          {"customer", job.customer.value},
+          {"steps", std::to_string(job.steps.size())},
+          {"tasks", std::to_string(tasks)},
+          {"widest_step_accelerators", std::to_string(accelerators)},
+          {"estimate_ms", std::to_string(estimate.count())},
+          {"gang", gang ? "true" : "false"},
+          {"same_rack", same_rack ? "true" : "false"},
+          {"saves", saves ? "true" : "false"}};
+}
+
 const char* Name(Stored stored) {
   switch (stored) {
     case Stored::kYes:
@@ -95,16 +124,18 @@
   }
   const scheduler::Now now = ReadBothClocks();
   call.job.accepted_at = now.wall;
-  const std::string queue = call.job.queue;
+  std::vector<Label> facts = Facts(call.job);
   state_.records.Append(
       workload::Encode(workload::JobAccepted{std::move(call.job)}),
       now.local + kAppendDeadline,
-      [this, id, queue, reply, began = now.local](Stored stored) {
-        LogCall("job_submitted", id,
-                {{"queue", queue},
-                 {"outcome", Name(stored)},
-                 {"policy", std::to_string(state_.policy.version)},
-                 {"took_ms", std::to_string((ReadClock() - began).count())}});
+      [this, id, facts = std::move(facts), reply,
+       began = now.local](Stored stored) {
+        std::vector<Label> fields{
+            {"outcome", Name(stored)},
+            {"policy", std::to_string(state_.policy.version)},
+            {"took_ms", std::to_string((ReadClock() - began).count())}};
+        fields.insert(fields.end(), facts.begin(), facts.end());
+        LogCall("job_submitted", id, std::move(fields));
         state_.counters.AddTo("shallotlug_jobs_submitted_total",
                               {{"outcome", Name(stored)}});
         state_.histograms.Observe("shallotlug_job_call_seconds",
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -32,7 +32,7 @@
 constexpr Millis kReadyAge{1'500};
 // One read waits so long for news. A connection that went silent is found after
 // this and the client's timeout, well before changes must be in force.
-constexpr Millis kJobsWait{400};
+constexpr Millis kJobsWait{300};
 constexpr Millis kConfigurationWait{500};
 // Open calls are answered within this time of a shutdown.
 constexpr Millis kShutdownTimeout{3'500};
--- a/packages/service/src/record_queue.cc
+++ b/packages/service/src/record_queue.cc
@@ -13,8 +13,6 @@
 
 namespace {
 
-// Larger than the answers of a slow store, and less than callers wait.
-constexpr Millis kAppendTimeout{1'000};
 constexpr Millis kRetryDelay{50};
 // Refusals of the store after which a record is given up.
 constexpr int kMaxRefusals = 2;
@@ -65,10 +63,12 @@
     }
   }
   joblog::AppendOptions options;
-  options.timeout = kAppendTimeout;
-  client_.Append(
-      platform::kJobTopic, records, options,
-      [this](const joblog::AppendResult& result) { OnResult(result); });
+  options.timeout = response_timer_.Timeout();
+  client_.Append(platform::kJobTopic, records, options,
+                 [this, began = ReadClock()](const joblog::AppendResult& it) {
+                   response_timer_.OnAppend(it.status, ReadClock() - began);
+                   OnResult(it);
+                 });
 }
 
 bool RecordQueue::Settle(Item& item, AppendStatus status, TimePoint now) {
--- a/packages/service/src/record_queue.h
+++ b/packages/service/src/record_queue.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "shallotlug/joblog/response_timer.h"
 #include "shallotlug/platform/store_client.h"
 
 namespace shallotlug::service {
@@ -49,6 +50,7 @@
 
   boost::asio::steady_timer timer_;
   platform::StoreClient client_;
+  joblog::ResponseTimer response_timer_;
   std::vector<Item> items_;
   bool waiting_ = false;
 };
