Let gangs that have begun wait for one rack

The limit counts for the first start only. Test: GuaranteeTest.StartsAFailedGangAgainInOneRack (failed before).

--- a/packages/scheduler/src/guarantee_test.cc
+++ b/packages/scheduler/src/guarantee_test.cc
@@ -70,5 +70,27 @@
   EXPECT_TRUE(scheduler.Running("saves").empty());
 }
 
+// A run that is started again has no time limit for its begin: spread over
+// racks it would take a multiple of the time that a place in one rack costs.
+TEST_F(GuaranteeTest, StartsAFailedGangAgainInOneRack) {
+  scheduler.AddCustomer("acme", 16);
+  scheduler.AddWorker("b1", "r2", kEight);
+  scheduler.AddWorker("b2", "r2", kEight);
+  workload::Job gang = scheduler.Job("gang", "live", "acme", 2, 8);
+  gang.steps[0].gang = true;
+  gang.steps[0].same_rack = true;
+  scheduler.Submit(gang);
+  scheduler.Run(2);
+  scheduler.Submit(scheduler.Job("batch", "batch", "zenith", 1, 8));
+  scheduler.Run(40);
+  const std::string failing = scheduler.Running("gang").begin()->first;
+  scheduler.End({JobId("gang"), 0, 0, 0}, workload::EndReason::kFailed);
+  scheduler.Run(6);
+  const std::map<std::string, int> running = scheduler.Running("gang");
+  ASSERT_EQ(running.size(), 2U);
+  EXPECT_EQ(running.begin()->first[0], running.rbegin()->first[0]);
+  EXPECT_NE(running.begin()->first[0], failing[0]);
+}
+
 }  // namespace
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -18,7 +18,8 @@
 // Space that was not freed by then is not held any longer.
 constexpr Millis kClaimTimeout{2'000};
 // A guaranteed gang that finds no rack is spread over racks, where it runs
-// slower, after this share of the time within which it has to begin.
+// slower, after this share of the time within which it has to begin. One that
+// has begun before waits for a rack.
 constexpr int kSpreadShareOfReclaim = 4;
 // A task waits for room near its data for so long.
 constexpr Millis kWaitForData{3'000};
@@ -114,7 +115,7 @@
                const Demand& demand,
                Now now) {
   return !demand.same_rack || !AnyRackHolds(candidates, demand) ||
-         (unit.guaranteed &&
+         (unit.guaranteed && !workload::HasStarted(unit.row->progress) &&
           Waited(unit, now) > state.options.reclaim / kSpreadShareOfReclaim);
 }
 
