--- a/packages/service/src/follow_loop.h
+++ b/packages/service/src/follow_loop.h
@@ -32,6 +32,9 @@
 
   const joblog::Follower& State() const { return follower_; }
 
+  /// @brief Whether the last read had no answer.
+  bool Lost() const { return lost_; }
+
  private:
   void Call();
   void Measure(joblog::ReadStatus status, Millis wait, TimePoint began);
--- a/packages/service/src/job_api.cc
+++ b/packages/service/src/job_api.cc
@@ -13,7 +13,12 @@
 namespace {
 
 // Callers wait three seconds; an unknown outcome is reported before.
-constexpr Millis kAppendDeadline{2'500};
+constexpr Millis kCallDeadline{2'600};
+// The time that is left is for another entry.
+constexpr Millis kAppendDeadline{1'500};
+// Statuses of the answers that another entry may better.
+constexpr int kNotRun = 503;
+constexpr int kOutcomeUnknown = 504;
 // Without the store for this long an append is not even tried.
 constexpr Millis kStoreLostAfter{1'800};
 // "Unknown job" is only said from a log that was read this recently.
@@ -55,18 +60,6 @@
           {"saves", saves ? "true" : "false"}};
 }
 
-const char* Name(Stored stored) {
-  switch (stored) {
-    case Stored::kYes:
-      return "stored";
-    case Stored::kNo:
-      return "not_stored";
-    case Stored::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 net::HttpResponse ReplyFor(Stored stored) {
   switch (stored) {
     case Stored::kYes:
@@ -89,10 +82,69 @@
 }
 
 void JobApi::Handle(const net::HttpRequest& request, Reply reply) {
+  const TimePoint deadline = ReadClock() + kCallDeadline;
+  if (!state_.store_answers()) {
+    Forward(request, deadline, std::nullopt, std::move(reply));
+    return;
+  }
+  Answer(request, [this, request, deadline,
+                   reply = std::move(reply)](net::HttpResponse own) {
+    if (own.status == kNotRun || own.status == kOutcomeUnknown) {
+      Forward(request, deadline, std::move(own), reply);
+    } else {
+      reply(std::move(own));
+    }
+  });
+}
+
+void JobApi::HandleForPeer(const net::HttpRequest& request, Reply reply) {
+  const auto forwarded = DecodeForwarded(request);
+  if (!forwarded) {
+    reply(net::ErrorResponse(400, "invalid", "malformed",
+                             "the target begins with no version"));
+    return;
+  }
+  if (forwarded->least_policy > state_.policy.version) {
+    reply(platform::UnavailableReply("configuration_behind", kRetryAfter));
+    return;
+  }
+  Answer(forwarded->request,
+         [this, reply = std::move(reply)](net::HttpResponse response) {
+           response.headers.push_back(
+               {kPolicyHeader, std::to_string(state_.policy.version)});
+           reply(std::move(response));
+         });
+}
+
+void JobApi::Forward(const net::HttpRequest& request,
+                     TimePoint deadline,
+                     std::optional<net::HttpResponse> own,
+                     Reply reply) {
+  state_.peers.Forward(
+      request, deadline,
+      [this, request, own = std::move(own),
+       reply = std::move(reply)](PeerRelay::Outcome outcome) {
+        if (outcome.response) {
+          reply(std::move(*outcome.response));
+        } else if (outcome.ambiguous) {
+          reply(platform::OutcomeUnknownReply());
+        } else if (own) {
+          reply(*own);
+        } else {
+          Answer(request, reply);
+        }
+      });
+}
+
+void JobApi::Answer(const net::HttpRequest& request, Reply reply) {
   if (state_.policy.version == 0 || !state_.log_current_at()) {
     reply(platform::UnavailableReply("starting", kRetryAfter));
     return;
   }
+  if (state_.policy.version < state_.peers.PolicyServed()) {
+    reply(platform::UnavailableReply("configuration_behind", kRetryAfter));
+    return;
+  }
   platform::JobCall call = platform::DecodeJobCall(state_.policy, request);
   if (auto* submit = std::get_if<platform::SubmitCall>(&call)) {
     Submit(std::move(*submit), reply);
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -12,6 +12,7 @@
 #include "follow_loop.h"
 #include "job_api.h"
 #include "listener.h"
+#include "peer_relay.h"
 #include "record_queue.h"
 #include "scheduler_host.h"
 #include "shallotlug/base/logging.h"
@@ -34,6 +35,7 @@
 // this and the client's timeout, well before changes must be in force.
 constexpr Millis kJobsWait{300};
 constexpr Millis kConfigurationWait{500};
+constexpr Millis kRegistrationDeadline{60'000};
 // Open calls are answered within this time of a shutdown.
 constexpr Millis kShutdownTimeout{3'500};
 constexpr Millis kShutdownPoll{20};
@@ -65,8 +67,10 @@
                           kConfigurationWait},
             [this](const joblog::StoredRecord& it) { OnOperatorRecord(it); },
             [] {}),
-        api_({ledger_, policy_, records_, counters_, histograms_,
-              [this] { return LogCurrentAt(); }}) {}
+        peers_(context_, EntryName(settings.name), ledger_, policy_),
+        api_({ledger_, policy_, records_, counters_, histograms_, peers_,
+              [this] { return LogCurrentAt(); },
+              [this] { return StoreAnswers(); }}) {}
 
   int Run() {
     if (!Open(callers_, settings_.callers_listen,
@@ -75,6 +79,12 @@
                   callers_->Reply(id, std::move(response));
                 });
               }) ||
+        !Open(for_peers_, settings_.peers_listen,
+              [this](ExchangeId id, const HttpRequest& request) {
+                api_.HandleForPeer(request, [this, id](HttpResponse response) {
+                  for_peers_->Reply(id, std::move(response));
+                });
+              }) ||
         !Open(readiness_, settings_.readiness_listen,
               [this](ExchangeId id, const HttpRequest&) {
                 readiness_->Reply(id, Probe(Ready()));
@@ -91,6 +101,7 @@
     WaitForSignal();
     jobs_.Start();
     configuration_.Start();
+    Register();
     context_.run();
     WriteLog({LogLevel::kInfo, "entry_stopped", {{"name", settings_.name}}});
     return 0;
@@ -110,6 +121,17 @@
                         server);
   }
 
+  void Register() {
+    records_.Append(workload::Encode(workload::EntryAddress{
+                        EntryName(settings_.name), settings_.peers_listen}),
+                    net::ReadClock() + kRegistrationDeadline, [this](Stored it) {
+                      WriteLog({LogLevel::kInfo,
+                                "entry_registered",
+                                {{"name", settings_.name},
+                                 {"stored", Name(it)}}});
+                    });
+  }
+
   std::string MetricsText() {
     SetGauge("shallotlug_scheduler_epoch",
              static_cast<std::int64_t>(host_.Epoch()));
@@ -136,6 +158,12 @@
            net::ReadClock() - *at <= kReadyAge;
   }
 
+  bool StoreAnswers() const {
+    const auto at = LogCurrentAt();
+    return !jobs_.Lost() && !configuration_.Lost() && at &&
+           net::ReadClock() - *at <= kReadyAge;
+  }
+
   void OnJobRecord(const joblog::StoredRecord& stored) {
     const auto applied =
         Apply(ledger_, stored.record.key, stored.record.value, stored.offset);
@@ -225,8 +253,10 @@
   SchedulerHost host_;
   FollowLoop jobs_;
   FollowLoop configuration_;
+  PeerRelay peers_;
   JobApi api_;
   std::optional<HttpServer> callers_;
+  std::optional<HttpServer> for_peers_;
   std::optional<HttpServer> readiness_;
   net::MetricsServer metrics_;
   bool stopping_ = false;
--- a/packages/service/src/record_queue.cc
+++ b/packages/service/src/record_queue.cc
@@ -20,6 +20,18 @@
 
 }  // namespace
 
+const char* Name(Stored stored) {
+  switch (stored) {
+    case Stored::kYes:
+      return "stored";
+    case Stored::kNo:
+      return "not_stored";
+    case Stored::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 RecordQueue::RecordQueue(boost::asio::io_context& context,
                          const std::string& store)
     : timer_(context), client_(context, store) {}
--- a/packages/service/src/record_queue.h
+++ b/packages/service/src/record_queue.h
@@ -20,6 +20,9 @@
   kUnknown,  ///< It may have been or may yet be appended.
 };
 
+/// @brief Word for logs.
+const char* Name(Stored stored);
+
 /// @brief Appends records whose repetition is harmless. Those that wait go in
 /// one append, and one without an answer is repeated until its deadline.
 class RecordQueue {
--- a/packages/settings/include/shallotlug/settings/job_settings.h
+++ b/packages/settings/include/shallotlug/settings/job_settings.h
@@ -25,6 +25,7 @@
   std::string data_centre;
   std::string callers_listen;
   std::string readiness_listen;
+  std::string peers_listen;  ///< For requests that other entries hand over.
   std::string metrics_listen;
   std::string store;
   HttpLimits http;
--- a/packages/settings/src/job_settings.cc
+++ b/packages/settings/src/job_settings.cc
@@ -37,6 +37,7 @@
   ReadName(reader, "data_centre", to.data_centre);
   ReadAddress(reader, "callers_listen", to.callers_listen);
   ReadAddress(reader, "readiness_listen", to.readiness_listen);
+  ReadAddress(reader, "peers_listen", to.peers_listen);
   ReadAddress(reader, "metrics_listen", to.metrics_listen);
   ReadAddress(reader, "store", to.store);
   ReadHttp(reader, file, to.http, findings);
--- a/packages/settings/src/job_settings_test.cc
+++ b/packages/settings/src/job_settings_test.cc
@@ -9,6 +9,7 @@
   const auto parsed = ParseJobEntrySettings(R"({
     "name": "frontend-bergen-a-1", "data_centre": "bergen-a",
     "callers_listen": "10.1.0.19:8521", "readiness_listen": "10.1.0.19:8523",
+    "peers_listen": "10.1.0.19:7000",
     "metrics_listen": "10.1.0.19:7001", "store": "10.200.1.7:8524",
     "http": { "body_bytes": 1048576, "connections": 2048 },
     "timing": { "longest_lease_ms": 6000, "stop_timeout_ms": 900,
@@ -44,7 +45,8 @@
   const std::string text = ToString(std::get<Findings>(parsed));
   for (const char* part :
        {"/name", "/store", "/timing/reclaim_ms", "data_centre",
-        "callers_listen", "readiness_listen", "metrics_listen", "unknown"}) {
+        "callers_listen", "readiness_listen", "peers_listen", "metrics_listen",
+        "unknown"}) {
     EXPECT_NE(text.find(part), std::string::npos) << part << "\n" << text;
   }
 }
--- a/packages/workload/include/shallotlug/workload/ledger.h
+++ b/packages/workload/include/shallotlug/workload/ledger.h
@@ -23,6 +23,7 @@
 struct Ledger {
   std::map<JobId, JobEntry> jobs;
   std::map<AgentName, AgentAddress> agents;
+  std::map<EntryName, EntryAddress> entries;
   SchedulerClaim claim;
   /// Offset of the newest record applied of each key: reading the newest
   /// records and the log's tail yields a record twice, and in other orders.
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -45,11 +45,18 @@
   Incarnation incarnation{};
 };
 
+/// @brief Where an entry takes requests that other entries cannot serve.
+struct EntryAddress {
+  EntryName entry;
+  std::string address;  ///< `ip:port`.
+};
+
 /// @brief A key whose value was dropped. Both are empty for the other keys of a
 /// job, which go before the job itself.
 struct RecordDropped {
   std::optional<JobId> job;
   std::optional<AgentName> agent;
+  std::optional<EntryName> entry;
 };
 
 using Record = std::variant<JobAccepted,
@@ -57,6 +64,7 @@
                             OccurrenceProgress,
                             SchedulerClaim,
                             AgentAddress,
+                            EntryAddress,
                             RecordDropped>;
 
 /// @brief A record as the store holds it. An empty value drops the key.
@@ -70,6 +78,7 @@
 RawRecord Encode(const OccurrenceProgress& it);
 RawRecord Encode(const SchedulerClaim& it);
 RawRecord Encode(const AgentAddress& it);
+RawRecord Encode(const EntryAddress& it);
 
 /// @brief The keys that belong to one job, for dropping them.
 std::vector<RawRecord> DropJob(const Job& job);
--- a/packages/workload/src/ledger.cc
+++ b/packages/workload/src/ledger.cc
@@ -30,6 +30,10 @@
   ledger.agents[record.agent] = record;
 }
 
+void ApplyRecord(Ledger& ledger, const EntryAddress& record) {
+  ledger.entries[record.entry] = record;
+}
+
 void ApplyRecord(Ledger& ledger, const RecordDropped& record) {
   if (record.job) {
     ledger.jobs.erase(*record.job);
@@ -37,6 +41,9 @@
   if (record.agent) {
     ledger.agents.erase(*record.agent);
   }
+  if (record.entry) {
+    ledger.entries.erase(*record.entry);
+  }
 }
 
 bool Known(const JobEntry& entry) {
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -14,6 +14,7 @@
 constexpr std::string_view kCancelPrefix = "c/";
 constexpr std::string_view kProgressPrefix = "p/";
 constexpr std::string_view kAgentPrefix = "n/";
+constexpr std::string_view kEntryPrefix = "e/";
 constexpr std::string_view kClaimKey = "a";
 // Largest step count and task count that a record may state.
 constexpr std::int64_t kMaxTasks = 100'000;
@@ -184,6 +185,10 @@
         AgentName(key.substr(kAgentPrefix.size())), Text(from, "address"),
         Incarnation{static_cast<std::uint64_t>(Int(from, "incarnation"))}};
   }
+  if (key.starts_with(kEntryPrefix)) {
+    return EntryAddress{EntryName(key.substr(kEntryPrefix.size())),
+                        Text(from, "address")};
+  }
   if (key == kClaimKey) {
     return SchedulerClaim{static_cast<std::uint64_t>(Int(from, "epoch")),
                           EntryName(Text(from, "entry")),
@@ -199,6 +204,8 @@
     dropped.job = JobId(key.substr(kJobPrefix.size()));
   } else if (key.starts_with(kAgentPrefix)) {
     dropped.agent = AgentName(key.substr(kAgentPrefix.size()));
+  } else if (key.starts_with(kEntryPrefix)) {
+    dropped.entry = EntryName(key.substr(kEntryPrefix.size()));
   }
   return dropped;
 }
@@ -260,6 +267,11 @@
               {"incarnation", static_cast<std::int64_t>(it.incarnation)}})};
 }
 
+RawRecord Encode(const EntryAddress& it) {
+  return {std::string(kEntryPrefix) + it.entry.value,
+          json::serialize(json::object{{"address", it.address}})};
+}
+
 std::vector<RawRecord> DropJob(const Job& job) {
   std::vector<RawRecord> drops{{std::string(kCancelPrefix) + job.id.value, ""}};
   for (int n = 0; n < Occurrences(job); ++n) {
