Pass over entries that cannot help; forget processes that have gone

Entries state their address every 30 s and drop statements older than ten minutes; the scheduler drops agents that it has not reached for ten minutes and that hold no run. Tests: JobApiTest.PassesOverASilentPeerOnceFound, OutcomesTest.ForgetsAgentsThatCannotBeReached.

--- a/packages/scheduler/include/shallotlug/scheduler/scheduler.h
+++ b/packages/scheduler/include/shallotlug/scheduler/scheduler.h
@@ -28,6 +28,8 @@
   Millis stop_timeout{400};
   /// The state of a job can be asked for this long after its end.
   Millis state_retention{180'000};
+  /// An agent without runs that was not heard for so long is forgotten.
+  Millis agent_retention{600'000};
 };
 
 /// @brief The time now, on both clocks that the scheduler needs.
--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -195,6 +195,26 @@
   return drops;
 }
 
+std::vector<workload::RawRecord> DropLostAgents(State& state, TimePoint now) {
+  std::vector<workload::RawRecord> drops;
+  std::erase_if(state.agents, [&](const auto& it) {
+    const AgentRow& agent = it.second;
+    const bool used =
+        std::any_of(state.runs.begin(), state.runs.end(), [&](const auto& run) {
+          return run.second.on.agent == it.first;
+        });
+    if (used || now - std::max(agent.heard_at, agent.added_at) <=
+                    state.options.agent_retention) {
+      return false;
+    }
+    Log(state, "agent_forgotten",
+        {{"agent", it.first.value}, {"address", agent.address.address}});
+    drops.push_back(workload::DropAgent(it.first));
+    return true;
+  });
+  return drops;
+}
+
 void DecideOutcomes(State& state,
                     const workload::Policy& policy,
                     TimePoint now) {
--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -80,5 +80,21 @@
   EXPECT_TRUE(scheduler.Running("j").empty());
 }
 
+// Guards against a list of agents, and of calls to them, that grows with every
+// machine that was ever replaced.
+TEST_F(OutcomesTest, ForgetsAgentsThatCannotBeReached) {
+  scheduler.Run(2);
+  scheduler.Get().AddAgent({AgentName("old"), "old", Incarnation{1}},
+                           scheduler.Clock());
+  scheduler.Run(2);
+  EXPECT_EQ(scheduler.Get().Agents().size(), 2U);
+  scheduler.Clock().local += Millis(700'000);
+  scheduler.Clock().wall += Millis(700'000);
+  scheduler.Run(2);
+  ASSERT_EQ(scheduler.Get().Agents().size(), 1U);
+  EXPECT_EQ(scheduler.Get().Agents()[0].agent, AgentName("a1"));
+  EXPECT_EQ(scheduler.Log().at("n/old"), "");
+}
+
 }  // namespace
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -150,6 +150,7 @@
   const auto [it, added] = state.agents.try_emplace(address.agent);
   it->second.address = address;
   if (added) {
+    it->second.added_at = now.local;
     it->second.lease_bound = now.local + state.options.predecessor_grace +
                              state.options.lease +
                              LeaseMargin(state.options.lease);
@@ -165,6 +166,9 @@
   impl_->batch_ends.clear();
   impl_->batch_runs.clear();
   std::vector<workload::RawRecord> records = DropOldJobs(state, now.local);
+  for (workload::RawRecord& it : DropLostAgents(state, now.local)) {
+    records.push_back(std::move(it));
+  }
   for (auto& [key, row] : state.occurrences) {
     if (row.dirty) {
       row.dirty = false;
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -59,6 +59,7 @@
 /// @brief One agent and its worker.
 struct AgentRow {
   workload::AgentAddress address;
+  TimePoint added_at{};  ///< When this scheduler learnt of it.
   protocol::WorkerState worker_state = protocol::WorkerState::kUnknown;
   workload::WorkerFacts worker;
   Incarnation incarnation{};
@@ -162,6 +163,11 @@
 /// @return Records that drop them from the log.
 std::vector<workload::RawRecord> DropOldJobs(State& state, TimePoint now);
 
+/// @brief Forgets agents that cannot be reached any more; one that lives states
+/// its address again.
+/// @return Records that drop them from the log.
+std::vector<workload::RawRecord> DropLostAgents(State& state, TimePoint now);
+
 /// @brief Places the tasks whose turn has come, and picks what must yield.
 void PlaceUnits(State& state, const workload::Policy& policy, Now now);
 
--- a/packages/service/src/job_api_test.cc
+++ b/packages/service/src/job_api_test.cc
@@ -69,7 +69,7 @@
     policy.queues.push_back(queue);
     AddPeer("e1", first.Address());
     AddPeer("e2", second.Address());
-    ledger.entries[EntryName("self")] = {EntryName("self"), "127.0.0.1:1"};
+    ledger.entries[EntryName("self")] = {EntryName("self"), "127.0.0.1:1", {}};
     records.emplace(context, store.Address());
     api.emplace(JobApiState{ledger,
                             policy,
@@ -82,7 +82,7 @@
   }
 
   void AddPeer(const std::string& name, const std::string& address) {
-    ledger.entries[EntryName(name)] = {EntryName(name), address};
+    ledger.entries[EntryName(name)] = {EntryName(name), address, {}};
   }
 
   // Runs until the answer.
@@ -149,6 +149,17 @@
   EXPECT_EQ(second.requests.size(), 1U);
 }
 
+// Guards against callers that wait for a peer that has gone, one after another.
+TEST_F(JobApiTest, PassesOverASilentPeerOnceFound) {
+  store_answers = false;
+  store.status = 503;
+  first.drops = true;
+  second.status = 503;
+  EXPECT_EQ(Submit().status, 504);
+  EXPECT_EQ(Submit().status, 503);
+  EXPECT_EQ(first.requests.size(), 1U);
+}
+
 // Guards against "not run" for a job that a peer may have stored.
 TEST_F(JobApiTest, DoesNotRefuseWhatAPeerMayHaveStored) {
   store_answers = false;
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -35,7 +35,9 @@
 // this and the client's timeout, well before changes must be in force.
 constexpr Millis kJobsWait{300};
 constexpr Millis kConfigurationWait{500};
-constexpr Millis kRegistrationDeadline{60'000};
+// Entries state their address this often, and are forgotten after the lifetime.
+constexpr Millis kStatementInterval{30'000};
+constexpr Millis kStatementLifetime{600'000};
 // Open calls are answered within this time of a shutdown.
 constexpr Millis kShutdownTimeout{3'500};
 constexpr Millis kShutdownPoll{20};
@@ -54,6 +56,7 @@
       : settings_(settings),
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
         shutdown_timer_(context_),
+        statement_timer_(context_),
         records_(context_, settings.store),
         host_(context_, settings_, ledger_, policy_, histograms_),
         jobs_(
@@ -121,15 +124,33 @@
                         server);
   }
 
+  // States where this entry listens, again and again, and drops the statements
+  // of entries that have gone.
   void Register() {
-    records_.Append(workload::Encode(workload::EntryAddress{
-                        EntryName(settings_.name), settings_.peers_listen}),
-                    net::ReadClock() + kRegistrationDeadline, [this](Stored it) {
-                      WriteLog({LogLevel::kInfo,
-                                "entry_registered",
-                                {{"name", settings_.name},
-                                 {"stored", Name(it)}}});
-                    });
+    const scheduler::Now now = ReadBothClocks();
+    const TimePoint deadline = now.local + kStatementInterval;
+    records_.Append(
+        workload::Encode(workload::EntryAddress{
+            EntryName(settings_.name), settings_.peers_listen, now.wall}),
+        deadline, [](Stored it) {
+          if (it != Stored::kYes) {
+            WriteLog({LogLevel::kWarning,
+                      "address_not_stated",
+                      {{"outcome", Name(it)}}});
+          }
+        });
+    for (const auto& [name, entry] : ledger_.entries) {
+      if (now.wall - entry.stated_at > kStatementLifetime) {
+        WriteLog({LogLevel::kInfo, "entry_forgotten", {{"name", name.value}}});
+        records_.Append(workload::DropEntry(name), deadline, [](Stored) {});
+      }
+    }
+    statement_timer_.expires_after(kStatementInterval);
+    statement_timer_.async_wait([this](const boost::system::error_code& ec) {
+      if (!ec) {
+        Register();
+      }
+    });
   }
 
   std::string MetricsText() {
@@ -245,6 +266,7 @@
   boost::asio::io_context context_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer shutdown_timer_;
+  boost::asio::steady_timer statement_timer_;
   CounterTable counters_;
   HistogramTable histograms_;
   workload::Ledger ledger_;
--- a/packages/service/src/peer_relay.cc
+++ b/packages/service/src/peer_relay.cc
@@ -22,6 +22,10 @@
 constexpr std::size_t kMaxRunning = 64;
 // A peer that takes longer is cut off, or waits for the store itself.
 constexpr Millis kPeerTimeout{700};
+// A peer that has just said that it cannot help is not asked again for this
+// long, and one that cannot be reached for longer: callers wait meanwhile.
+constexpr Millis kAfterRefusal{200};
+constexpr Millis kAfterSilence{3'000};
 // The status of an answer that says that nothing was done.
 constexpr int kUnavailable = 503;
 constexpr std::string_view kRetryAfterHeader = "Retry-After";
@@ -95,10 +99,13 @@
   return std::max(policy_.version, policy_of_peers_);
 }
 
-std::vector<std::string> PeerRelay::Peers() const {
+std::vector<std::string> PeerRelay::Peers() {
+  const TimePoint now = ReadClock();
+  std::erase_if(passed_over_until_,
+                [&](const auto& it) { return now >= it.second; });
   std::vector<std::string> peers;
   for (const auto& [name, address] : ledger_.entries) {
-    if (name != self_) {
+    if (name != self_ && !passed_over_until_.contains(address.address)) {
       peers.push_back(address.address);
     }
   }
@@ -166,6 +173,8 @@
     End(call, {std::move(response), false});
     return;
   }
+  passed_over_until_[call->fetch.address] =
+      ReadClock() + (answered ? kAfterRefusal : kAfterSilence);
   if (!answered && call->changes &&
       result.error() == FetchError::kOutcomeUnknown) {
     // Another peer's "not run" would say nothing about this one.
--- a/packages/service/src/peer_relay.h
+++ b/packages/service/src/peer_relay.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -63,7 +64,8 @@
  private:
   struct Call;
 
-  std::vector<std::string> Peers() const;
+  /// @brief Addresses to ask, best first.
+  std::vector<std::string> Peers();
   std::unique_ptr<net::HttpClient> TakeClient();
   void Try(const std::shared_ptr<Call>& call);
   void OnResult(const std::shared_ptr<Call>& call,
@@ -75,6 +77,7 @@
   const workload::Ledger& ledger_;
   const workload::Policy& policy_;
   std::int64_t policy_of_peers_ = 0;  ///< Newest that has answered.
+  std::map<std::string, TimePoint> passed_over_until_;  ///< By address.
   std::string last_answered_;  ///< Address of the peer that is asked first.
   std::vector<std::unique_ptr<net::HttpClient>> idle_;
   std::size_t running_ = 0;
--- a/packages/service/src/scheduler_host.cc
+++ b/packages/service/src/scheduler_host.cc
@@ -1,5 +1,6 @@
 #include "scheduler_host.h"
 
+#include <set>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -106,7 +107,9 @@
   if (scheduler == nullptr) {
     return;
   }
-  for (const workload::AgentAddress& it : scheduler->Agents()) {
+  const std::vector<workload::AgentAddress> agents = scheduler->Agents();
+  DropLinks(agents);
+  for (const workload::AgentAddress& it : agents) {
     std::unique_ptr<AgentLink>& link = links_[it.agent];
     if (!link || link->Address() != it.address) {
       link = std::make_unique<AgentLink>(context_, it.agent, it.address, role_,
@@ -117,6 +120,25 @@
   }
 }
 
+void SchedulerHost::DropLinks(
+    const std::vector<workload::AgentAddress>& agents) {
+  if (links_.size() <= agents.size()) {
+    return;
+  }
+  std::set<AgentName> known;
+  for (const workload::AgentAddress& it : agents) {
+    known.insert(it.agent);
+  }
+  for (auto it = links_.begin(); it != links_.end();) {
+    if (known.contains(it->first)) {
+      ++it;
+    } else {
+      boost::asio::post(context_, [old = std::move(it->second)] {});
+      it = links_.erase(it);
+    }
+  }
+}
+
 void SchedulerHost::Retire() {
   role_.Retire();
   Wake();
--- a/packages/service/src/scheduler_host.h
+++ b/packages/service/src/scheduler_host.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -45,6 +46,8 @@
   void Step();
   void StartTimer();
   void UpdateLinks();
+  /// @brief Drops the links to agents that are known no more.
+  void DropLinks(const std::vector<workload::AgentAddress>& agents);
 
   boost::asio::io_context& context_;
   HistogramTable& histograms_;
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -49,6 +49,7 @@
 struct EntryAddress {
   EntryName entry;
   std::string address;  ///< `ip:port`.
+  WallTime stated_at{};  ///< Stated again from time to time while it lives.
 };
 
 /// @brief A key whose value was dropped. Both are empty for the other keys of a
@@ -80,6 +81,11 @@
 RawRecord Encode(const AgentAddress& it);
 RawRecord Encode(const EntryAddress& it);
 
+/// @brief Drops what the log says of an entry.
+RawRecord DropEntry(const EntryName& entry);
+/// @brief Drops what the log says of an agent.
+RawRecord DropAgent(const AgentName& agent);
+
 /// @brief The keys that belong to one job, for dropping them.
 std::vector<RawRecord> DropJob(const Job& job);
 
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -187,7 +187,8 @@
   }
   if (key.starts_with(kEntryPrefix)) {
     return EntryAddress{EntryName(key.substr(kEntryPrefix.size())),
-                        Text(from, "address")};
+                        Text(from, "address"),
+                        WallTime(Millis(Int(from, "stated")))};
   }
   if (key == kClaimKey) {
     return SchedulerClaim{static_cast<std::uint64_t>(Int(from, "epoch")),
@@ -269,7 +270,17 @@
 
 RawRecord Encode(const EntryAddress& it) {
   return {std::string(kEntryPrefix) + it.entry.value,
-          json::serialize(json::object{{"address", it.address}})};
+          json::serialize(json::object{
+              {"address", it.address},
+              {"stated", it.stated_at.time_since_epoch().count()}})};
+}
+
+RawRecord DropEntry(const EntryName& entry) {
+  return {std::string(kEntryPrefix) + entry.value, ""};
+}
+
+RawRecord DropAgent(const AgentName& agent) {
+  return {std::string(kAgentPrefix) + agent.value, ""};
 }
 
 std::vector<RawRecord> DropJob(const Job& job) {
