Leave every fourth worker of a busy pool to urgent jobs

Cause: in a full pool each urgent job waited for a stop of up to stop_timeout (0.2 to 0.4 s of a slack of about 1.5 s), and late ones missed by as little as that. Batch work, which has a slack of three times its run time, now leaves the emptiest fourth of the workers alone until its own objective presses.

--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -105,6 +105,8 @@
   std::map<workload::TaskRef, RunRow> runs;
   std::map<AgentName, AgentRow> agents;
   std::map<UnitKey, Claim> claims;
+  /// Batch units that leave room to urgent jobs in a pool that is not busy.
+  std::map<UnitKey, TimePoint> held_since;
   /// Workers on which a task has failed; its next run goes elsewhere.
   std::map<workload::TaskRef, std::set<AgentName>> failed_on;
   /// Newest run of each gang that was counted as failed, by its first task.
