Claim at once after a restart of the scheduler's own process; round the reserve

After a loss of all power the former scheduler's entry waited for its turn among the others (0.54 to 0.68 s after its start) although its own claim is void.

--- a/packages/joblog/src/authority.cc
+++ b/packages/joblog/src/authority.cc
@@ -23,8 +23,10 @@
   const Millis silence = now - view.heard_at;
   const Millis stagger = rank * kClaimStagger;
   // The claim of a former process of this entry is void.
-  if (view.claim.epoch == 0 ||
-      (view.claim.entry == self && !view.claim.resigned)) {
+  if (view.claim.entry == self && !view.claim.resigned) {
+    return true;
+  }
+  if (view.claim.epoch == 0) {
     return silence >= stagger;
   }
   if (view.claim.resigned) {
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -142,8 +142,11 @@
 
 /// @brief Takes the workers with the most free accelerators off the list.
 void Reserve(std::vector<Candidate>& candidates) {
-  // Three of eleven, and none of two.
-  const std::size_t n = (candidates.size() + 1) / kWorkersForEachReserved;
+  // Rounded, but no worker of a pool of two.
+  const std::size_t n = candidates.size() <= 2
+                            ? 0
+                            : (candidates.size() + kWorkersForEachReserved / 2) /
+                                  kWorkersForEachReserved;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
                      return a.free.accelerators > b.free.accelerators;
