Soak the real programs with faults from outside

The programs run as separate processes against HTTP faces of the harness's store and fleet; links are cut, delayed, reset, silenced and cut one way by a loopback proxy, processes are killed, paused, terminated and started again, the store is busy, silent, late, forgetful or turns one process away. The harness's oracle judges what callers and workers have seen.

--- /dev/null
+++ b/apps/tests/soak/soak.cc
@@ -0,0 +1,372 @@
+// A randomized soak: the real programs as separate processes against stand-ins
+// of the platform, with faults that are injected from outside. Usage:
+//   soak [--seed=N] [--seconds=S] [--entries=E] [--agents=A] [--logs=FOLDER]
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+#include "../processes.h"
+#include "callers.h"
+#include "link_proxy.h"
+#include "platform_servers.h"
+#include "shallotlug/net/role_loop.h"
+#include "shallotlug/platform/store_client.h"
+
+ABSL_FLAG(std::uint64_t, seed, 1, "Draws the faults and the jobs.");
+ABSL_FLAG(int, seconds, 30, "Time with faults.");
+ABSL_FLAG(int, entries, 3, "Entries.");
+ABSL_FLAG(int, agents, 6, "Agents, each with a worker.");
+ABSL_FLAG(std::string, logs, "", "Keeps the programs' output here.");
+
+namespace shallotlug::soak {
+namespace {
+
+namespace json = boost::json;
+using net::ReadClock;
+
+constexpr Millis kTick{5};
+// All faults are over for this long before jobs must have ended.
+constexpr Millis kSettle{60'000};
+constexpr int kShortestFault = 300;
+constexpr int kLongestFault = 5'000;
+
+/// @brief One of the system's processes, with its link to the store.
+struct Member {
+  std::string name;
+  std::string program;
+  std::string settings;  ///< File.
+  std::string log;
+  std::unique_ptr<StoreServer> store;
+  std::unique_ptr<LinkProxy> store_link;
+  /// To callers of an entry, or to the worker of an agent.
+  std::unique_ptr<LinkProxy> other_link;
+  std::unique_ptr<apps::Process> process;
+  bool wanted = true;  ///< Runs, or is started again when it has ended.
+  TimePoint start_at{};
+  TimePoint resume_at{};
+};
+
+class Soak {
+ public:
+  Soak() : random_(absl::GetFlag(FLAGS_seed)), fleet_(oracle_) {
+    oracle_.AllowLoneMembers();
+    WriteConfiguration(1);
+    std::vector<std::string> callers;
+    for (int n = 0; n < absl::GetFlag(FLAGS_entries); ++n) {
+      AddEntry("entry-" + std::to_string(n + 1));
+      callers.push_back(members_.back()->other_link->Address());
+    }
+    for (int n = 0; n < absl::GetFlag(FLAGS_agents); ++n) {
+      AddAgent("agent-" + std::to_string(n + 1), n / 3);
+    }
+    callers_ =
+        std::make_unique<Callers>(context_, oracle_, fleet_, random_, callers);
+  }
+
+  int Run() {
+    const TimePoint faults_until =
+        ReadClock() + Millis(1'000 * absl::GetFlag(FLAGS_seconds));
+    TimePoint next_fault = ReadClock() + Millis(1'500);
+    while (ReadClock() < faults_until) {
+      Tick();
+      if (ReadClock() >= next_fault) {
+        next_fault = ReadClock() + Millis(Draw(100, 2'000));
+        InjectFault();
+      }
+    }
+    callers_->StopSubmitting();
+    for (const auto& undo : undo_) {
+      undo.second();
+    }
+    undo_.clear();
+    const TimePoint end = ReadClock() + kSettle;
+    while (ReadClock() < end && !callers_->AllFinal()) {
+      Tick();
+    }
+    return Report();
+  }
+
+ private:
+  int Draw(int low, int high) {
+    return std::uniform_int_distribution<>(low, high)(random_);
+  }
+
+  void WriteConfiguration(int version) {
+    json::array routes;
+    for (const char* name : {"live", "batch"}) {
+      routes.push_back(
+          json::object{{"name", name},
+                       {"host", "jobs.example"},
+                       {"path_prefix", "/" + std::string(name) + "/"},
+                       {"public", true},
+                       {"service", "pool"},
+                       {"priority", name[0] == 'l' ? 0 : 1},
+                       {"max_attempts", 3},
+                       {"slack_factor", 3.0},
+                       {"target_latency_ms", 1'000}});
+    }
+    topics_[platform::kOperatorTopic].Append(
+        "operator",
+        {{"config",
+          json::serialize(json::object{
+              {"version", version},
+              {"routes", std::move(routes)},
+              {"services", json::array{json::object{{"name", "pool"}}}}})}},
+        {});
+    version_ = version;
+  }
+
+  Member& AddMember(const std::string& name, const std::string& program) {
+    auto member = std::make_unique<Member>();
+    member->name = name;
+    member->program = program;
+    const std::string logs = absl::GetFlag(FLAGS_logs);
+    member->log = (logs.empty() ? folder_.Path() : logs) + "/" + name + ".log";
+    member->store =
+        std::make_unique<StoreServer>(context_, topics_, faults_, random_);
+    member->store_link =
+        std::make_unique<LinkProxy>(context_, member->store->Address());
+    members_.push_back(std::move(member));
+    return *members_.back();
+  }
+
+  void AddEntry(const std::string& name) {
+    Member& entry = AddMember(name, SHALLOTLUG_ENTRY_PROGRAM);
+    const std::string callers = apps::FreeAddress();
+    entry.other_link = std::make_unique<LinkProxy>(context_, callers);
+    entry.settings = folder_.Write(
+        name + ".json", json::serialize(json::object{
+                            {"name", name},
+                            {"data_centre", "z"},
+                            {"callers_listen", callers},
+                            {"readiness_listen", apps::FreeAddress()},
+                            {"peers_listen", apps::FreeAddress()},
+                            {"metrics_listen", apps::FreeAddress()},
+                            {"store", entry.store_link->Address()},
+                            {"log", json::object{{"format", "json"}}}}));
+    Start(entry);
+  }
+
+  void AddAgent(const std::string& name, int rack) {
+    fleet_.Add(name, {"r" + std::to_string(rack), {4'000, 4'000, 4}},
+               ReadClock());
+    Member& agent = AddMember(name, SHALLOTLUG_AGENT_PROGRAM);
+    workers_.push_back(std::make_unique<WorkerServer>(context_, fleet_, name));
+    agent.other_link =
+        std::make_unique<LinkProxy>(context_, workers_.back()->Address());
+    const std::string heartbeats = apps::FreeAddress();
+    workers_.back()->SetAgent(heartbeats);
+    agent.settings = folder_.Write(
+        name + ".json", json::serialize(json::object{
+                            {"name", name},
+                            {"data_centre", "z"},
+                            {"heartbeats_listen", heartbeats},
+                            {"scheduler_listen", apps::FreeAddress()},
+                            {"metrics_listen", apps::FreeAddress()},
+                            {"worker", agent.other_link->Address()},
+                            {"store", agent.store_link->Address()},
+                            {"log", json::object{{"format", "json"}}}}));
+    Start(agent);
+  }
+
+  static void Start(Member& member) {
+    member.process = std::make_unique<apps::Process>(
+        member.program,
+        std::vector<std::string>{"serve-jobs", "--settings=" + member.settings},
+        member.log);
+  }
+
+  void Tick() {
+    const TimePoint now = ReadClock();
+    context_.restart();
+    context_.run_for(kTick);
+    fleet_.Advance(now);
+    for (const auto& it : workers_) {
+      it->Tick(now);
+    }
+    for (const auto& it : members_) {
+      it->store->Tick(now);
+      // A program that ends is started again, as the platform does.
+      if (it->process && !it->process->Running()) {
+        it->process.reset();
+        it->start_at = now + Millis(Draw(50, 2'000));
+      }
+      if (!it->process && now >= it->start_at) {
+        Start(*it);
+      }
+    }
+    callers_->Tick(now);
+    for (std::size_t n = 0; n < undo_.size();) {
+      if (now < undo_[n].first) {
+        ++n;
+        continue;
+      }
+      const auto undo = std::move(undo_[n].second);
+      undo_.erase(undo_.begin() + static_cast<std::ptrdiff_t>(n));
+      undo();
+    }
+  }
+
+  Member& Pick() {
+    return *members_[static_cast<std::size_t>(
+        Draw(0, static_cast<int>(members_.size()) - 1))];
+  }
+
+  void For(const char* what,
+           const std::string& whom,
+           std::function<void()> undo) {
+    const Millis time(Draw(kShortestFault, kLongestFault));
+    std::printf("%8lld ms %s %s for %lld ms\n", Elapsed(), what, whom.c_str(),
+                static_cast<long long>(time.count()));
+    undo_.emplace_back(ReadClock() + time, std::move(undo));
+  }
+
+  long long Elapsed() const { return (ReadClock() - began_).count(); }
+
+  void Signal(Member& member, int number, const char* what) {
+    std::printf("%8lld ms %s %s\n", Elapsed(), what, member.name.c_str());
+    if (member.process) {
+      member.process->Signal(number);
+    }
+  }
+
+  void InjectFault() {
+    Member& member = Pick();
+    LinkProxy& link = Draw(0, 1) == 0 ? *member.store_link : *member.other_link;
+    switch (Draw(0, 13)) {
+      case 0:
+        return Signal(member, SIGKILL, "kill");
+      case 1:
+        return Signal(member, SIGTERM, "terminate");
+      case 2:
+        Signal(member, SIGSTOP, "pause");
+        return For("pause", member.name, [&member] {
+          if (member.process) {
+            member.process->Signal(SIGCONT);
+          }
+        });
+      case 3:
+        link.Block(true, true);
+        return For("cut", member.name, [&link] { link.Block(false, false); });
+      case 4: {
+        const bool requests = Draw(0, 1) == 0;
+        link.Block(requests, !requests);
+        return For(requests ? "cut requests of" : "cut answers to", member.name,
+                   [&link] { link.Block(false, false); });
+      }
+      case 5:
+        link.Reset();
+        std::printf("%8lld ms reset %s\n", Elapsed(), member.name.c_str());
+        return;
+      case 6:
+        link.SilenceOpen();
+        std::printf("%8lld ms silence %s\n", Elapsed(), member.name.c_str());
+        return;
+      case 7:
+        link.Delay(Millis(Draw(20, 300)));
+        return For("delay", member.name, [&link] { link.Delay(Millis(0)); });
+      case 8:
+        faults_.busy = true;
+        return For("store busy", "", [this] { faults_.busy = false; });
+      case 9:
+        faults_.silent = true;
+        return For("store silent", "", [this] { faults_.silent = false; });
+      case 10:
+        (Draw(0, 1) == 0 ? faults_.lost_answers : faults_.late_appends) = 0.3;
+        return For("store loses", "", [this] {
+          faults_.lost_answers = 0;
+          faults_.late_appends = 0;
+        });
+      case 11:
+        member.store->Refuse(true);
+        return For("store refuses", member.name,
+                   [&member] { member.store->Refuse(false); });
+      case 12:
+        return HarmWorker();
+      default:
+        return HarmAll();
+    }
+  }
+
+  void HarmWorker() {
+    const auto n = static_cast<std::size_t>(
+        Draw(0, static_cast<int>(workers_.size()) - 1));
+    const std::string name = "agent-" + std::to_string(n + 1);
+    if (Draw(0, 1) == 0) {
+      std::printf("%8lld ms worker of %s restarts\n", Elapsed(), name.c_str());
+      fleet_.Restart(name, ReadClock());
+      return;
+    }
+    workers_[n]->LoseAnswers(true);
+    For("worker loses answers", name,
+        [this, n] { workers_[n]->LoseAnswers(false); });
+  }
+
+  void HarmAll() {
+    switch (Draw(0, 2)) {
+      case 0:
+        for (const auto& it : members_) {
+          Signal(*it, SIGKILL, "kill");
+        }
+        return;
+      case 1:
+        for (auto& [name, topic] : topics_) {
+          topic.DropHistory();
+        }
+        std::printf("%8lld ms history dropped\n", Elapsed());
+        return;
+      default:
+        WriteConfiguration(version_ + Draw(1, 3));
+        std::printf("%8lld ms configuration %d\n", Elapsed(), version_);
+    }
+  }
+
+  int Report() {
+    oracle_.Finish();
+    std::vector<std::string> findings = callers_->Findings();
+    findings.insert(findings.end(), oracle_.Broken().begin(),
+                    oracle_.Broken().end());
+    for (const std::string& it : findings) {
+      std::printf("broken: %s\n", it.c_str());
+    }
+    std::printf("seed %llu: %d jobs accepted, %d not, %d starts, %zu broken\n",
+                static_cast<unsigned long long>(absl::GetFlag(FLAGS_seed)),
+                callers_->Accepted(), callers_->Refused(), oracle_.Starts(),
+                findings.size());
+    return findings.empty() && callers_->Accepted() > 0 ? 0 : 1;
+  }
+
+  const TimePoint began_ = ReadClock();
+  boost::asio::io_context context_;
+  std::mt19937_64 random_;
+  apps::TemporaryFolder folder_;
+  jobharness::JobOracle oracle_;
+  jobharness::FakeFleet fleet_;
+  StoreServer::Topics topics_;
+  StoreFaults faults_;
+  int version_ = 0;
+  std::vector<std::unique_ptr<Member>> members_;
+  std::vector<std::unique_ptr<WorkerServer>> workers_;
+  std::unique_ptr<Callers> callers_;
+  std::vector<std::pair<TimePoint, std::function<void()>>> undo_;
+};
+
+}  // namespace
+}  // namespace shallotlug::soak
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  shallotlug::soak::Soak soak;
+  return soak.Run();
+}
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -107,14 +107,14 @@
 
 /// @brief Shares of a pool's capacity that are in use.
 struct Usage {
-  double mean = 0;          ///< Of cores, memory and accelerators.
+  double mean = 0;  ///< Of cores, memory and accelerators.
   double accelerators = 0;
 };
 
 double Share(std::int64_t free, std::int64_t capacity) {
-  return capacity > 0 ? 1.0 - static_cast<double>(free) /
-                                  static_cast<double>(capacity)
-                      : 1.0;
+  return capacity > 0
+             ? 1.0 - static_cast<double>(free) / static_cast<double>(capacity)
+             : 1.0;
 }
 
 Usage UsageOf(const std::vector<Candidate>& candidates) {
@@ -126,27 +126,28 @@
   }
   Usage usage;
   usage.accelerators = Share(free.accelerators, capacity.accelerators);
-  usage.mean = (usage.accelerators +
-                Share(free.memory_mib, capacity.memory_mib) +
-                Share(free.cpu_millis, capacity.cpu_millis)) /
-               3;
+  usage.mean =
+      (usage.accelerators + Share(free.memory_mib, capacity.memory_mib) +
+       Share(free.cpu_millis, capacity.cpu_millis)) /
+      3;
   return usage;
 }
 
 /// @brief Whether batch work that waits longer would miss its objective.
 bool Presses(const Unit& unit, Now now) {
-  const auto needed = std::chrono::duration_cast<Millis>(
-      kPressingFactor * unit.step->estimate);
+  const auto needed =
+      std::chrono::duration_cast<Millis>(kPressingFactor * unit.step->estimate);
   return now.wall + needed > unit.objective;
 }
 
 /// @brief Takes the workers with the most free accelerators off the list.
 void Reserve(std::vector<Candidate>& candidates) {
   // Rounded, but no worker of a pool of two.
-  const std::size_t n = candidates.size() <= 2
-                            ? 0
-                            : (candidates.size() + kWorkersForEachReserved / 2) /
-                                  kWorkersForEachReserved;
+  const std::size_t n =
+      candidates.size() <= 2
+          ? 0
+          : (candidates.size() + kWorkersForEachReserved / 2) /
+                kWorkersForEachReserved;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
                      return a.free.accelerators > b.free.accelerators;
--- a/packages/service/src/job_api.cc
+++ b/packages/service/src/job_api.cc
@@ -120,20 +120,19 @@
                      TimePoint deadline,
                      std::optional<net::HttpResponse> own,
                      Reply reply) {
-  state_.peers.Forward(
-      request, deadline,
-      [this, request, own = std::move(own),
-       reply = std::move(reply)](PeerRelay::Outcome outcome) {
-        if (outcome.response) {
-          reply(std::move(*outcome.response));
-        } else if (outcome.ambiguous) {
-          reply(platform::OutcomeUnknownReply());
-        } else if (own) {
-          reply(*own);
-        } else {
-          Answer(request, reply);
-        }
-      });
+  state_.peers.Forward(request, deadline,
+                       [this, request, own = std::move(own),
+                        reply = std::move(reply)](PeerRelay::Outcome outcome) {
+                         if (outcome.response) {
+                           reply(std::move(*outcome.response));
+                         } else if (outcome.ambiguous) {
+                           reply(platform::OutcomeUnknownReply());
+                         } else if (own) {
+                           reply(*own);
+                         } else {
+                           Answer(request, reply);
+                         }
+                       });
 }
 
 void JobApi::Answer(const net::HttpRequest& request, Reply reply) {
--- a/packages/service/src/job_api_test.cc
+++ b/packages/service/src/job_api_test.cc
@@ -3,8 +3,8 @@
 #include <optional>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <boost/asio/io_context.hpp>
 
 #include "shallotlug/net/role_loop.h"
 
@@ -71,13 +71,8 @@
     AddPeer("e2", second.Address());
     ledger.entries[EntryName("self")] = {EntryName("self"), "127.0.0.1:1", {}};
     records.emplace(context, store.Address());
-    api.emplace(JobApiState{ledger,
-                            policy,
-                            *records,
-                            counters,
-                            histograms,
-                            peers,
-                            [this] { return current_at; },
+    api.emplace(JobApiState{ledger, policy, *records, counters, histograms,
+                            peers, [this] { return current_at; },
                             [this] { return store_answers; }});
   }
 
@@ -198,7 +193,8 @@
   request.target = "/2/live/";
   request.host = "host.example";
   int status = 0;
-  api->HandleForPeer(request, [&](const HttpResponse& it) { status = it.status; });
+  api->HandleForPeer(request,
+                     [&](const HttpResponse& it) { status = it.status; });
   EXPECT_EQ(status, 503);
 }
 
--- a/packages/service/src/peer_relay.cc
+++ b/packages/service/src/peer_relay.cc
@@ -67,8 +67,8 @@
   if (end == std::string::npos) {
     return std::nullopt;
   }
-  const auto parsed = std::from_chars(target.data() + 1, target.data() + end,
-                                      to.least_policy);
+  const auto parsed =
+      std::from_chars(target.data() + 1, target.data() + end, to.least_policy);
   if (parsed.ec != std::errc() || parsed.ptr != target.data() + end) {
     return std::nullopt;
   }
@@ -79,7 +79,7 @@
 
 struct PeerRelay::Call {
   net::HttpFetchOptions fetch;
-  bool changes = false;  ///< Not a mere question.
+  bool changes = false;            ///< Not a mere question.
   std::vector<std::string> peers;  ///< Still to be asked.
   TimePoint deadline{};
   Handler handler;
@@ -109,9 +109,8 @@
       peers.push_back(address.address);
     }
   }
-  std::stable_partition(peers.begin(), peers.end(), [&](const auto& it) {
-    return it == last_answered_;
-  });
+  std::stable_partition(peers.begin(), peers.end(),
+                        [&](const auto& it) { return it == last_answered_; });
   return peers;
 }
 
--- a/packages/settings/src/job_settings_test.cc
+++ b/packages/settings/src/job_settings_test.cc
@@ -43,10 +43,9 @@
       "entry.json");
   ASSERT_TRUE(std::holds_alternative<Findings>(parsed));
   const std::string text = ToString(std::get<Findings>(parsed));
-  for (const char* part :
-       {"/name", "/store", "/timing/reclaim_ms", "data_centre",
-        "callers_listen", "readiness_listen", "peers_listen", "metrics_listen",
-        "unknown"}) {
+  for (const char* part : {"/name", "/store", "/timing/reclaim_ms",
+                           "data_centre", "callers_listen", "readiness_listen",
+                           "peers_listen", "metrics_listen", "unknown"}) {
     EXPECT_NE(text.find(part), std::string::npos) << part << "\n" << text;
   }
 }
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -48,7 +48,7 @@
 /// @brief Where an entry takes requests that other entries cannot serve.
 struct EntryAddress {
   EntryName entry;
-  std::string address;  ///< `ip:port`.
+  std::string address;   ///< `ip:port`.
   WallTime stated_at{};  ///< Stated again from time to time while it lives.
 };
 
