Leave workers on which work stands still

Cause: a worker that hangs goes on to send heartbeats, so its tasks waited until it recovered and new ones were sent there. Tests: OutcomesTest.LeavesAWorkerWithoutProgress (failed before), LeavesWorkThatAdvancesWhereItIs.

--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -59,24 +59,6 @@
   return "open";
 }
 
-void WantStop(State& state,
-              const TaskRef& task,
-              RunRow& run,
-              const char* why,
-              TimePoint now) {
-  if (run.stop_wanted) {
-    return;
-  }
-  run.stop_wanted = true;
-  Log(state, "stop_wanted",
-      {{"job", task.job.value},
-       {"task", workload::ToString(task)},
-       {"run", std::to_string(run.run)},
-       {"agent", run.on.agent.value},
-       {"reason", why},
-       Age("placed_ms_ago", run.placed_at, now)});
-}
-
 // A member of a gang whose other members are not placed would wait alone.
 void StopBrokenGangs(State& state, TimePoint now) {
   for (auto& [task, run] : state.runs) {
@@ -149,6 +131,24 @@
 
 }  // namespace
 
+void WantStop(State& state,
+              const TaskRef& task,
+              RunRow& run,
+              const char* why,
+              TimePoint now) {
+  if (run.stop_wanted) {
+    return;
+  }
+  run.stop_wanted = true;
+  Log(state, "stop_wanted",
+      {{"job", task.job.value},
+       {"task", workload::ToString(task)},
+       {"run", std::to_string(run.run)},
+       {"agent", run.on.agent.value},
+       {"reason", why},
+       Age("placed_ms_ago", run.placed_at, now)});
+}
+
 void LeaveDrainingWorkers(State& state, TimePoint now) {
   for (auto& [task, run] : state.runs) {
     const auto agent = state.agents.find(run.on.agent);
@@ -235,6 +235,7 @@
     it = state.open.erase(it);
   }
   LeaveDrainingWorkers(state, now);
+  LeaveStalledWorkers(state, now);
   StopBrokenGangs(state, now);
   StopFinalOccurrences(state, now);
   DropUnorderedStops(state, now);
--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -80,6 +80,28 @@
   EXPECT_TRUE(scheduler.Running("j").empty());
 }
 
+// Guards against jobs that wait for a worker which is heard and whose tasks
+// stand still, and against further work that is sent there.
+TEST_F(OutcomesTest, LeavesAWorkerWithoutProgress) {
+  scheduler.Submit(scheduler.Job("stuck", "batch", "acme", 1, 4));
+  scheduler.Run(2);
+  ASSERT_EQ(scheduler.Running("stuck").count("a1"), 1U);
+  scheduler.AddWorker("a2", "r1", kEight);
+  scheduler.Run(80);
+  EXPECT_EQ(scheduler.Running("stuck").count("a2"), 1U);
+}
+
+TEST_F(OutcomesTest, LeavesWorkThatAdvancesWhereItIs) {
+  scheduler.Submit(scheduler.Job("slow", "batch", "acme", 1, 4));
+  scheduler.Run(2);
+  scheduler.AddWorker("a2", "r1", kEight);
+  for (int percent = 1; percent < 10; ++percent) {
+    scheduler.Advance("a1", percent);
+    scheduler.Run(20);
+  }
+  EXPECT_EQ(scheduler.Running("slow").count("a1"), 1U);
+}
+
 // Guards against a list of agents, and of calls to them, that grows with every
 // machine that was ever replaced.
 TEST_F(OutcomesTest, ForgetsAgentsThatCannotBeReached) {
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -19,16 +19,6 @@
 constexpr Millis kFirstAvoidance{4'000};
 constexpr Millis kLongestAvoidance{60'000};
 
-void Avoid(State& state, AgentRow& agent, const char* why, TimePoint now) {
-  agent.last_avoidance =
-      std::clamp(agent.last_avoidance * 2, kFirstAvoidance, kLongestAvoidance);
-  agent.avoid_until = now + agent.last_avoidance;
-  Log(state, "worker_avoided",
-      {{"agent", agent.address.agent.value},
-       {"reason", why},
-       {"for_ms", std::to_string(agent.last_avoidance.count())}});
-}
-
 void CountFailure(State& state,
                   AgentRow& agent,
                   const TaskRef& task,
@@ -178,6 +168,10 @@
   if (row.state != RunState::kRunning) {
     row.state = RunState::kRunning;
     row.running_since = now;
+    row.advanced_at = now;
+  }
+  if (report.active.percent > row.percent) {
+    row.advanced_at = now;
   }
   row.percent = report.active.percent;
 }
@@ -307,6 +301,16 @@
 
 }  // namespace
 
+void Avoid(State& state, AgentRow& agent, const char* why, TimePoint now) {
+  agent.last_avoidance =
+      std::clamp(agent.last_avoidance * 2, kFirstAvoidance, kLongestAvoidance);
+  agent.avoid_until = now + agent.last_avoidance;
+  Log(state, "worker_avoided",
+      {{"agent", agent.address.agent.value},
+       {"reason", why},
+       {"for_ms", std::to_string(agent.last_avoidance.count())}});
+}
+
 void ForgetRun(State& state,
                const TaskRef& task,
                const std::string& reason,
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -54,6 +54,7 @@
   TimePoint running_since{};
   std::string checkpoint;
   int percent = 0;
+  TimePoint advanced_at{};  ///< When its progress was last seen to rise.
 };
 
 /// @brief One agent and its worker.
@@ -170,6 +171,20 @@
 /// @return Records that drop them from the log.
 std::vector<workload::RawRecord> DropLostAgents(State& state, TimePoint now);
 
+/// @brief Leaves workers on which work stands still, although they are heard.
+void LeaveStalledWorkers(State& state, TimePoint now);
+
+/// @brief Gives a worker no new work for a time, which doubles when it was
+/// avoided shortly before.
+void Avoid(State& state, AgentRow& agent, const char* why, TimePoint now);
+
+/// @brief Asks for the stop of a run; nothing when that was asked before.
+void WantStop(State& state,
+              const workload::TaskRef& task,
+              RunRow& run,
+              const char* why,
+              TimePoint now);
+
 /// @brief Places the tasks whose turn has come, and picks what must yield.
 void PlaceUnits(State& state, const workload::Policy& policy, Now now);
 
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -35,6 +35,11 @@
   /// @brief The worker says that it leaves; its tasks are at `percent`.
   void Drain(const std::string& agent, Millis remaining, int percent);
 
+  /// @brief The worker's tasks are at `percent`.
+  void Advance(const std::string& agent, int percent) {
+    agents_.at(agent).percent = percent;
+  }
+
   /// @brief Records that the last plans have appended, by key.
   const std::map<std::string, std::string>& Log() const { return log_; }
 
