Let every entry claim at once

The store settles claims that race. The turns and their ranks are gone. JobWorldTest.StoreRefusesTheSchedulerOnly asked the refused entry itself, which now may be the first; the harness asks the entry that has read the log last, as the programs hand callers over.

--- a/packages/jobharness/include/shallotlug/jobharness/job_world.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_world.h
@@ -72,7 +72,8 @@
   FakeFleet& Fleet();
   JobOracle& Oracle();
   workload::Policy& Targets();
-  /// @brief The state of a job as the first running entry shows it.
+  /// @brief The state of a job as the entry shows it that has read the log
+  /// last.
   std::string Shown(const JobId& job) const;
   TimePoint Now() const;
 
--- a/packages/joblog/include/shallotlug/joblog/authority.h
+++ b/packages/joblog/include/shallotlug/joblog/authority.h
@@ -20,10 +20,6 @@
 /// @brief A scheduler that was not heard on the log for so long has lost its
 /// place, although the log can be read.
 inline constexpr Millis kAuthorityTimeout{900};
-/// @brief Entries claim one after the other, in the order of their names, to
-/// keep most claims free of conflicts.
-inline constexpr Millis kClaimStagger{30};
-
 /// @brief What an entry knows of the scheduler from the log.
 struct AuthorityView {
   workload::SchedulerClaim claim;  ///< Newest.
@@ -32,11 +28,9 @@
 
 /// @brief Whether an entry that is not the scheduler should claim now.
 /// @param current_at When the log was last read to its end.
-/// @param rank Place of this entry among those that may claim, from 0.
 bool ShouldClaim(const AuthorityView& view,
                  const EntryName& self,
                  TimePoint current_at,
-                 int rank,
                  TimePoint now);
 
 }  // namespace shallotlug::joblog
--- a/packages/joblog/src/authority.cc
+++ b/packages/joblog/src/authority.cc
@@ -15,24 +15,22 @@
 bool ShouldClaim(const AuthorityView& view,
                  const EntryName& self,
                  TimePoint current_at,
-                 int rank,
                  TimePoint now) {
   if (now - current_at > kFresh) {
     return false;
   }
   const Millis silence = now - view.heard_at;
-  const Millis stagger = rank * kClaimStagger;
   // The claim of a former process of this entry is void.
   if (view.claim.entry == self && !view.claim.resigned) {
     return true;
   }
   if (view.claim.epoch == 0) {
-    return silence >= stagger;
+    return true;
   }
   if (view.claim.resigned) {
-    return silence >= (view.claim.entry == self ? kOwnResignation : stagger);
+    return view.claim.entry != self || silence >= kOwnResignation;
   }
-  return silence >= kAuthorityTimeout + stagger;
+  return silence >= kAuthorityTimeout;
 }
 
 }  // namespace shallotlug::joblog
--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -1,7 +1,6 @@
 #include "shallotlug/scheduler/role.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 #include "shallotlug/joblog/authority.h"
@@ -16,8 +15,6 @@
 namespace {
 
 constexpr Millis kAppendRetry{50};
-// Entries share few claim slots; equal ones are told apart by the log.
-constexpr std::size_t kClaimRanks = 6;
 // A scheduler that hears less than half of its agents for this long resigns.
 constexpr Millis kAgentsLostAfter{1'500};
 constexpr Millis kAgentHeardWithin{2'500};
@@ -26,10 +23,6 @@
 // Sequence numbers rise from the claim's nonce without reaching their end.
 constexpr int kNonceShift = 16;
 
-int RankOf(const EntryName& entry) {
-  return static_cast<int>(std::hash<std::string>{}(entry.value) % kClaimRanks);
-}
-
 /// @brief The time in which this entry is the scheduler, under one epoch.
 struct Term {
   explicit Term(Scheduler it) : scheduler(std::move(it)) {}
@@ -148,7 +141,7 @@
   }
   if (it.policy.version > 0 &&
       joblog::ShouldClaim(it.authority, it.options.entry, follower.CurrentAt(),
-                          RankOf(it.options.entry), now.local)) {
+                          now.local)) {
     it.claim_at = follower.NextOffset();
   }
 }
--- a/packages/scheduler/src/stalls.cc
+++ b/packages/scheduler/src/stalls.cc
@@ -42,8 +42,8 @@
   const workload::Step& step = StepOf(row, task.step);
   const Millis limit =
       std::max(kShortestStall, step.estimate / kStallShareOfEstimate);
-  return run.state == RunState::kRunning && !run.stop_wanted &&
-         !step.lasting && now - run.advanced_at > limit;
+  return run.state == RunState::kRunning && !run.stop_wanted && !step.lasting &&
+         now - run.advanced_at > limit;
 }
 
 }  // namespace
