Never pass a rejection on for a job that may be stored; size the reserve by the demand

The job ran although its caller had been told otherwise. After an own append without an answer only a peer's success is passed on now. Test: JobApiTest.DoesNotRejectWhatItMayHaveStored (failed before).

Tests: ReserveTest.

--- a/apps/tests/soak/platform_servers.cc
+++ b/apps/tests/soak/platform_servers.cc
@@ -279,7 +279,7 @@
     server_->Abort(id);
     return;
   }
-  static const std::map<OrderStatus, const char*> kReasons{
+  static const std::map<OrderStatus, const char*> reasons{
       {OrderStatus::kFenced, "fence"},
       {OrderStatus::kSuperseded, "old"},
       {OrderStatus::kLeaseOver, "late"},
@@ -288,8 +288,8 @@
   if (result.clock) {
     answer["clock_ms"] = result.clock->time_since_epoch().count();
   }
-  const auto reason = kReasons.find(result.status);
-  if (reason != kReasons.end()) {
+  const auto reason = reasons.find(result.status);
+  if (reason != reasons.end()) {
     answer["reason"] = reason->second;
   }
   server_->Reply(
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -270,7 +270,9 @@
   FreeTable free = FreeRoom(state);
   const std::set<OccurrenceKey> guaranteed =
       GuaranteedOccurrences(state, policy);
-  for (const Unit& it : CollectUnits(state, policy, guaranteed, now)) {
+  const std::vector<Unit> units = CollectUnits(state, policy, guaranteed, now);
+  MeasureUrgentDemand(state, policy, units, now.local);
+  for (const Unit& it : units) {
     PlaceUnit(state, policy, guaranteed, it, free, now);
   }
 }
--- a/packages/scheduler/src/reserve.cc
+++ b/packages/scheduler/src/reserve.cc
@@ -8,9 +8,12 @@
 
 namespace {
 
-// Of the workers that could take a batch job, every fourth is left to urgent
-// jobs, so that these need not wait for a stop.
+// Of the workers that could take a batch job, at most every fourth is left to
+// urgent jobs, so that these need not wait for a stop.
 constexpr std::size_t kWorkersForEachReserved = 4;
+// As much as urgent jobs have asked for at once within this time is expected
+// again.
+constexpr Millis kUrgentMemory{600'000};
 // A batch job presses when the time left to its objective is less than this
 // multiple of its estimate.
 constexpr double kPressingFactor = 1.5;
@@ -53,14 +56,36 @@
   return now.wall + needed > unit.objective;
 }
 
+/// @brief Workers that urgent jobs beyond those that run may need.
+std::size_t WorkersExpected(const UrgentDemand& urgent,
+                            const std::vector<Candidate>& candidates) {
+  std::int64_t capacity = 0;
+  for (const Candidate& it : candidates) {
+    capacity += it.capacity.accelerators;
+  }
+  const std::int64_t expected = urgent.peak - urgent.running;
+  if (capacity <= 0 || expected <= 0) {
+    return 0;
+  }
+  const auto each = std::max<std::int64_t>(
+      capacity / static_cast<std::int64_t>(candidates.size()), 1);
+  return static_cast<std::size_t>((expected + each - 1) / each);
+}
+
 /// @brief Takes the workers with the most free accelerators off the list.
-void Reserve(std::vector<Candidate>& candidates) {
+void Reserve(const UrgentDemand& urgent,
+             std::vector<Candidate>& candidates,
+             TimePoint now) {
   // Rounded, but no worker of a pool of two.
-  const std::size_t n =
+  const std::size_t most =
       candidates.size() <= 2
           ? 0
           : (candidates.size() + kWorkersForEachReserved / 2) /
                 kWorkersForEachReserved;
+  // A new scheduler has not seen the demand yet.
+  const bool known = now - urgent.known_since > kUrgentMemory;
+  const std::size_t n =
+      known ? std::min(most, WorkersExpected(urgent, candidates)) : most;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
                      return a.free.accelerators > b.free.accelerators;
@@ -88,12 +113,41 @@
 
 }  // namespace
 
+void MeasureUrgentDemand(State& state,
+                         const workload::Policy& policy,
+                         const std::vector<Unit>& waiting,
+                         TimePoint now) {
+  std::int64_t running = 0;
+  for (const auto& [task, run] : state.runs) {
+    const OccurrenceRow* row = FindOccurrence(state, task);
+    if (row != nullptr && TermsOf(policy, *row->job).priority == 0) {
+      running += run.need.accelerators;
+    }
+  }
+  std::int64_t wanted = running;
+  for (const Unit& it : waiting) {
+    if (it.terms.priority == 0) {
+      wanted += it.step->need.accelerators *
+                static_cast<std::int64_t>(it.tasks.size());
+    }
+  }
+  UrgentDemand& urgent = state.urgent;
+  if (urgent.known_since == TimePoint{}) {
+    urgent.known_since = now;
+  }
+  urgent.running = running;
+  if (wanted >= urgent.peak || now - urgent.peak_at > kUrgentMemory) {
+    urgent.peak = wanted;
+    urgent.peak_at = now;
+  }
+}
+
 void LeaveReserve(State& state,
                   const Unit& unit,
                   std::vector<Candidate>& candidates,
                   Now now) {
   if (HoldsBack(state, unit, candidates, now)) {
-    Reserve(candidates);
+    Reserve(state.urgent, candidates, now.local);
   }
 }
 
--- a/packages/scheduler/src/reserve_test.cc
+++ b/packages/scheduler/src/reserve_test.cc
@@ -25,9 +25,40 @@
     return job;
   }
 
+  // The scheduler has run for long enough to know what urgent jobs ask for.
+  void KnowTheDemand() {
+    scheduler.Run(1);
+    scheduler.Clock().local += Millis(700'000);
+    scheduler.Clock().wall += Millis(700'000);
+  }
+
+  // Urgent jobs of a whole worker are expected from then on.
+  void EndAnUrgentJob() {
+    scheduler.Submit(scheduler.Job("former", "live", "acme", 1, 8));
+    scheduler.Run(2);
+    scheduler.End({JobId("former"), 0, 0, 0}, workload::EndReason::kDone);
+    scheduler.Run(2);
+  }
+
   TestScheduler scheduler;
 };
 
+// Guards against a pool that stands idle for urgent jobs that never come.
+TEST_F(ReserveTest, LeavesNothingWhereNoUrgentJobsCome) {
+  KnowTheDemand();
+  scheduler.Submit(Batch("batch", 8));
+  scheduler.Run(10);
+  EXPECT_EQ(scheduler.Running("batch").size(), 4U);
+}
+
+TEST_F(ReserveTest, LeavesAsMuchAsUrgentJobsHaveAskedFor) {
+  KnowTheDemand();
+  EndAnUrgentJob();
+  scheduler.Submit(Batch("batch", 8));
+  scheduler.Run(10);
+  EXPECT_EQ(scheduler.Running("batch").size(), 3U);
+}
+
 // Guards against urgent jobs that wait for a stop, and work thrown away for
 // them, because batch work takes every free worker.
 TEST_F(ReserveTest, LeavesAWorkerToUrgentJobs) {
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -99,6 +99,14 @@
   auto operator<=>(const UnitKey&) const = default;
 };
 
+/// @brief Accelerators that urgent work asks for, running or waiting.
+struct UrgentDemand {
+  std::int64_t running = 0;
+  std::int64_t peak = 0;  ///< Of both, in the last minutes.
+  TimePoint peak_at{};
+  TimePoint known_since{};  ///< When the first plan was made.
+};
+
 struct State {
   SchedulerOptions options;
   std::map<OccurrenceKey, OccurrenceRow> occurrences;
@@ -108,6 +116,7 @@
   std::map<UnitKey, Claim> claims;
   /// Batch units that leave room to urgent jobs in a pool that is not busy.
   std::map<UnitKey, TimePoint> held_since;
+  UrgentDemand urgent;
   /// Workers on which a task has failed; its next run goes elsewhere.
   std::map<workload::TaskRef, std::set<AgentName>> failed_on;
   /// Newest run of each gang that was counted as failed, by its first task.
--- a/packages/service/src/job_api.cc
+++ b/packages/service/src/job_api.cc
@@ -72,6 +72,14 @@
   return platform::OutcomeUnknownReply();
 }
 
+/// @brief Whether a peer's answer may be passed on. After an own append without
+/// an answer only success is certain: the job may be stored whatever the peer
+/// says against the request.
+bool Settles(const std::optional<net::HttpResponse>& own,
+             const net::HttpResponse& of_peer) {
+  return !own || own->status != kOutcomeUnknown || of_peer.status == 200;
+}
+
 }  // namespace
 
 JobApi::JobApi(JobApiState state) : state_(std::move(state)) {}
@@ -120,19 +128,20 @@
                      TimePoint deadline,
                      std::optional<net::HttpResponse> own,
                      Reply reply) {
-  state_.peers.Forward(request, deadline,
-                       [this, request, own = std::move(own),
-                        reply = std::move(reply)](PeerRelay::Outcome outcome) {
-                         if (outcome.response) {
-                           reply(std::move(*outcome.response));
-                         } else if (outcome.ambiguous) {
-                           reply(platform::OutcomeUnknownReply());
-                         } else if (own) {
-                           reply(*own);
-                         } else {
-                           Answer(request, reply);
-                         }
-                       });
+  state_.peers.Forward(
+      request, deadline,
+      [this, request, own = std::move(own),
+       reply = std::move(reply)](PeerRelay::Outcome outcome) {
+        if (outcome.response && Settles(own, *outcome.response)) {
+          reply(std::move(*outcome.response));
+        } else if (outcome.ambiguous) {
+          reply(platform::OutcomeUnknownReply());
+        } else if (own) {
+          reply(*own);
+        } else {
+          Answer(request, reply);
+        }
+      });
 }
 
 void JobApi::Answer(const net::HttpRequest& request, Reply reply) {
--- a/packages/service/src/job_api_test.cc
+++ b/packages/service/src/job_api_test.cc
@@ -144,6 +144,20 @@
   EXPECT_EQ(second.requests.size(), 1U);
 }
 
+// Guards against a job that runs although its caller was told otherwise: its
+// key was taken away between an append without an answer and the peer's answer.
+TEST_F(JobApiTest, DoesNotRejectWhatItMayHaveStored) {
+  store.drops = true;
+  first.status = 401;
+  second.status = 401;
+  EXPECT_EQ(Submit().status, 504);
+}
+
+TEST_F(JobApiTest, ConfirmsByAPeerWhatItMayHaveStored) {
+  store.drops = true;
+  EXPECT_EQ(Submit().status, 200);
+}
+
 // Guards against callers that wait for a peer that has gone, one after another.
 TEST_F(JobApiTest, PassesOverASilentPeerOnceFound) {
   store_answers = false;
