--- a/packages/service/src/peer_relay.cc
+++ b/packages/service/src/peer_relay.cc
@@ -43,6 +43,11 @@
   return fetch;
 }
 
+// The last part of a target; empty for a question about a whole queue.
+std::string JobOf(const std::string& target) {
+  return target.substr(target.rfind('/') + 1);
+}
+
 // Takes the version that a peer has answered under out of its answer.
 std::int64_t TakePolicy(net::HttpResponse& response) {
   std::int64_t version = 0;
@@ -161,7 +166,8 @@
   const bool answered = result.has_value();
   WriteLog({LogLevel::kInfo,
             "request_forwarded",
-            {{"target", call->fetch.target},
+            {{"job", JobOf(call->fetch.target)},
+             {"target", call->fetch.target},
              {"peer", call->fetch.address},
              {"outcome", answered ? std::to_string(result.value().status)
                                   : result.error().message()}}});
