--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -40,6 +40,7 @@
 struct PendingClaim {
   SchedulerClaim claim;
   std::uint64_t at = 0;  ///< End of the log that it depends on.
+  TimePoint heard_at{};  ///< When a scheduler had been heard last.
 };
 
 }  // namespace
@@ -57,6 +58,7 @@
   std::uint64_t lowest_epoch = 1;  ///< Raised when the store fences a claim.
   std::optional<std::uint64_t> claim_at;  ///< A claim is due at this offset.
   std::optional<PendingClaim> claiming;
+  std::uint64_t read_to = 0;  ///< Offset up to which the log was read.
   std::optional<Term> term;
   std::vector<workload::RawRecord> batch;  ///< Of the running append.
   bool running = false;                    ///< An append is under way.
@@ -121,6 +123,7 @@
 void Role::OnPage(const joblog::Follower& follower, Now now) {
   Impl& it = *impl_;
   it.claim_at.reset();
+  it.read_to = follower.NextOffset();
   if (!follower.Loaded() || it.retiring) {
     return;
   }
@@ -189,6 +192,7 @@
   pending.claim.epoch = std::max(ledger.claim.epoch + 1, lowest_epoch);
   pending.claim.entry = options.entry;
   pending.claim.nonce = nonce >> kNonceShift;
+  pending.heard_at = authority.heard_at;
   log.push_back({LogLevel::kInfo,
                  "scheduler_claim",
                  {{"epoch", std::to_string(pending.claim.epoch)},
@@ -254,6 +258,12 @@
   if (result.status == AppendStatus::kFenced) {
     lowest_epoch = pending.claim.epoch + 1;
   }
+  // Something else was appended meanwhile and is read already, and it was no
+  // record of a scheduler.
+  if (result.status == AppendStatus::kMoved && result.end_offset == read_to &&
+      authority.heard_at == pending.heard_at) {
+    claim_at = read_to;
+  }
 }
 
 void Role::Impl::Begin(const SchedulerClaim& claim, Now now) {
