--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -53,14 +53,12 @@
   }};
 };
 
-const workload::AgentAddress kAgent{AgentName("a"), "127.0.0.1:1",
-                                    Incarnation{1}};
-
 // Guards against a system without a scheduler until the log is read the next
 // time, because an agent has stated its address while the claim was under way.
 TEST_F(RoleTest, ClaimsAgainAtOnceAfterAnUnrelatedRecord) {
   ASSERT_EQ(role.NextAppend(kNonce, now)->options.at, 0U);
-  Read({workload::Encode(kAgent)});
+  Read({workload::Encode(
+      workload::AgentAddress{AgentName("a"), "127.0.0.1:1", Incarnation{1}})});
   role.OnAppended(Moved(), now);
   const auto again = role.NextAppend(kNonce, now);
   ASSERT_TRUE(again);
