--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -199,11 +199,11 @@
   std::vector<workload::RawRecord> drops;
   std::erase_if(state.agents, [&](const auto& it) {
     const AgentRow& agent = it.second;
-    const bool used = std::any_of(
-        state.runs.begin(), state.runs.end(),
-        [&](const auto& run) { return run.second.on.agent == it.first; });
-    if (used || now - std::max(agent.heard_at, agent.added_at) <=
-                    state.options.agent_retention) {
+    if (now - std::max(agent.heard_at, agent.added_at) <=
+            state.options.agent_retention ||
+        std::any_of(state.runs.begin(), state.runs.end(), [&](const auto& run) {
+          return run.second.on.agent == it.first;
+        })) {
       return false;
     }
     Log(state, "agent_forgotten",
