--- a/packages/joblog/include/shallotlug/joblog/authority.h
+++ b/packages/joblog/include/shallotlug/joblog/authority.h
@@ -5,6 +5,7 @@
 
 #include "shallotlug/base/clock.h"
 #include "shallotlug/base/ids.h"
+#include "shallotlug/workload/ledger.h"
 #include "shallotlug/workload/record.h"
 
 /// Leader election among the entries: one of them is the scheduler. The order
@@ -22,16 +23,32 @@
 /// its role.
 inline constexpr Millis kAuthorityTimeout{900};
 
+/// @brief An entry waits this long with its claim while others are stronger, so
+/// that the scheduler role goes to a machine with enough processor time.
+inline constexpr Millis kWeakClaimDelay{500};
+/// @brief The first claim waits this long for the entries to register.
+inline constexpr Millis kFirstClaimDelay{500};
+
 /// @brief State of the scheduler as an entry has read it from the log.
 struct AuthorityView {
   workload::SchedulerClaim claim;  ///< Newest.
   TimePoint heard_at{};  ///< When a record of the scheduler was last read.
 };
 
+/// @brief An entry that may claim the scheduler role.
+struct Claimant {
+  EntryName entry;
+  Millis delay{0};  ///< Added to the time after which it claims.
+};
+
+/// @brief kWeakClaimDelay for an entry if another registered one has
+/// considerably more processor time, else 0.
+Millis ClaimDelay(const workload::Ledger& ledger, const EntryName& self);
+
 /// @brief Whether an entry that is not the scheduler should claim now.
 /// @param current_at When the log was last read to its end.
 bool ShouldClaim(const AuthorityView& view,
-                 const EntryName& self,
+                 const Claimant& claimant,
                  TimePoint current_at,
                  TimePoint now);
 
--- a/packages/joblog/src/authority.cc
+++ b/packages/joblog/src/authority.cc
@@ -1,5 +1,7 @@
 #include "shallotlug/joblog/authority.h"
 
+#include <algorithm>
+
 namespace shallotlug::joblog {
 
 namespace {
@@ -10,27 +12,39 @@
 // After its own resignation an entry waits so that others can claim first.
 constexpr Millis kReclaimDelay{3'000};
 
+// An entry with this many percent of another one's processor time is as strong.
+constexpr std::int64_t kEqualStrengthPercent = 70;
+
 }  // namespace
 
+Millis ClaimDelay(const workload::Ledger& ledger, const EntryName& self) {
+  const auto own = ledger.entries.find(self);
+  const std::int64_t strength =
+      own == ledger.entries.end() ? 0 : own->second.cpu_millis;
+  const bool weaker = std::any_of(
+      ledger.entries.begin(), ledger.entries.end(), [&](const auto& it) {
+        return strength * 100 < it.second.cpu_millis * kEqualStrengthPercent;
+      });
+  return weaker ? kWeakClaimDelay : Millis{0};
+}
+
 bool ShouldClaim(const AuthorityView& view,
-                 const EntryName& self,
+                 const Claimant& claimant,
                  TimePoint current_at,
                  TimePoint now) {
   if (now - current_at > kMaxReadAge) {
     return false;
   }
   const Millis silence = now - view.heard_at;
-  // The claim of a former process of this entry is no longer valid.
-  if (view.claim.entry == self && !view.claim.resigned) {
-    return true;
-  }
   if (view.claim.epoch == 0) {
-    return true;
+    return silence >= kFirstClaimDelay + claimant.delay;
   }
+  const bool own = view.claim.entry == claimant.entry;
   if (view.claim.resigned) {
-    return view.claim.entry != self || silence >= kReclaimDelay;
+    return silence >= (own ? kReclaimDelay : Millis{0}) + claimant.delay;
   }
-  return silence >= kAuthorityTimeout;
+  // The claim of a former process of this entry is no longer valid.
+  return silence >= (own ? Millis{0} : kAuthorityTimeout) + claimant.delay;
 }
 
 }  // namespace shallotlug::joblog
--- a/packages/joblog/src/joblog_test.cc
+++ b/packages/joblog/src/joblog_test.cc
@@ -82,7 +82,7 @@
     return view;
   }
 
-  EntryName self{"self"};
+  Claimant self{EntryName("self"), Millis(0)};
 };
 
 TEST_F(ShouldClaimTest, DoesNotClaimFromAnActiveScheduler) {
@@ -107,7 +107,7 @@
 
 TEST_F(ShouldClaimTest, DelaysAClaimAfterItsOwnResignation) {
   AuthorityView view = View(Millis(1'000), true);
-  view.claim.entry = self;
+  view.claim.entry = self.entry;
   EXPECT_FALSE(ShouldClaim(view, self, kNow, kNow));
   view.heard_at = kNow - Millis(3'000);
   EXPECT_TRUE(ShouldClaim(view, self, kNow, kNow));
@@ -116,9 +116,45 @@
 // The process that made the claim has ended and was replaced by this one.
 TEST_F(ShouldClaimTest, ClaimsAtOnceFromItsFormerProcess) {
   AuthorityView view = View(Millis(0));
-  view.claim.entry = self;
+  view.claim.entry = self.entry;
   EXPECT_TRUE(ShouldClaim(view, self, kNow, kNow));
 }
 
+// Guards against a first scheduler on a weak machine, because all entries start
+// at the same moment and the first append wins.
+TEST_F(ShouldClaimTest, LetsTheEntriesRegisterBeforeTheFirstClaim) {
+  AuthorityView view;
+  view.heard_at = kNow;
+  EXPECT_FALSE(ShouldClaim(view, self, kNow, kNow));
+  view.heard_at = kNow - kFirstClaimDelay;
+  EXPECT_TRUE(ShouldClaim(view, self, kNow, kNow));
+}
+
+// Guards against a lost scheduler that is replaced by a machine too weak for
+// the role while stronger ones are there.
+TEST_F(ShouldClaimTest, ClaimsLaterThanAStrongerEntry) {
+  self.delay = kWeakClaimDelay;
+  EXPECT_FALSE(ShouldClaim(View(kAuthorityTimeout), self, kNow, kNow));
+  EXPECT_TRUE(
+      ShouldClaim(View(kAuthorityTimeout + kWeakClaimDelay), self, kNow, kNow));
+  EXPECT_FALSE(ShouldClaim(View(Millis(0), true), self, kNow, kNow));
+  EXPECT_TRUE(ShouldClaim(View(kWeakClaimDelay, true), self, kNow, kNow));
+}
+
+TEST(ClaimDelayTest, DelaysOnlyEntriesWeakerThanAnother) {
+  workload::Ledger ledger;
+  const auto add = [&](const char* name, std::int64_t cpu_millis) {
+    const EntryName entry(name);
+    ledger.entries[entry] = {entry, "127.0.0.1:1", {}, cpu_millis};
+  };
+  add("weak", 120);
+  EXPECT_EQ(ClaimDelay(ledger, EntryName("weak")), Millis(0));
+  add("peer", 130);
+  EXPECT_EQ(ClaimDelay(ledger, EntryName("weak")), Millis(0));
+  add("strong", 500);
+  EXPECT_EQ(ClaimDelay(ledger, EntryName("weak")), kWeakClaimDelay);
+  EXPECT_EQ(ClaimDelay(ledger, EntryName("strong")), Millis(0));
+}
+
 }  // namespace
 }  // namespace shallotlug::joblog
--- a/packages/scheduler/include/shallotlug/scheduler/scheduler.h
+++ b/packages/scheduler/include/shallotlug/scheduler/scheduler.h
@@ -67,6 +67,8 @@
 
   /// @brief Addresses of the agents to call.
   std::vector<workload::AgentAddress> Agents() const;
+  /// @brief Changes whenever Agents() does.
+  std::uint64_t AgentsVersion() const;
 
   /// @brief Builds the next call to an agent, with all pending orders and
   /// acknowledgements.
@@ -76,6 +78,11 @@
   /// call in flight returns.
   bool HasNews(const AgentName& agent, Now now) const;
 
+  /// @brief Takes the agents that may have got news since the last call, and
+  /// have some. An agent whose call cannot be sent now must be asked about
+  /// again with HasNews().
+  std::vector<AgentName> TakeNews(Now now);
+
   void OnReply(const AgentName& agent,
                const protocol::SyncReply& reply,
                Now now);
--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
+#include <utility>
 
 #include "state.h"
+#include "units.h"
 
 namespace shallotlug::scheduler {
 
@@ -60,48 +62,89 @@
 }
 
 // A gang member whose peers are not placed would wait in vain.
-void StopBrokenGangs(State& state, TimePoint now) {
-  for (auto& [task, run] : state.runs) {
-    OccurrenceRow* row = FindOccurrence(state, task);
-    if (row == nullptr || run.stop_requested || !StepOf(*row, task.step).gang) {
+void StopBrokenGangs(State& state,
+                     const OccurrenceKey& key,
+                     const OccurrenceRow& row,
+                     TimePoint now) {
+  for (std::size_t n = 0; n < row.progress.steps.size(); ++n) {
+    if (!row.job->steps[n].gang) {
       continue;
     }
-    const std::vector<TaskRef> members = GangOf(*row, task);
-    const bool broken =
-        std::any_of(members.begin(), members.end(), [&](const TaskRef& it) {
-          return ProgressOf(*row, it).phase == TaskPhase::kWaiting;
-        });
-    if (broken) {
-      RequestStop(state, task, run, "gang_incomplete", now);
+    const auto& tasks = row.progress.steps[n];
+    const bool broken = std::any_of(
+        tasks.begin(), tasks.end(),
+        [](const TaskProgress& it) { return it.phase == TaskPhase::kWaiting; });
+    if (!broken) {
+      continue;
+    }
+    for (const auto& [task, run] :
+         state.runs.OfStep(key.job, key.number, static_cast<int>(n))) {
+      RequestStop(state, task, *state.runs.Find(task), "gang_incomplete", now);
     }
   }
 }
 
-void StopFinalOccurrences(State& state, TimePoint now) {
-  for (auto& [task, run] : state.runs) {
-    const OccurrenceRow* row = FindOccurrence(state, task);
-    if (row == nullptr) {
-      RequestStop(state, task, run, "job_unknown", now);
-    } else if (row->progress.outcome == Outcome::kCancelled ||
-               row->progress.outcome == Outcome::kFailed) {
-      RequestStop(state, task, run, Name(row->progress.outcome), now);
+void StopRuns(State& state,
+              const OccurrenceKey& key,
+              const char* why,
+              TimePoint now) {
+  for (const auto& [task, run] : state.runs.OfOccurrence(key.job, key.number)) {
+    RequestStop(state, task, *state.runs.Find(task), why, now);
+  }
+}
+
+/// @brief The tasks of the step that wait and have no run; of a gang none if
+/// not all of them do.
+WaitingStep WaitingTasks(const State& state,
+                         const OccurrenceKey& key,
+                         const OccurrenceRow& row,
+                         int step) {
+  const auto& tasks = row.progress.steps[static_cast<std::size_t>(step)];
+  WaitingStep waiting;
+  waiting.step = step;
+  auto run = state.runs.OfStep(key.job, key.number, step);
+  for (int n = 0; n < static_cast<int>(tasks.size()); ++n) {
+    const bool present = run.first != run.last && run.first->first.index == n;
+    if (present) {
+      ++run.first;
+    }
+    if (!present &&
+        tasks[static_cast<std::size_t>(n)].phase == TaskPhase::kWaiting) {
+      waiting.tasks.push_back(n);
+    } else if (StepOf(row, step).gang) {
+      waiting.tasks.clear();
+      return waiting;
     }
   }
+  return waiting;
 }
 
-// A run that was not ordered yet can be dropped without a stop.
-void DropUnorderedStops(State& state, TimePoint now) {
-  std::vector<TaskRef> drops;
-  for (const auto& [task, run] : state.runs) {
-    if (run.stop_requested && run.state == RunState::kPlanned) {
-      drops.push_back(task);
+void DeriveWaiting(State& state, const OccurrenceKey& key, OccurrenceRow& row) {
+  row.waiting.clear();
+  state.waiting.erase(key);
+  if (row.progress.outcome != Outcome::kOpen || row.cancelled) {
+    return;
+  }
+  for (int n = 0; n < static_cast<int>(row.progress.steps.size()); ++n) {
+    if (!StepReady(*row.job, row.progress, n)) {
+      continue;
+    }
+    WaitingStep it = WaitingTasks(state, key, row, n);
+    if (!it.tasks.empty()) {
+      row.waiting.push_back(std::move(it));
     }
   }
-  for (const TaskRef& it : drops) {
-    AbandonRun(state, it, "not_ordered", now);
+  if (!row.waiting.empty()) {
+    state.waiting.insert(key);
   }
 }
 
+void DeriveTerms(const workload::Policy& policy, OccurrenceRow& row) {
+  row.terms = TermsOf(policy, *row.job);
+  row.objective_span = ObjectiveSpan(*row.job, row.terms);
+}
+
+constexpr Millis kCleanupInterval{1'000};
 // A task with at least this progress is left to finish.
 constexpr int kAlmostDonePercent = 95;
 
@@ -116,19 +159,14 @@
 bool AllFinal(const State& state, const OccurrenceKey& first, TimePoint limit) {
   for (auto it = state.occurrences.lower_bound(first);
        it != state.occurrences.end() && it->first.job == first.job; ++it) {
-    if (it->second.progress.outcome == Outcome::kOpen || it->second.dirty ||
-        it->second.final_at > limit) {
+    if (it->second.progress.outcome == Outcome::kOpen ||
+        state.unrecorded.contains(it->first) || it->second.final_at > limit) {
       return false;
     }
   }
   return true;
 }
 
-bool HasRuns(const State& state, const JobId& job) {
-  const auto it = state.runs.lower_bound({job, 0, 0, 0});
-  return it != state.runs.end() && it->first.job == job;
-}
-
 }  // namespace
 
 void RequestStop(State& state,
@@ -140,6 +178,7 @@
     return;
   }
   run.stop_requested = true;
+  state.news.insert(run.on.agent);
   Log(state, "stop_wanted",
       {{"job", task.job.value},
        {"task", workload::ToString(task)},
@@ -150,30 +189,41 @@
 }
 
 void EvictFromDrainingWorkers(State& state, TimePoint now) {
-  for (auto& [task, run] : state.runs) {
-    const auto agent = state.agents.find(run.on.agent);
-    const OccurrenceRow* row = FindOccurrence(state, task);
-    if (run.stop_requested || row == nullptr || agent == state.agents.end() ||
-        !agent->second.worker.draining ||
-        !StepOf(*row, task.step).saves_checkpoints ||
-        run.percent >= kAlmostDonePercent) {
+  for (const auto& [name, agent] : state.agents) {
+    if (!agent.worker.draining) {
       continue;
     }
     const Millis remaining =
-        agent->second.draining_since + agent->second.worker.remaining - now;
-    const auto left = TimeLeft(run, now);
-    if (left && *left > remaining) {
-      RequestStop(state, task, run, "worker_leaves", now);
+        agent.draining_since + agent.worker.remaining - now;
+    for (const auto& [task, run] : state.runs.On(name).rows) {
+      const OccurrenceRow* row = FindOccurrence(state, task);
+      if (run->stop_requested || row == nullptr ||
+          !StepOf(*row, task.step).saves_checkpoints ||
+          run->percent >= kAlmostDonePercent) {
+        continue;
+      }
+      const auto left = TimeLeft(*run, now);
+      if (left && *left > remaining) {
+        RequestStop(state, task, *run, "worker_leaves", now);
+      }
     }
   }
 }
 
+bool CleanupIsDue(State& state, TimePoint now) {
+  if (now - state.cleaned_at < kCleanupInterval) {
+    return false;
+  }
+  state.cleaned_at = now;
+  return true;
+}
+
 std::vector<workload::RawRecord> DropOldJobs(State& state, TimePoint now) {
   const TimePoint limit = now - state.options.state_retention;
   std::vector<OccurrenceKey> old;
   for (const auto& [key, row] : state.occurrences) {
     if (key.number == 0 && AllFinal(state, key, limit) &&
-        !HasRuns(state, key.job)) {
+        !state.runs.HasJob(key.job)) {
       old.push_back(key);
     }
   }
@@ -186,6 +236,8 @@
     }
     for (int n = 0; n < Occurrences(*job); ++n) {
       state.occurrences.erase({it.job, n});
+      state.changed.erase({it.job, n});
+      state.guaranteed.erase({it.job, n});
     }
     std::erase_if(state.failed_on,
                   [&](const auto& entry) { return entry.first.job == it.job; });
@@ -201,44 +253,74 @@
     const AgentRow& agent = it.second;
     if (now - std::max(agent.heard_at, agent.added_at) <=
             state.options.agent_retention ||
-        std::any_of(state.runs.begin(), state.runs.end(), [&](const auto& run) {
-          return run.second.on.agent == it.first;
-        })) {
+        !state.runs.On(it.first).rows.empty()) {
       return false;
     }
     Log(state, "agent_forgotten",
         {{"agent", it.first.value}, {"address", agent.address.address}});
     drops.push_back(workload::DropAgent(it.first));
+    ++state.agents_version;
     return true;
   });
   return drops;
 }
 
+void ApplyPolicy(State& state, const workload::Policy& policy) {
+  if (policy.version == state.policy_version) {
+    return;
+  }
+  state.policy_version = policy.version;
+  state.guarantees_outdated = true;
+  for (const OccurrenceKey& it : state.open) {
+    DeriveTerms(policy, state.occurrences.at(it));
+    MarkChanged(state, it);
+  }
+}
+
+namespace {
+
+void DecideOutcome(State& state,
+                   const OccurrenceKey& key,
+                   OccurrenceRow& row,
+                   TimePoint now) {
+  row.progress.outcome = OutcomeOf(row, row.terms.max_attempts);
+  if (row.progress.outcome == Outcome::kOpen) {
+    return;
+  }
+  state.unrecorded.insert(key);
+  state.open.erase(key);
+  state.guarantees_outdated = true;
+  row.final_at = now;
+  Log(state, "occurrence_final",
+      {{"job", key.job.value},
+       {"occurrence", std::to_string(key.number)},
+       {"outcome", Name(row.progress.outcome)}});
+}
+
+}  // namespace
+
 void DecideOutcomes(State& state,
                     const workload::Policy& policy,
                     TimePoint now) {
-  for (auto it = state.open.begin(); it != state.open.end();) {
-    OccurrenceRow& row = state.occurrences.at(*it);
-    const Outcome outcome =
-        OutcomeOf(row, TermsOf(policy, *row.job).max_attempts);
-    if (outcome == Outcome::kOpen) {
-      ++it;
+  EvictFromDrainingWorkers(state, now);
+  EvictFromStalledWorkers(state, now);
+  for (const OccurrenceKey& it : std::exchange(state.changed, {})) {
+    const auto found = state.occurrences.find(it);
+    if (found == state.occurrences.end()) {
       continue;
     }
-    row.progress.outcome = outcome;
-    row.dirty = true;
-    row.final_at = now;
-    Log(state, "occurrence_final",
-        {{"job", it->job.value},
-         {"occurrence", std::to_string(it->number)},
-         {"outcome", Name(outcome)}});
-    it = state.open.erase(it);
+    OccurrenceRow& row = found->second;
+    if (row.progress.outcome == Outcome::kOpen) {
+      DeriveTerms(policy, row);
+      DecideOutcome(state, it, row, now);
+    }
+    if (row.progress.outcome == Outcome::kCancelled ||
+        row.progress.outcome == Outcome::kFailed) {
+      StopRuns(state, it, Name(row.progress.outcome), now);
+    }
+    StopBrokenGangs(state, it, row, now);
+    DeriveWaiting(state, it, row);
   }
-  EvictFromDrainingWorkers(state, now);
-  EvictFromStalledWorkers(state, now);
-  StopBrokenGangs(state, now);
-  StopFinalOccurrences(state, now);
-  DropUnorderedStops(state, now);
 }
 
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/placement.cc
+++ b/packages/scheduler/src/placement.cc
@@ -1,8 +1,13 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <iterator>
 #include <limits>
+#include <map>
+#include <optional>
 #include <tuple>
+#include <utility>
 
 namespace shallotlug::scheduler {
 
@@ -28,14 +33,14 @@
   return static_cast<int>(n);
 }
 
-std::vector<AgentName> FitInto(const std::vector<Candidate>& candidates,
-                               const Demand& demand) {
+std::vector<int> FitInto(const std::vector<Candidate>& candidates,
+                         const Demand& demand) {
   struct Offer {
     const Candidate* candidate;
     int slots;
   };
   std::vector<Offer> offers;
-  int total = 0;
+  std::int64_t total = 0;
   for (const Candidate& it : candidates) {
     const int slots = Slots(it.free, demand.need, it.limit);
     if (slots > 0) {
@@ -49,71 +54,96 @@
   std::sort(offers.begin(), offers.end(), [&](const Offer& a, const Offer& b) {
     const auto rank = [&](const Offer& it) {
       const bool remote =
-          !demand.data_rack.empty() && it.candidate->rack != demand.data_rack;
+          demand.data_rack != kNoRack && it.candidate->rack != demand.data_rack;
       return std::make_tuple(remote, it.candidate->free.accelerators,
                              it.candidate->free.memory_mib,
                              it.candidate->free.cpu_millis,
-                             it.candidate->agent);
+                             it.candidate->worker);
     };
     return rank(a) < rank(b);
   });
-  std::vector<AgentName> workers;
+  std::vector<int> workers;
+  workers.reserve(static_cast<std::size_t>(demand.count));
   for (const Offer& it : offers) {
     for (int n = 0; n < it.slots; ++n) {
       if (static_cast<int>(workers.size()) == demand.count) {
         return workers;
       }
-      workers.push_back(it.candidate->agent);
+      workers.push_back(it.candidate->worker);
     }
   }
   return workers;
 }
 
-std::map<std::string, std::vector<Candidate>> ByRack(
+std::vector<std::vector<Candidate>> ByRack(
     const std::vector<Candidate>& candidates) {
-  std::map<std::string, std::vector<Candidate>> racks;
+  std::map<int, std::vector<Candidate>> by_rack;
   for (const Candidate& it : candidates) {
-    racks[it.rack].push_back(it);
+    by_rack[it.rack].push_back(it);
+  }
+  std::vector<std::vector<Candidate>> racks;
+  racks.reserve(by_rack.size());
+  for (auto& [rack, members] : by_rack) {
+    racks.push_back(std::move(members));
   }
   return racks;
 }
 
-std::vector<AgentName> FitIntoRack(const std::vector<Candidate>& candidates,
-                                   const Demand& demand) {
-  std::vector<AgentName> best;
+namespace {
+
+/// @brief Sums over the candidates of one rack.
+struct RackSum {
+  std::int64_t free_accelerators = 0;
+  std::int64_t free_slots = 0;
+  std::int64_t slots = 0;  ///< Of an empty rack.
+};
+
+std::map<int, RackSum> RackSums(const std::vector<Candidate>& candidates,
+                                const Demand& demand) {
+  std::map<int, RackSum> sums;
+  for (const Candidate& it : candidates) {
+    RackSum& sum = sums[it.rack];
+    sum.free_accelerators += it.free.accelerators;
+    sum.free_slots += Slots(it.free, demand.need, it.limit);
+    sum.slots += Slots(it.capacity, demand.need, it.limit);
+  }
+  return sums;
+}
+
+}  // namespace
+
+std::vector<int> FitIntoRack(const std::vector<Candidate>& candidates,
+                             const Demand& demand) {
+  std::optional<int> best;
   auto best_rank =
       std::make_tuple(true, std::numeric_limits<std::int64_t>::max());
-  for (const auto& [rack, members] : ByRack(candidates)) {
-    std::vector<AgentName> workers = FitInto(members, demand);
-    if (workers.empty()) {
+  for (const auto& [rack, sum] : RackSums(candidates, demand)) {
+    if (sum.free_slots < demand.count) {
       continue;
     }
-    std::int64_t left = 0;
-    for (const Candidate& it : members) {
-      left += it.free.accelerators;
-    }
-    const bool remote = !demand.data_rack.empty() && rack != demand.data_rack;
-    const auto rank = std::make_tuple(remote, left);
-    if (best.empty() || rank < best_rank) {
-      best = std::move(workers);
+    const bool remote = demand.data_rack != kNoRack && rack != demand.data_rack;
+    const auto rank = std::make_tuple(remote, sum.free_accelerators);
+    if (!best || rank < best_rank) {
+      best = rack;
       best_rank = rank;
     }
   }
-  return best;
+  if (!best) {
+    return {};
+  }
+  std::vector<Candidate> members;
+  std::copy_if(candidates.begin(), candidates.end(),
+               std::back_inserter(members),
+               [&](const Candidate& it) { return it.rack == *best; });
+  return FitInto(members, demand);
 }
 
 bool AnyRackCanHold(const std::vector<Candidate>& candidates,
                     const Demand& demand) {
-  for (const auto& [rack, members] : ByRack(candidates)) {
-    int slots = 0;
-    for (const Candidate& it : members) {
-      slots += Slots(it.capacity, demand.need, it.limit);
-    }
-    if (slots >= demand.count) {
-      return true;
-    }
-  }
-  return false;
+  const auto sums = RackSums(candidates, demand);
+  return std::any_of(sums.begin(), sums.end(), [&](const auto& it) {
+    return it.second.slots >= demand.count;
+  });
 }
 
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/placement.h
+++ b/packages/scheduler/src/placement.h
@@ -1,19 +1,21 @@
 #ifndef SHALLOTLUG_SCHEDULER_SRC_PLACEMENT_H_
 #define SHALLOTLUG_SCHEDULER_SRC_PLACEMENT_H_
 
-#include <map>
-#include <string>
 #include <vector>
 
-#include "state.h"
+#include "shallotlug/workload/resources.h"
 
-/// Selection of workers for the tasks of a unit.
+/// Selection of workers for the tasks of a unit. Workers and racks are numbers
+/// that the caller has given them, so that a plan copies no names.
 namespace shallotlug::scheduler {
 
+/// @brief No rack.
+inline constexpr int kNoRack = -1;
+
 /// @brief A worker that may take tasks of a unit.
 struct Candidate {
-  AgentName agent;
-  std::string rack;
+  int worker = 0;
+  int rack = kNoRack;
   workload::Resources capacity;
   workload::Resources free;
   int limit = 0;  ///< Maximum number of tasks of this unit.
@@ -24,7 +26,7 @@
   int count = 1;
   workload::Resources need;  ///< Of each task.
   bool same_rack = false;
-  std::string data_rack;
+  int data_rack = kNoRack;
 };
 
 /// @brief Number of tasks of size `need` that fit into `room`, at most `limit`.
@@ -34,20 +36,20 @@
 
 /// @brief Returns one worker per task, or an empty list unless all tasks fit.
 /// Best fit: fills the fullest workers first, to limit fragmentation.
-std::vector<AgentName> FitInto(const std::vector<Candidate>& candidates,
-                               const Demand& demand);
+std::vector<int> FitInto(const std::vector<Candidate>& candidates,
+                         const Demand& demand);
 
 /// @brief As FitInto(), within one rack: the one with the fewest free
 /// accelerators, after the rack of the data.
-std::vector<AgentName> FitIntoRack(const std::vector<Candidate>& candidates,
-                                   const Demand& demand);
+std::vector<int> FitIntoRack(const std::vector<Candidate>& candidates,
+                             const Demand& demand);
 
 /// @brief Whether an empty rack would have room for all tasks.
 bool AnyRackCanHold(const std::vector<Candidate>& candidates,
                     const Demand& demand);
 
 /// @brief Groups the candidates by rack.
-std::map<std::string, std::vector<Candidate>> ByRack(
+std::vector<std::vector<Candidate>> ByRack(
     const std::vector<Candidate>& candidates);
 
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -1,6 +1,10 @@
 #include <algorithm>
+#include <iterator>
 #include <limits>
+#include <optional>
+#include <utility>
 
+#include "fleet.h"
 #include "placement.h"
 #include "reserve.h"
 #include "units.h"
@@ -14,10 +18,14 @@
 
 namespace {
 
-// An agent without contact for this long gets no new runs.
-constexpr Millis kMaxAgentSilence{2'500};
+// Without a change, units are placed at this interval: waits end and workers
+// are no longer avoided as time passes.
+constexpr Millis kPlacementInterval{50};
 // A reservation is dropped if its resources are not free by then.
 constexpr Millis kReservationTimeout{2'000};
+// After a search for runs to preempt has failed, the unit is searched for again
+// only after this time, as a search looks at all runs.
+constexpr Millis kPreemptionRetry{100};
 // A guaranteed gang that fits into no rack is spread over racks, where it runs
 // slower, after this fraction of the time within which it has to start. A gang
 // that has started before waits for a rack.
@@ -25,26 +33,12 @@
 // How long a task waits for a worker in the rack of its data.
 constexpr Millis kDataLocalityWait{3'000};
 
-/// @brief Free resources per worker while a plan is made.
-using FreeTable = std::map<AgentName, Resources>;
-
-FreeTable FreeResources(const State& state) {
-  FreeTable free;
-  for (const auto& [name, agent] : state.agents) {
-    free[name] = agent.worker.capacity;
-  }
-  for (const auto& [task, run] : state.runs) {
-    free[run.on.agent] -= run.need;
-  }
-  return free;
-}
-
-bool IsSchedulable(const AgentRow& agent, TimePoint now) {
-  return agent.heard && now - agent.heard_at < kMaxAgentSilence &&
-         agent.worker_state == protocol::WorkerState::kPresent &&
-         !agent.worker.draining && now >= agent.avoid_until &&
-         agent.orphans.empty();
-}
+/// @brief State of one placement.
+struct Placement {
+  State& state;
+  Fleet fleet;
+  Now now;
+};
 
 bool HasLabel(const workload::WorkerFacts& worker, const std::string& label) {
   return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
@@ -54,54 +48,60 @@
 int TasksOfStepOn(const State& state,
                   const Unit& unit,
                   const AgentName& agent) {
-  int n = 0;
-  for (auto it = state.runs.lower_bound({unit.key.occurrence.job,
-                                         unit.key.occurrence.number,
-                                         unit.key.step, 0});
-       it != state.runs.end() && KeyOf(it->first) == unit.key.occurrence &&
-       it->first.step == unit.key.step;
-       ++it) {
-    n += it->second.on.agent == agent ? 1 : 0;
-  }
-  return n;
+  const auto runs = state.runs.OfStep(
+      unit.key.occurrence.job, unit.key.occurrence.number, unit.key.step);
+  return static_cast<int>(std::count_if(
+      runs.begin(), runs.end(),
+      [&](const auto& it) { return it.second.on.agent == agent; }));
 }
 
 bool HasFailedOn(const State& state, const Unit& unit, const AgentName& agent) {
-  return std::any_of(
-      unit.tasks.begin(), unit.tasks.end(), [&](const TaskRef& it) {
-        const auto found = state.failed_on.find(it);
-        return found != state.failed_on.end() && found->second.contains(agent);
-      });
+  return !state.failed_on.empty() &&
+         std::any_of(unit.tasks.begin(), unit.tasks.end(), [&](int it) {
+           const auto found = state.failed_on.find(TaskOf(unit, it));
+           return found != state.failed_on.end() &&
+                  found->second.contains(agent);
+         });
+}
+
+bool IsEligible(const FleetWorker& worker, const Unit& unit) {
+  return worker.schedulable &&
+         worker.agent->worker.service == unit.row->terms.pool &&
+         HasLabel(worker.agent->worker, unit.step->required_label);
 }
 
-std::vector<Candidate> Candidates(const State& state,
+std::vector<Candidate> Candidates(const Placement& placement,
                                   const Unit& unit,
-                                  const FreeTable& free,
-                                  bool skip_failed,
-                                  TimePoint now) {
+                                  bool skip_failed) {
   std::vector<Candidate> candidates;
-  for (const auto& [name, agent] : state.agents) {
-    if (!IsSchedulable(agent, now) || agent.worker.service != unit.terms.pool ||
-        !HasLabel(agent.worker, unit.step->required_label) ||
-        (skip_failed && HasFailedOn(state, unit, name))) {
+  candidates.reserve(placement.fleet.size());
+  for (std::size_t n = 0; n < placement.fleet.size(); ++n) {
+    const FleetWorker& worker = placement.fleet[n];
+    if (!IsEligible(worker, unit) ||
+        (skip_failed && HasFailedOn(placement.state, unit, *worker.name))) {
       continue;
     }
     int limit = std::numeric_limits<int>::max();
     if (unit.step->per_worker_limit > 0) {
-      limit = unit.step->per_worker_limit - TasksOfStepOn(state, unit, name);
+      limit = unit.step->per_worker_limit -
+              TasksOfStepOn(placement.state, unit, *worker.name);
     }
-    candidates.push_back(
-        {name, agent.worker.rack, agent.worker.capacity, free.at(name), limit});
+    candidates.push_back({static_cast<int>(n), worker.agent->rack,
+                          worker.agent->worker.capacity, worker.free, limit});
   }
   return candidates;
 }
 
-Demand DemandOf(const Unit& unit) {
+/// @brief What one placement of the unit requires: all tasks of a gang, or one.
+Demand DemandOf(const State& state, const Unit& unit) {
   Demand demand;
-  demand.count = static_cast<int>(unit.tasks.size());
+  demand.count = unit.step->gang ? static_cast<int>(unit.tasks.size()) : 1;
   demand.need = NeedOf(*unit.step);
   demand.same_rack = unit.step->gang && unit.step->same_rack;
-  demand.data_rack = unit.step->data_rack;
+  const auto rack = state.racks.find(unit.step->data_rack);
+  if (!unit.step->data_rack.empty() && rack != state.racks.end()) {
+    demand.data_rack = rack->second;
+  }
   return demand;
 }
 
@@ -122,100 +122,132 @@
 
 std::vector<Candidate> CandidatesInRack(
     const std::vector<Candidate>& candidates,
-    const std::string& rack) {
+    int rack) {
   std::vector<Candidate> near;
   std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near),
                [&](const Candidate& it) { return it.rack == rack; });
   return near;
 }
 
-std::vector<AgentName> FitUnit(const State& state,
-                               const Unit& unit,
-                               const std::vector<Candidate>& all,
-                               Now now) {
-  Demand demand = DemandOf(unit);
-  std::vector<Candidate> candidates = all;
-  if (!demand.data_rack.empty() && Waited(unit, now) < kDataLocalityWait) {
-    std::vector<Candidate> near = CandidatesInRack(all, demand.data_rack);
+std::vector<int> Fit(const State& state,
+                     const Unit& unit,
+                     const std::vector<Candidate>& all,
+                     const Demand& demand,
+                     Now now) {
+  if (demand.data_rack != kNoRack && Waited(unit, now) < kDataLocalityWait) {
+    const std::vector<Candidate> near = CandidatesInRack(all, demand.data_rack);
     if (!near.empty()) {
-      candidates = std::move(near);
+      return FitIntoRack(near, demand);
     }
   }
-  std::vector<AgentName> workers = FitIntoRack(candidates, demand);
-  if (workers.empty() &&
-      MaySpreadOverRacks(state, unit, candidates, demand, now)) {
-    workers = FitInto(candidates, demand);
+  std::vector<int> workers = FitIntoRack(all, demand);
+  if (workers.empty() && demand.count > 1 &&
+      MaySpreadOverRacks(state, unit, all, demand, now)) {
+    workers = FitInto(all, demand);
   }
   return workers;
 }
 
-void Assign(State& state,
+/// @brief Whether all tasks of the demand fit into the eligible workers, with
+/// no regard to racks, limits and the reserve.
+bool MayFit(const Fleet& fleet, const Unit& unit, const Demand& demand) {
+  std::int64_t slots = 0;
+  for (const FleetWorker& it : fleet) {
+    if (it.free.Holds(demand.need) && IsEligible(it, unit)) {
+      slots += Slots(it.free, demand.need, demand.count);
+      if (slots >= demand.count) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void AssignTask(Placement& placement,
+                const Unit& unit,
+                int index,
+                int run,
+                int worker) {
+  FleetWorker& on = placement.fleet[static_cast<std::size_t>(worker)];
+  const TaskRef task = TaskOf(unit, index);
+  workload::TaskProgress& progress = ProgressOf(*unit.row, task);
+  progress.phase = TaskPhase::kAssigned;
+  progress.run = run;
+  progress.on = {*on.name, on.agent->worker.life};
+  RunRow row;
+  row.run = run;
+  row.on = progress.on;
+  row.need = NeedOf(*unit.step);
+  row.urgent = unit.Priority() == 0;
+  row.placed_at = placement.now.local;
+  row.checkpoint = progress.checkpoint;
+  on.free -= row.need;
+  placement.state.runs.Put(task, std::move(row));
+  Log(placement.state, "run_placed",
+      {{"job", task.job.value},
+       {"task", workload::ToString(task)},
+       {"run", std::to_string(run)},
+       {"agent", on.name->value},
+       {"worker", on.agent->worker.life.id},
+       {"queue", unit.row->job->queue},
+       {"guaranteed", unit.guaranteed ? "true" : "false"},
+       {"waited_ms", std::to_string(Waited(unit, placement.now).count())},
+       Age("report_age_ms", on.agent->heard_at, placement.now.local)});
+}
+
+/// @brief Assigns tasks of the unit, one to each of the workers.
+void Assign(Placement& placement,
             const Unit& unit,
-            const std::vector<AgentName>& workers,
-            FreeTable& free,
-            Now now) {
+            const std::vector<int>& tasks,
+            const std::vector<int>& workers) {
   int run = 0;
-  for (const TaskRef& it : unit.tasks) {
-    run = std::max(run, ProgressOf(*unit.row, it).run);
+  for (const int it : tasks) {
+    run = std::max(run, ProgressOf(*unit.row, TaskOf(unit, it)).run);
   }
   ++run;
-  const Resources need = NeedOf(*unit.step);
-  for (std::size_t n = 0; n < unit.tasks.size(); ++n) {
-    const TaskRef& task = unit.tasks[n];
-    const AgentRow& agent = state.agents.at(workers[n]);
-    workload::TaskProgress& progress = ProgressOf(*unit.row, task);
-    progress.phase = TaskPhase::kAssigned;
-    progress.run = run;
-    progress.on = {workers[n], agent.worker.life};
-    RunRow row;
-    row.run = run;
-    row.on = progress.on;
-    row.need = need;
-    row.placed_at = now.local;
-    row.checkpoint = progress.checkpoint;
-    state.runs[task] = std::move(row);
-    free[workers[n]] -= need;
-    Log(state, "run_placed",
-        {{"job", task.job.value},
-         {"task", workload::ToString(task)},
-         {"run", std::to_string(run)},
-         {"agent", workers[n].value},
-         {"worker", agent.worker.life.id},
-         {"queue", unit.row->job->queue},
-         {"guaranteed", unit.guaranteed ? "true" : "false"},
-         {"waited_ms", std::to_string(Waited(unit, now).count())},
-         Age("report_age_ms", agent.heard_at, now.local)});
+  for (std::size_t n = 0; n < tasks.size(); ++n) {
+    AssignTask(placement, unit, tasks[n], run, workers[n]);
   }
-  unit.row->dirty = true;
+  State& state = placement.state;
+  MarkUnrecorded(state, unit.key.occurrence);
   state.reservations.erase(unit.key);
   state.reserve_wait_since.erase(unit.key);
+  state.preemption_failed_at.erase(unit.key);
 }
 
-void DeductReservation(const Reservation& reservation, FreeTable& free) {
+void DeductReservation(Fleet& fleet, const Reservation& reservation) {
   for (const AgentName& it : reservation.workers) {
-    free[it] -= reservation.need;
+    const int worker = FindWorker(fleet, it);
+    if (worker >= 0) {
+      fleet[static_cast<std::size_t>(worker)].free -= reservation.need;
+    }
   }
 }
 
 /// @brief Preempts runs for an urgent unit that does not fit.
-void Preempt(State& state,
-             const workload::Policy& policy,
-             const std::set<OccurrenceKey>& guaranteed,
+void Preempt(Placement& placement,
              const Unit& unit,
              const std::vector<Candidate>& candidates,
-             FreeTable& free,
-             Now now) {
-  const Demand demand = DemandOf(unit);
+             const Demand& demand) {
+  State& state = placement.state;
+  const Now now = placement.now;
+  const auto failed = state.preemption_failed_at.find(unit.key);
+  if (failed != state.preemption_failed_at.end() &&
+      now.local - failed->second < kPreemptionRetry) {
+    return;
+  }
   const bool spread = MaySpreadOverRacks(state, unit, candidates, demand, now);
-  std::optional<PreemptionPlan> preemption = FindPreemption(
-      state, policy, guaranteed, unit, candidates, demand, spread, now.local);
+  const std::optional<PreemptionPlan> preemption = FindPreemption(
+      state, placement.fleet, unit, candidates, demand, spread, now.local);
   if (!preemption) {
+    state.preemption_failed_at[unit.key] = now.local;
     return;
   }
   for (const TaskRef& it : preemption->victims) {
-    RunRow& run = state.runs.at(it);
+    RunRow& run = *state.runs.Find(it);
     if (!run.stop_requested) {
       run.stop_requested = true;
+      state.news.insert(run.on.agent);
       Log(state, "run_preempted",
           {{"job", it.job.value},
            {"task", workload::ToString(it)},
@@ -225,34 +257,78 @@
            Age("running_ms", run.placed_at, now.local)});
     }
   }
-  Reservation reservation{std::move(preemption->workers), demand.need,
-                          now.local};
-  DeductReservation(reservation, free);
+  Reservation reservation;
+  for (const int it : preemption->workers) {
+    reservation.workers.push_back(
+        *placement.fleet[static_cast<std::size_t>(it)].name);
+  }
+  reservation.need = demand.need;
+  reservation.made_at = now.local;
+  DeductReservation(placement.fleet, reservation);
   state.reservations[unit.key] = std::move(reservation);
 }
 
-void PlaceUnit(State& state,
-               const workload::Policy& policy,
-               const std::set<OccurrenceKey>& guaranteed,
-               const Unit& unit,
-               FreeTable& free,
-               Now now) {
-  std::vector<Candidate> candidates =
-      Candidates(state, unit, free, true, now.local);
+/// @brief Takes the resources of one task from a candidate.
+void Occupy(std::vector<Candidate>& candidates,
+            int worker,
+            const Resources& need) {
+  const auto it = std::find_if(
+      candidates.begin(), candidates.end(),
+      [&](const Candidate& candidate) { return candidate.worker == worker; });
+  it->free -= need;
+  --it->limit;
+}
+
+/// @brief Places a gang, or as many tasks of a step as fit.
+/// @return Whether all tasks were placed.
+bool PlaceTasks(Placement& placement,
+                const Unit& unit,
+                const Demand& demand,
+                std::vector<Candidate>& all) {
+  if (unit.step->gang) {
+    std::vector<Candidate> candidates = all;
+    ExcludeReservedWorkers(placement.state, unit, candidates, placement.now);
+    const std::vector<int> workers =
+        Fit(placement.state, unit, candidates, demand, placement.now);
+    if (workers.empty()) {
+      return false;
+    }
+    Assign(placement, unit, unit.tasks, workers);
+    return true;
+  }
+  for (const int it : unit.tasks) {
+    std::vector<Candidate> candidates = all;
+    ExcludeReservedWorkers(placement.state, unit, candidates, placement.now);
+    const std::vector<int> workers =
+        Fit(placement.state, unit, candidates, demand, placement.now);
+    if (workers.empty()) {
+      return false;
+    }
+    Assign(placement, unit, {it}, workers);
+    Occupy(all, workers.front(), demand.need);
+  }
+  return true;
+}
+
+void PlaceUnit(Placement& placement, const Unit& unit) {
+  State& state = placement.state;
+  const Demand demand = DemandOf(state, unit);
+  const bool urgent = unit.Priority() == 0;
+  if (!urgent && !MayFit(placement.fleet, unit, demand)) {
+    return;
+  }
+  std::vector<Candidate> candidates = Candidates(placement, unit, true);
   if (candidates.empty()) {
-    candidates = Candidates(state, unit, free, false, now.local);
+    candidates = Candidates(placement, unit, false);
   }
-  ExcludeReservedWorkers(state, unit, candidates, now);
-  const std::vector<AgentName> workers = FitUnit(state, unit, candidates, now);
-  if (!workers.empty()) {
-    Assign(state, unit, workers, free, now);
+  if (PlaceTasks(placement, unit, demand, candidates)) {
     return;
   }
   const auto reservation = state.reservations.find(unit.key);
   if (reservation != state.reservations.end()) {
-    DeductReservation(reservation->second, free);
-  } else if (unit.terms.priority == 0) {
-    Preempt(state, policy, guaranteed, unit, candidates, free, now);
+    DeductReservation(placement.fleet, reservation->second);
+  } else if (urgent) {
+    Preempt(placement, unit, candidates, demand);
   }
 }
 
@@ -261,22 +337,32 @@
     return now - it.second.made_at > kReservationTimeout ||
            !state.open.contains(it.first.occurrence);
   });
-  std::erase_if(state.reserve_wait_since, [&](const auto& it) {
+  const auto is_final = [&](const auto& it) {
     return !state.open.contains(it.first.occurrence);
-  });
+  };
+  std::erase_if(state.reserve_wait_since, is_final);
+  std::erase_if(state.preemption_failed_at, is_final);
 }
 
 }  // namespace
 
 void PlaceUnits(State& state, const workload::Policy& policy, Now now) {
+  if (!state.placement_outdated &&
+      now.local - state.placed_at < kPlacementInterval) {
+    return;
+  }
+  state.placement_outdated = false;
+  state.placed_at = now.local;
   DropStaleReservations(state, now.local);
-  FreeTable free = FreeResources(state);
-  const std::set<OccurrenceKey> guaranteed =
-      GuaranteedOccurrences(state, policy);
-  const std::vector<Unit> units = CollectUnits(state, policy, guaranteed, now);
-  MeasureUrgentDemand(state, policy, units, now.local);
+  UpdateGuaranteed(state, policy);
+  const std::vector<Unit> units = CollectUnits(state, now);
+  MeasureUrgentDemand(state, units, now.local);
+  if (units.empty()) {
+    return;
+  }
+  Placement placement{state, MakeFleet(state, now.local), now};
   for (const Unit& it : units) {
-    PlaceUnit(state, policy, guaranteed, it, free, now);
+    PlaceUnit(placement, it);
   }
 }
 
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -57,7 +57,7 @@
                const RunRef& run) {
   return progress.run == run.run && progress.phase != TaskPhase::kDone &&
          (progress.phase == TaskPhase::kAssigned ||
-          !state.runs.contains(run.task));
+          !state.runs.Contains(run.task));
 }
 
 void ApplyDone(OccurrenceRow& row, const TaskRef& task) {
@@ -91,8 +91,13 @@
   if (checkpoint.empty()) {
     return;
   }
-  for (const TaskRef& it : GangOf(row, task)) {
-    ProgressOf(row, it).checkpoint = checkpoint;
+  if (!StepOf(row, task.step).gang) {
+    ProgressOf(row, task).checkpoint = checkpoint;
+    return;
+  }
+  for (TaskProgress& it :
+       row.progress.steps[static_cast<std::size_t>(task.step)]) {
+    it.checkpoint = checkpoint;
   }
 }
 
@@ -102,10 +107,9 @@
               TimePoint now) {
   const TaskRef& task = end.run.task;
   OccurrenceRow* row = FindOccurrence(state, task);
-  const auto run = state.runs.find(task);
-  const bool known_run = run != state.runs.end() &&
-                         run->second.run == end.run.run &&
-                         run->second.on.agent == agent.address.agent;
+  const RunRow* run = state.runs.Find(task);
+  const bool known_run = run != nullptr && run->run == end.run.run &&
+                         run->on.agent == agent.address.agent;
   const bool current =
       row != nullptr && IsCurrent(state, ProgressOf(*row, task), end.run);
   Log(state, "run_ended",
@@ -116,13 +120,13 @@
        {"reason", Name(end.reason)},
        {"current", current ? "true" : "false"}});
   if (known_run) {
-    state.runs.erase(run);
+    EraseRun(state, task);
   }
   if (!current) {
     return;
   }
   SetCheckpoint(*row, task, end.checkpoint);
-  row->dirty = true;
+  MarkUnrecorded(state, KeyOf(task));
   switch (end.reason) {
     case EndReason::kDone:
       CountSuccess(agent);
@@ -147,10 +151,11 @@
                   const protocol::Refusal& refusal,
                   TimePoint now) {
   const TaskRef& task = refusal.run.task;
-  const auto run = state.runs.find(task);
+  const RunRow* run = state.runs.Find(task);
   agent.settled.push_back(refusal.run);
-  if (run == state.runs.end() || run->second.run != refusal.run.run ||
-      run->second.on.agent != agent.address.agent) {
+  state.news.insert(agent.address.agent);
+  if (run == nullptr || run->run != refusal.run.run ||
+      run->on.agent != agent.address.agent) {
     return;
   }
   AbandonRun(state, task, Name(refusal.reason), now);
@@ -178,6 +183,9 @@
   row.percent = report.active.percent;
 }
 
+// A checkpoint alone is not recorded: it goes into the next record of the
+// occurrence, and a new scheduler hears it from the agent. Only work whose
+// worker is lost together with the scheduler starts from an older one.
 void ApplyCheckpoint(State& state,
                      const protocol::RunReport& report,
                      RunRow& row) {
@@ -189,7 +197,6 @@
   OccurrenceRow* occurrence = FindOccurrence(state, report.active.run.task);
   if (occurrence != nullptr) {
     SetCheckpoint(*occurrence, report.active.run.task, checkpoint);
-    occurrence->dirty = true;
   }
 }
 
@@ -197,27 +204,32 @@
                      AgentRow& agent,
                      const SyncReply& reply,
                      TimePoint now) {
+  const bool had_orphans = !agent.orphans.empty();
   agent.orphans.clear();
   std::set<RunRef> reported;
   for (const protocol::RunReport& it : reply.runs) {
     const RunRef& run = it.active.run;
-    const auto row = state.runs.find(run.task);
-    if (row == state.runs.end() || row->second.run != run.run ||
-        row->second.on.agent != agent.address.agent) {
+    RunRow* row = state.runs.Find(run.task);
+    if (row == nullptr || row->run != run.run ||
+        row->on.agent != agent.address.agent) {
       agent.orphans.push_back(run);
       continue;
     }
     reported.insert(run);
-    ApplyRunReport(row->second, it, now);
-    ApplyCheckpoint(state, it, row->second);
+    ApplyRunReport(*row, it, now);
+    ApplyCheckpoint(state, it, *row);
+  }
+  if (had_orphans && agent.orphans.empty()) {
+    state.placement_outdated = true;
   }
   // Order a run again that the agent no longer reports; its worker refuses it
   // if it has ended.
-  for (auto& [task, run] : state.runs) {
-    if (run.on.agent == agent.address.agent &&
-        (run.state == RunState::kStarting || run.state == RunState::kRunning) &&
-        !reported.contains({task, run.run})) {
-      run.state = RunState::kOrdered;
+  for (const auto& [task, run] : state.runs.On(agent.address.agent).rows) {
+    if ((run->state == RunState::kStarting ||
+         run->state == RunState::kRunning) &&
+        !reported.contains({task, run->run})) {
+      run->state = RunState::kOrdered;
+      state.news.insert(agent.address.agent);
     }
   }
 }
@@ -229,6 +241,7 @@
   for (const workload::RunEnd& it : reply.ends) {
     if (it.number > agent.processed_ends) {
       agent.processed_ends = it.number;
+      state.unnoted.insert(agent.address.agent);
       ApplyEnd(state, agent, it, now);
     }
   }
@@ -236,8 +249,8 @@
 
 std::vector<TaskRef> RunsOn(const State& state, const AgentName& agent) {
   std::vector<TaskRef> tasks;
-  for (const auto& [task, run] : state.runs) {
-    if (run.on.agent == agent && run.state != RunState::kPlanned) {
+  for (const auto& [task, run] : state.runs.On(agent).rows) {
+    if (run->state != RunState::kPlanned) {
       tasks.push_back(task);
     }
   }
@@ -253,7 +266,7 @@
                              const char* why,
                              TimePoint now) {
   for (const TaskRef& it : RunsOn(state, agent.address.agent)) {
-    const RunRow& run = state.runs.at(it);
+    const RunRow& run = *state.runs.Find(it);
     const bool listed = std::any_of(
         reply.runs.begin(), reply.runs.end(), [&](const auto& report) {
           return report.active.run == RunRef{it, run.run};
@@ -292,8 +305,16 @@
        agent.worker.remaining != reply.worker.remaining)) {
     agent.draining_since = now;
   }
+  if (reply.worker_state != agent.worker_state ||
+      reply.worker != agent.worker) {
+    state.placement_outdated = true;
+  }
   agent.worker_state = reply.worker_state;
   agent.worker = reply.worker;
+  agent.rack =
+      state.racks
+          .try_emplace(reply.worker.rack, static_cast<int>(state.racks.size()))
+          .first->second;
   if (reply.worker_state == protocol::WorkerState::kPresent) {
     AbandonRunsOfFormerLife(state, agent, reply, "worker_restarted", now);
   } else if (reply.worker_state == protocol::WorkerState::kGone) {
@@ -320,31 +341,30 @@
                 const TaskRef& task,
                 const std::string& reason,
                 TimePoint now) {
-  const auto run = state.runs.find(task);
-  if (run == state.runs.end()) {
+  const RunRow* run = state.runs.Find(task);
+  if (run == nullptr) {
     return;
   }
   Log(state, "run_over",
       {{"job", task.job.value},
        {"task", workload::ToString(task)},
-       {"run", std::to_string(run->second.run)},
-       {"agent", run->second.on.agent.value},
+       {"run", std::to_string(run->run)},
+       {"agent", run->on.agent.value},
        {"reason", reason},
-       Age("placed_ms_ago", run->second.placed_at, now)});
+       Age("placed_ms_ago", run->placed_at, now)});
   OccurrenceRow* row = FindOccurrence(state, task);
   if (row != nullptr) {
     TaskProgress& progress = ProgressOf(*row, task);
-    if (progress.phase == TaskPhase::kAssigned &&
-        progress.run == run->second.run) {
+    if (progress.phase == TaskPhase::kAssigned && progress.run == run->run) {
       SetWaiting(progress);
-      row->dirty = true;
+      MarkUnrecorded(state, KeyOf(task));
     }
   }
-  state.runs.erase(run);
+  EraseRun(state, task);
 }
 
 void ExpireLeases(State& state, TimePoint now) {
-  for (auto& [name, agent] : state.agents) {
+  for (const auto& [name, agent] : state.agents) {
     if (now < agent.lease_expiry) {
       continue;
     }
@@ -371,6 +391,7 @@
     // From now on the agent accepts no lower epoch; a lease of a predecessor
     // started at an earlier reading of the agent's clock.
     agent.lease_expiry = LeaseExpiry(state.options, now);
+    state.placement_outdated = true;
   }
   agent.incarnation = reply.incarnation;
   agent.version = reply.version;
@@ -381,6 +402,7 @@
   for (const workload::RunEnd& it : reply.former_ends) {
     ApplyEnd(state, agent, it, now);
     agent.settled.push_back(it.run);
+    state.news.insert(name);
   }
   ApplyWorkerFacts(state, agent, reply, now);
   if (reply.worker_state == protocol::WorkerState::kUnknown) {
--- a/packages/scheduler/src/reserve.cc
+++ b/packages/scheduler/src/reserve.cc
@@ -100,7 +100,7 @@
                      const Unit& unit,
                      const std::vector<Candidate>& candidates,
                      Now now) {
-  if (unit.terms.priority == 0 || unit.step->lasting ||
+  if (unit.Priority() == 0 || unit.step->lasting ||
       IsObjectiveAtRisk(unit, now)) {
     return false;
   }
@@ -117,19 +117,12 @@
 }  // namespace
 
 void MeasureUrgentDemand(State& state,
-                         const workload::Policy& policy,
                          const std::vector<Unit>& waiting,
                          TimePoint now) {
-  std::int64_t running = 0;
-  for (const auto& [task, run] : state.runs) {
-    const OccurrenceRow* row = FindOccurrence(state, task);
-    if (row != nullptr && TermsOf(policy, *row->job).priority == 0) {
-      running += run.need.accelerators;
-    }
-  }
+  const std::int64_t running = state.runs.UrgentAccelerators();
   std::int64_t wanted = running;
   for (const Unit& it : waiting) {
-    if (it.terms.priority == 0) {
+    if (it.Priority() == 0) {
       wanted += it.step->need.accelerators *
                 static_cast<std::int64_t>(it.tasks.size());
     }
--- a/packages/scheduler/src/reserve.h
+++ b/packages/scheduler/src/reserve.h
@@ -12,7 +12,6 @@
 /// @brief Updates the measured demand of urgent work; called once per plan.
 /// @param waiting Units that wait for room.
 void MeasureUrgentDemand(State& state,
-                         const workload::Policy& policy,
                          const std::vector<Unit>& waiting,
                          TimePoint now);
 
--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -143,8 +143,10 @@
     it.BeginTerm(claim, now);
     return;
   }
+  const joblog::Claimant self{it.options.entry,
+                              joblog::ClaimDelay(it.ledger, it.options.entry)};
   if (it.policy.version > 0 &&
-      joblog::ShouldClaim(it.authority, it.options.entry, follower.CurrentAt(),
+      joblog::ShouldClaim(it.authority, self, follower.CurrentAt(),
                           now.local)) {
     it.claim_at = follower.NextOffset();
   }
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "shallotlug/joblog/authority.h"
+
 namespace shallotlug::scheduler {
 namespace {
 
@@ -13,6 +15,8 @@
     policy.version = 1;
     follower.OnNewest(Page(), now.local);
     Read({});
+    now.local += joblog::kFirstClaimDelay;
+    Read({});
   }
 
   static joblog::NewestResult Page() {
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -18,6 +18,10 @@
 
 // Interval after which an order is resent that the agent has not confirmed.
 constexpr Millis kOrderRepeat{500};
+// An acknowledgement of ends waits this long for an order to travel with.
+constexpr Millis kMaxNotedDelay{200};
+// Orders to be repeated are found by a sweep over all agents.
+constexpr Millis kNewsSweepInterval{100};
 // How long leases are extended without contact to the store; longer than its
 // usual outages.
 constexpr Millis kAuthorityTimeout{12'000};
@@ -50,12 +54,18 @@
 }  // namespace
 
 struct Scheduler::Impl {
+  /// @brief Last recorded end of a worker, and the life that numbered it.
+  struct BatchEnds {
+    workload::WorkerLife life;
+    std::uint64_t number = 0;
+    TimePoint planned_at{};
+  };
+
   State state;
-  /// Last run end recorded by the batch in flight, with the worker life that
-  /// numbered it.
-  std::map<AgentName, std::pair<workload::WorkerLife, std::uint64_t>>
-      batch_ends;
+  /// Last run ends that the batch in flight records.
+  std::map<AgentName, BatchEnds> batch_ends;
   std::vector<TaskRef> batch_runs;
+  TimePoint swept_at{};  ///< When all agents were last checked for news.
 
   void RestoreRuns(const OccurrenceKey& key, const OccurrenceRow& row, Now now);
   void AddOccurrences(const workload::JobEntry& entry, Now now);
@@ -79,8 +89,10 @@
       run.ordered_before = true;
       run.placed_at = now.local;
       run.checkpoint = tasks[n].checkpoint;
-      state.runs[{key.job, key.number, static_cast<int>(step),
-                  static_cast<int>(n)}] = std::move(run);
+      run.urgent = row.job->terms.priority == 0;
+      state.runs.Put(
+          {key.job, key.number, static_cast<int>(step), static_cast<int>(n)},
+          std::move(run));
     }
   }
 }
@@ -106,6 +118,8 @@
       row.final_at = now.local;
     }
     state.occurrences.emplace(key, std::move(row));
+    state.guarantees_outdated = true;
+    MarkChanged(state, key);
   }
 }
 
@@ -124,7 +138,7 @@
   Log(impl_->state, "scheduler_started",
       {{"epoch", std::to_string(options.epoch)},
        {"open", std::to_string(impl_->state.open.size())},
-       {"runs", std::to_string(impl_->state.runs.size())},
+       {"runs", std::to_string(impl_->state.runs.All().size())},
        {"agents", std::to_string(impl_->state.agents.size())}});
 }
 
@@ -143,6 +157,7 @@
   for (auto it = state.occurrences.lower_bound({job, 0});
        it != state.occurrences.end() && it->first.job == job; ++it) {
     it->second.cancelled = true;
+    MarkChanged(state, it->first);
   }
 }
 
@@ -150,7 +165,9 @@
   State& state = impl_->state;
   const auto [it, added] = state.agents.try_emplace(address.agent);
   it->second.address = address;
+  ++state.agents_version;
   if (added) {
+    state.placement_outdated = true;
     it->second.added_at = now.local;
     it->second.lease_expiry = now.local + state.options.predecessor_grace +
                               state.options.lease +
@@ -161,48 +178,60 @@
 std::vector<workload::RawRecord> Scheduler::Plan(const workload::Policy& policy,
                                                  Now now) {
   State& state = impl_->state;
+  ApplyPolicy(state, policy);
   ExpireLeases(state, now.local);
   DecideOutcomes(state, policy, now.local);
   PlaceUnits(state, policy, now);
   impl_->batch_ends.clear();
   impl_->batch_runs.clear();
-  std::vector<workload::RawRecord> records = DropOldJobs(state, now.local);
-  for (workload::RawRecord& it : DropLostAgents(state, now.local)) {
-    records.push_back(std::move(it));
-  }
-  for (auto& [key, row] : state.occurrences) {
-    if (row.dirty) {
-      row.dirty = false;
-      records.push_back(workload::Encode(
-          workload::OccurrenceProgress{key.job, key.number, row.progress}));
+  std::vector<workload::RawRecord> records;
+  if (CleanupIsDue(state, now.local)) {
+    records = DropOldJobs(state, now.local);
+    for (workload::RawRecord& it : DropLostAgents(state, now.local)) {
+      records.push_back(std::move(it));
     }
   }
-  for (const auto& [task, run] : state.runs) {
-    if (run.state == RunState::kPlanned) {
-      impl_->batch_runs.push_back(task);
+  for (const OccurrenceKey& it : std::exchange(state.unrecorded, {})) {
+    const OccurrenceRow& row = state.occurrences.at(it);
+    records.push_back(workload::Encode(
+        workload::OccurrenceProgress{it.job, it.number, row.progress}));
+    for (const auto& [task, run] : state.runs.OfOccurrence(it.job, it.number)) {
+      if (run.state == RunState::kPlanned) {
+        impl_->batch_runs.push_back(task);
+      }
     }
   }
-  for (const auto& [name, agent] : state.agents) {
-    impl_->batch_ends[name] = {agent.worker.life, agent.processed_ends};
+  for (const AgentName& it : std::exchange(state.unnoted, {})) {
+    const auto agent = state.agents.find(it);
+    if (agent != state.agents.end()) {
+      impl_->batch_ends[it] = {agent->second.worker.life,
+                               agent->second.processed_ends, now.local};
+    }
   }
   return records;
 }
 
 void Scheduler::Commit() {
   State& state = impl_->state;
-  for (const TaskRef& it : impl_->batch_runs) {
-    const auto run = state.runs.find(it);
-    if (run != state.runs.end() && run->second.state == RunState::kPlanned) {
-      run->second.state = RunState::kOrdered;
+  for (const TaskRef& it : std::exchange(impl_->batch_runs, {})) {
+    RunRow* run = state.runs.Find(it);
+    if (run != nullptr && run->state == RunState::kPlanned) {
+      run->state = RunState::kOrdered;
+      state.news.insert(run->on.agent);
     }
   }
-  for (const auto& [name, ends] : impl_->batch_ends) {
-    const auto& [life, number] = ends;
+  for (const auto& [name, ends] : std::exchange(impl_->batch_ends, {})) {
     const auto agent = state.agents.find(name);
     // A worker that has restarted since then numbers its ends from 1 again.
-    if (agent != state.agents.end() && agent->second.worker.life == life) {
-      agent->second.noted_ends = std::max(agent->second.noted_ends, number);
+    if (agent == state.agents.end() || agent->second.worker.life != ends.life) {
+      continue;
     }
+    AgentRow& row = agent->second;
+    if (row.noted_ends == row.noted_sent) {
+      row.noted_at = ends.planned_at;
+    }
+    row.noted_ends = std::max(row.noted_ends, ends.number);
+    state.news.insert(name);
   }
 }
 
@@ -230,21 +259,18 @@
                const AgentName& name,
                SyncRequest& request,
                TimePoint now) {
-  for (auto& [task, run] : state.runs) {
-    if (run.on.agent != name) {
-      continue;
-    }
-    if (StopIsDue(run, now)) {
-      run.stop_sent = now;
-      request.stops.push_back({task, run.run});
-    } else if (StartIsDue(run, now) && run.on.worker == request.worker) {
+  for (const auto& [task, run] : state.runs.On(name).rows) {
+    if (StopIsDue(*run, now)) {
+      run->stop_sent = now;
+      request.stops.push_back({task, run->run});
+    } else if (StartIsDue(*run, now) && run->on.worker == request.worker) {
       const OccurrenceRow* row = FindOccurrence(state, task);
-      request.starts.push_back({{task, run.run},
+      request.starts.push_back({{task, run->run},
                                 row->job->payload,
-                                run.checkpoint,
-                                run.ordered_before});
-      run.order_sent = now;
-      run.ordered_before = true;
+                                run->checkpoint,
+                                run->ordered_before});
+      run->order_sent = now;
+      run->ordered_before = true;
     }
   }
 }
@@ -265,6 +291,10 @@
 
 }  // namespace
 
+std::uint64_t Scheduler::AgentsVersion() const {
+  return impl_->state.agents_version;
+}
+
 SyncRequest Scheduler::MakeSync(const AgentName& name, Millis wait, Now now) {
   State& state = impl_->state;
   SyncRequest request;
@@ -293,19 +323,36 @@
   if (agent == state.agents.end() || !agent->second.heard) {
     return false;
   }
-  if (agent->second.noted_ends > agent->second.noted_sent ||
-      !agent->second.settled.empty()) {
+  const AgentRow& row = agent->second;
+  if (!row.settled.empty() || (row.noted_ends > row.noted_sent &&
+                               now.local - row.noted_at >= kMaxNotedDelay)) {
     return true;
   }
-  return std::any_of(state.runs.begin(), state.runs.end(), [&](const auto& it) {
-    const RunRow& run = it.second;
-    return run.on.agent == name &&
-           (StopIsDue(run, now.local) ||
-            (StartIsDue(run, now.local) &&
-             run.on.worker == agent->second.worker.life));
+  const auto& runs = state.runs.On(name).rows;
+  return std::any_of(runs.begin(), runs.end(), [&](const auto& it) {
+    const RunRow& run = *it.second;
+    return StopIsDue(run, now.local) ||
+           (StartIsDue(run, now.local) && run.on.worker == row.worker.life);
   });
 }
 
+std::vector<AgentName> Scheduler::TakeNews(Now now) {
+  State& state = impl_->state;
+  if (now.local - impl_->swept_at >= kNewsSweepInterval) {
+    impl_->swept_at = now.local;
+    for (const auto& [name, agent] : state.agents) {
+      state.news.insert(name);
+    }
+  }
+  std::vector<AgentName> names;
+  for (const AgentName& it : std::exchange(state.news, {})) {
+    if (HasNews(it, now)) {
+      names.push_back(it);
+    }
+  }
+  return names;
+}
+
 void Scheduler::OnReply(const AgentName& agent,
                         const SyncReply& reply,
                         Now now) {
--- a/packages/scheduler/src/stalls.cc
+++ b/packages/scheduler/src/stalls.cc
@@ -30,9 +30,8 @@
   const std::vector<TaskRef> members = GangOf(row, task);
   return run.percent > 0 &&
          std::all_of(members.begin(), members.end(), [&](const TaskRef& it) {
-           const auto other = state.runs.find(it);
-           return other != state.runs.end() &&
-                  other->second.on.agent == run.on.agent;
+           const RunRow* other = state.runs.Find(it);
+           return other != nullptr && other->on.agent == run.on.agent;
          });
 }
 
@@ -50,22 +49,27 @@
 }  // namespace
 
 void EvictFromStalledWorkers(State& state, TimePoint now) {
-  for (auto& [task, run] : state.runs) {
-    const auto agent = state.agents.find(run.on.agent);
-    const OccurrenceRow* row = FindOccurrence(state, task);
-    if (row == nullptr || agent == state.agents.end() ||
-        now - agent->second.heard_at > kMaxReportAge ||
-        agent->second.worker_state != protocol::WorkerState::kPresent ||
-        !IsStalled(*row, task, run, now) ||
-        !IsIndependent(state, *row, task, run)) {
+  for (auto& [name, agent] : state.agents) {
+    if (now - agent.heard_at > kMaxReportAge ||
+        agent.worker_state != protocol::WorkerState::kPresent) {
       continue;
     }
-    if (now >= agent->second.avoid_until) {
-      AvoidWorker(state, agent->second, "no_progress", now);
-    }
-    if (StepOf(*row, task.step).saves_checkpoints ||
-        run.percent <= kMaxPercentToRestart) {
-      RequestStop(state, task, run, "no_progress", now);
+    for (const auto& [task, run] : state.runs.On(name).rows) {
+      if (now - run->advanced_at <= kMinStallTime) {
+        continue;
+      }
+      const OccurrenceRow* row = FindOccurrence(state, task);
+      if (row == nullptr || !IsStalled(*row, task, *run, now) ||
+          !IsIndependent(state, *row, task, *run)) {
+        continue;
+      }
+      if (now >= agent.avoid_until) {
+        AvoidWorker(state, agent, "no_progress", now);
+      }
+      if (StepOf(*row, task.step).saves_checkpoints ||
+          run->percent <= kMaxPercentToRestart) {
+        RequestStop(state, task, *run, "no_progress", now);
+      }
     }
   }
 }
--- a/packages/scheduler/src/state.cc
+++ b/packages/scheduler/src/state.cc
@@ -15,6 +15,23 @@
   return exists ? &it->second : nullptr;
 }
 
+void MarkChanged(State& state, const OccurrenceKey& key) {
+  state.changed.insert(key);
+  state.placement_outdated = true;
+}
+
+void MarkUnrecorded(State& state, const OccurrenceKey& key) {
+  state.unrecorded.insert(key);
+  MarkChanged(state, key);
+}
+
+void EraseRun(State& state, const workload::TaskRef& task) {
+  // `task` may be a key of the table.
+  const OccurrenceKey key = KeyOf(task);
+  state.runs.Erase(task);
+  MarkChanged(state, key);
+}
+
 workload::TaskProgress& ProgressOf(OccurrenceRow& row,
                                    const workload::TaskRef& task) {
   return row.progress.steps[static_cast<std::size_t>(task.step)]
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "run_table.h"
 #include "shallotlug/scheduler/scheduler.h"
 
 /// State tables of the scheduler, and the planning passes that update them.
@@ -22,6 +23,12 @@
   auto operator<=>(const OccurrenceKey&) const = default;
 };
 
+/// @brief Tasks of a ready step that wait for placement.
+struct WaitingStep {
+  int step = 0;
+  std::vector<int> tasks;  ///< Indices; of a gang all or none.
+};
+
 /// @brief One occurrence of a job, with its planned progress. The durable
 /// progress may be one batch behind.
 struct OccurrenceRow {
@@ -29,32 +36,12 @@
   workload::Progress progress;
   workload::WallTime due{};
   bool cancelled = false;
-  bool dirty = false;    ///< Progress has changed since the last batch.
   TimePoint final_at{};  ///< When its outcome was decided or replayed.
-};
-
-enum class RunState {
-  kPlanned,   ///< Its record is not durable yet; no order was sent.
-  kOrdered,   ///< May be on the worker.
-  kStarting,  ///< The agent reports that it is starting.
-  kRunning,
-};
-
-/// @brief A run that may exist on a worker.
-struct RunRow {
-  int run = 0;
-  workload::Placement on;
-  workload::Resources need;
-  RunState state = RunState::kPlanned;
-  bool stop_requested = false;
-  TimePoint order_sent{};
-  bool ordered_before = false;
-  TimePoint stop_sent{};
-  TimePoint placed_at{};
-  TimePoint running_since{};
-  std::string checkpoint;
-  int percent = 0;
-  TimePoint advanced_at{};  ///< When its progress last increased.
+  // Derived when the occurrence or the policy changes.
+  workload::Terms terms;  ///< In force.
+  /// Time from `due` to the end of the time that earns full credit.
+  Millis objective_span{0};
+  std::vector<WaitingStep> waiting;
 };
 
 /// @brief One agent and its worker.
@@ -63,6 +50,7 @@
   TimePoint added_at{};  ///< When it was added to this scheduler.
   protocol::WorkerState worker_state = protocol::WorkerState::kUnknown;
   workload::WorkerFacts worker;
+  int rack = 0;  ///< Number of the worker's rack.
   Incarnation incarnation{};
   TimePoint draining_since{};
   bool heard = false;
@@ -74,6 +62,7 @@
   std::uint64_t processed_ends = 0;  ///< Applied to the plan.
   std::uint64_t noted_ends = 0;      ///< Durable.
   std::uint64_t noted_sent = 0;
+  TimePoint noted_at{};  ///< When `noted_ends` last passed `noted_sent`.
   std::vector<workload::RunRef> settled;  ///< Refusals to acknowledge.
   /// Reported runs whose task is unknown, or whose run number or agent is not
   /// the one in `runs`.
@@ -115,12 +104,34 @@
   SchedulerOptions options;
   std::map<OccurrenceKey, OccurrenceRow> occurrences;
   std::set<OccurrenceKey> open;  ///< Those without a final outcome.
-  std::map<workload::TaskRef, RunRow> runs;
+  RunTable runs;
   std::map<AgentName, AgentRow> agents;
+  std::uint64_t agents_version = 1;  ///< Raised when an address changes.
+  std::map<std::string, int> racks;  ///< Numbers of the racks seen so far.
+  /// Changed since their outcomes and waiting tasks were last derived.
+  std::set<OccurrenceKey> changed;
+  /// Progress has changed since the last batch.
+  std::set<OccurrenceKey> unrecorded;
+  /// Those with waiting tasks.
+  std::set<OccurrenceKey> waiting;
+  /// Urgent ones within their customers' guarantees.
+  std::set<OccurrenceKey> guaranteed;
+  bool guarantees_outdated = true;
+  std::int64_t policy_version = -1;  ///< Of the derived terms.
+  /// A unit may fit since the last placement.
+  bool placement_outdated = true;
+  TimePoint placed_at{};
+  TimePoint cleaned_at{};  ///< When old rows were last removed.
+  /// Agents for which orders or acknowledgements may be due.
+  std::set<AgentName> news;
+  /// Agents with ends that the batch in flight does not record yet.
+  std::set<AgentName> unnoted;
   std::map<UnitKey, Reservation> reservations;
   /// Batch units kept off the reserved workers of a pool that is not busy, and
   /// since when.
   std::map<UnitKey, TimePoint> reserve_wait_since;
+  /// When no runs were found that make room for an urgent unit.
+  std::map<UnitKey, TimePoint> preemption_failed_at;
   UrgentDemand urgent;
   /// Workers on which a task has failed; its next run goes elsewhere.
   std::map<workload::TaskRef, std::set<AgentName>> failed_on;
@@ -138,6 +149,16 @@
 /// exist.
 OccurrenceRow* FindOccurrence(State& state, const workload::TaskRef& task);
 
+/// @brief Notes that the occurrence or one of its runs has changed, so that the
+/// next plan looks at it again.
+void MarkChanged(State& state, const OccurrenceKey& key);
+
+/// @brief As MarkChanged(), for a change that the next batch records.
+void MarkUnrecorded(State& state, const OccurrenceKey& key);
+
+/// @brief Removes a run, so that its task and its worker are looked at again.
+void EraseRun(State& state, const workload::TaskRef& task);
+
 /// @brief The progress of a task; its occurrence must be `row`.
 workload::TaskProgress& ProgressOf(OccurrenceRow& row,
                                    const workload::TaskRef& task);
@@ -168,8 +189,12 @@
                 const protocol::SyncReply& reply,
                 TimePoint now);
 
-/// @brief Decides outcomes, and requests the stop of runs that are no longer
-/// needed.
+/// @brief Derives the terms in force of all open occurrences if the policy has
+/// changed.
+void ApplyPolicy(State& state, const workload::Policy& policy);
+
+/// @brief Decides the outcomes and derives the waiting tasks of the changed
+/// occurrences, and requests the stop of runs that are no longer needed.
 void DecideOutcomes(State& state,
                     const workload::Policy& policy,
                     TimePoint now);
@@ -178,6 +203,9 @@
 /// runs would finish, so that they continue elsewhere.
 void EvictFromDrainingWorkers(State& state, TimePoint now);
 
+/// @brief Whether old rows should be removed now; at most once a second.
+bool CleanupIsDue(State& state, TimePoint now);
+
 /// @brief Removes jobs whose state retention has passed.
 /// @return Tombstone records that remove them from the log.
 std::vector<workload::RawRecord> DropOldJobs(State& state, TimePoint now);
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -42,11 +42,13 @@
   queue.terms.max_attempts = 3;
   queue.terms.slack_factor = 2;
   policy_.queues.push_back(queue);
+  ++policy_.version;
 }
 
 void TestScheduler::AddCustomer(const std::string& name,
                                 std::int64_t guaranteed) {
   policy_.customers.push_back({CustomerName(name), {}, guaranteed});
+  ++policy_.version;
 }
 
 workload::Job TestScheduler::Job(const std::string& id,
--- a/packages/scheduler/src/units.cc
+++ b/packages/scheduler/src/units.cc
@@ -5,10 +5,7 @@
 
 namespace shallotlug::scheduler {
 
-using workload::Outcome;
 using workload::Step;
-using workload::TaskPhase;
-using workload::TaskRef;
 using workload::WallTime;
 
 namespace {
@@ -31,12 +28,6 @@
   return longest;
 }
 
-Millis ObjectiveSpan(const workload::Job& job, const workload::Terms& terms) {
-  const double chain = static_cast<double>(LongestChain(job).count());
-  return Millis(static_cast<std::int64_t>(chain * terms.slack_factor)) +
-         terms.target;
-}
-
 std::int64_t LargestStep(const workload::Job& job) {
   std::int64_t largest = 0;
   for (const Step& it : job.steps) {
@@ -45,49 +36,56 @@
   return largest;
 }
 
-void AddUnits(State& state,
-              const OccurrenceKey& key,
-              OccurrenceRow& row,
+// Tasks that have failed are kept apart, as each avoids other workers.
+void AddUnits(const State& state,
               const Unit& base,
+              const WaitingStep& waiting,
               std::vector<Unit>& units) {
-  for (int n = 0; n < static_cast<int>(row.progress.steps.size()); ++n) {
-    if (!StepReady(*row.job, row.progress, n)) {
-      continue;
-    }
-    const Step& step = StepOf(row, n);
-    Unit unit = base;
-    unit.step = &step;
-    unit.key = {key, n, -1};
-    for (int index = 0; index < step.count; ++index) {
-      const TaskRef task{key.job, key.number, n, index};
-      const bool waits = ProgressOf(row, task).phase == TaskPhase::kWaiting &&
-                         !state.runs.contains(task);
-      if (step.gang) {
-        if (!waits) {
-          unit.tasks.clear();
-          break;
-        }
-        unit.tasks.push_back(task);
-      } else if (waits) {
-        unit.tasks = {task};
-        unit.key.index = index;
-        units.push_back(unit);
-      }
-    }
-    if (step.gang && !unit.tasks.empty()) {
-      units.push_back(unit);
+  Unit unit = base;
+  unit.step = &StepOf(*base.row, waiting.step);
+  unit.key.step = waiting.step;
+  if (unit.step->gang || state.failed_on.empty()) {
+    unit.tasks = waiting.tasks;
+    units.push_back(std::move(unit));
+    return;
+  }
+  Unit single = unit;
+  for (const int it : waiting.tasks) {
+    if (state.failed_on.contains(TaskOf(unit, it))) {
+      single.key.index = it;
+      single.tasks = {it};
+      units.push_back(single);
+    } else {
+      unit.tasks.push_back(it);
     }
   }
+  if (!unit.tasks.empty()) {
+    units.push_back(std::move(unit));
+  }
 }
 
 }  // namespace
 
-std::set<OccurrenceKey> GuaranteedOccurrences(const State& state,
-                                              const workload::Policy& policy) {
+workload::TaskRef TaskOf(const Unit& unit, int index) {
+  return {unit.key.occurrence.job, unit.key.occurrence.number, unit.key.step,
+          index};
+}
+
+Millis ObjectiveSpan(const workload::Job& job, const workload::Terms& terms) {
+  const double chain = static_cast<double>(LongestChain(job).count());
+  return Millis(static_cast<std::int64_t>(chain * terms.slack_factor)) +
+         terms.target;
+}
+
+void UpdateGuaranteed(State& state, const workload::Policy& policy) {
+  if (!state.guarantees_outdated) {
+    return;
+  }
+  state.guarantees_outdated = false;
   std::vector<std::pair<WallTime, OccurrenceKey>> urgent;
   for (const OccurrenceKey& it : state.open) {
     const OccurrenceRow& row = state.occurrences.at(it);
-    if (TermsOf(policy, *row.job).priority == 0) {
+    if (row.terms.priority == 0) {
       urgent.emplace_back(row.due, it);
     }
   }
@@ -96,17 +94,16 @@
   for (const workload::Customer& it : policy.customers) {
     left[it.name] = it.guaranteed_accelerators;
   }
-  std::set<OccurrenceKey> guaranteed;
+  state.guaranteed.clear();
   for (const auto& [due, key] : urgent) {
     const workload::Job& job = *state.occurrences.at(key).job;
     std::int64_t& room = left[job.customer];
     const std::int64_t need = LargestStep(job);
     if (need <= room) {
       room -= need;
-      guaranteed.insert(key);
+      state.guaranteed.insert(key);
     }
   }
-  return guaranteed;
 }
 
 workload::Resources NeedOf(const Step& step) {
@@ -117,29 +114,27 @@
   return need;
 }
 
-std::vector<Unit> CollectUnits(State& state,
-                               const workload::Policy& policy,
-                               const std::set<OccurrenceKey>& guaranteed,
-                               Now now) {
+std::vector<Unit> CollectUnits(State& state, Now now) {
   std::vector<Unit> units;
-  for (const OccurrenceKey& it : state.open) {
+  for (const OccurrenceKey& it : state.waiting) {
     OccurrenceRow& row = state.occurrences.at(it);
     if (row.due > now.wall || row.cancelled) {
       continue;
     }
     Unit base;
+    base.key = {it, 0, -1};
     base.row = &row;
-    base.terms = TermsOf(policy, *row.job);
-    const Millis span = ObjectiveSpan(*row.job, base.terms);
-    base.objective = row.due + span;
-    base.zero_credit_after = row.due + kZeroCreditFactor * span;
-    base.guaranteed = guaranteed.contains(it);
-    AddUnits(state, it, row, base, units);
+    base.objective = row.due + row.objective_span;
+    base.zero_credit_after = row.due + kZeroCreditFactor * row.objective_span;
+    base.guaranteed = state.guaranteed.contains(it);
+    for (const WaitingStep& step : row.waiting) {
+      AddUnits(state, base, step, units);
+    }
   }
   std::stable_sort(
       units.begin(), units.end(), [&](const Unit& a, const Unit& b) {
         const auto rank = [&](const Unit& it) {
-          return std::make_tuple(!it.guaranteed, it.terms.priority,
+          return std::make_tuple(!it.guaranteed, it.Priority(),
                                  now.wall > it.zero_credit_after, it.objective);
         };
         return rank(a) < rank(b);
--- a/packages/scheduler/src/units.h
+++ b/packages/scheduler/src/units.h
@@ -8,32 +8,38 @@
 /// Queue of the units that wait for placement, in priority order.
 namespace shallotlug::scheduler {
 
-/// @brief Tasks that start together and wait for placement.
+/// @brief Waiting tasks of one step. Those of a gang start together; others
+/// are placed one by one.
 struct Unit {
   UnitKey key;
   OccurrenceRow* row = nullptr;
   const workload::Step* step = nullptr;
-  std::vector<workload::TaskRef> tasks;
-  workload::Terms terms;
+  std::vector<int> tasks;          ///< Indices within the step.
   bool guaranteed = false;         ///< Within its customer's guarantee.
   workload::WallTime objective{};  ///< Latest end that earns full credit.
   workload::WallTime zero_credit_after{};
+
+  int Priority() const { return row->terms.priority; }
 };
 
-/// @brief Open urgent occurrences that are covered by their customers'
-/// guarantees; the oldest are counted first.
-std::set<OccurrenceKey> GuaranteedOccurrences(const State& state,
-                                              const workload::Policy& policy);
+/// @brief The task of a unit with this index.
+workload::TaskRef TaskOf(const Unit& unit, int index);
+
+/// @brief Time from an occurrence's due time to the latest end that earns full
+/// credit, by its critical path.
+Millis ObjectiveSpan(const workload::Job& job, const workload::Terms& terms);
+
+/// @brief Derives which open urgent occurrences are covered by their customers'
+/// guarantees, unless that is up to date; the oldest are counted first.
+void UpdateGuaranteed(State& state, const workload::Policy& policy);
 
 /// @brief Worker capacity that a task occupies.
 workload::Resources NeedOf(const workload::Step& step);
 
 /// @brief Collects the units that are due, in order of guarantee, priority,
-/// whether they can still earn credit, and earliest objective.
-std::vector<Unit> CollectUnits(State& state,
-                               const workload::Policy& policy,
-                               const std::set<OccurrenceKey>& guaranteed,
-                               Now now);
+/// whether they can still earn credit, and earliest objective. A task that has
+/// failed before is a unit of its own.
+std::vector<Unit> CollectUnits(State& state, Now now);
 
 }  // namespace shallotlug::scheduler
 
--- a/packages/scheduler/src/victims.cc
+++ b/packages/scheduler/src/victims.cc
@@ -1,7 +1,8 @@
 #include "victims.h"
 
 #include <algorithm>
-#include <set>
+#include <cstdint>
+#include <utility>
 
 namespace shallotlug::scheduler {
 
@@ -17,9 +18,16 @@
 // lower priority are preempted first.
 constexpr double kUrgentVictimPenalty = 1'000'000.0;
 
+/// @brief A run that may be preempted.
+struct Victim {
+  const TaskRef* task = nullptr;
+  int worker = 0;
+  Resources need;
+};
+
 /// @brief Runs that are stopped together: a gang, or one task.
 struct VictimGroup {
-  std::vector<TaskRef> tasks;
+  std::vector<Victim> runs;
   double lost_work = 0;
 };
 
@@ -33,158 +41,229 @@
   return CoreEquivalents(run.need) * seconds;
 }
 
-/// @brief Whether the unit may preempt the run: one of lower priority or, for a
-/// guaranteed unit, any that is not guaranteed.
+/// @brief Whether the unit may preempt runs of the occurrence: one of lower
+/// priority or, for a guaranteed unit, any that is not guaranteed.
 bool IsPreemptible(const State& state,
-                   const workload::Policy& policy,
-                   const std::set<OccurrenceKey>& guaranteed,
-                   const TaskRef& task,
-                   const RunRow& run,
+                   const OccurrenceKey& key,
+                   const OccurrenceRow& row,
                    const Unit& unit) {
-  const auto it = state.occurrences.find(KeyOf(task));
-  if (run.stop_requested || it == state.occurrences.end() ||
-      StepOf(it->second, task.step).lasting) {
-    return false;
-  }
-  return TermsOf(policy, *it->second.job).priority > unit.terms.priority ||
-         (unit.guaranteed && !guaranteed.contains(KeyOf(task)));
+  return row.terms.priority > unit.Priority() ||
+         (unit.guaranteed && !state.guaranteed.contains(key));
 }
 
+/// @brief Collects the preemptible runs, which are in order of occurrence, step
+/// and index.
 std::vector<VictimGroup> Groups(const State& state,
-                                const workload::Policy& policy,
-                                const std::set<OccurrenceKey>& guaranteed,
+                                const Fleet& fleet,
                                 const Unit& unit,
                                 TimePoint now) {
-  std::map<UnitKey, VictimGroup> groups;
-  for (const auto& [task, run] : state.runs) {
-    if (!IsPreemptible(state, policy, guaranteed, task, run, unit)) {
+  std::vector<VictimGroup> groups;
+  std::optional<OccurrenceKey> key;
+  const OccurrenceRow* row = nullptr;
+  int step = -1;
+  for (const auto& [task, run] : state.runs.All()) {
+    if (!key || key->job != task.job || key->number != task.occurrence) {
+      key = KeyOf(task);
+      const auto it = state.occurrences.find(*key);
+      const bool usable = it != state.occurrences.end() &&
+                          IsPreemptible(state, *key, it->second, unit);
+      row = usable ? &it->second : nullptr;
+      step = -1;
+    }
+    if (row == nullptr || run.stop_requested ||
+        StepOf(*row, task.step).lasting) {
       continue;
     }
-    const OccurrenceRow& row = state.occurrences.at(KeyOf(task));
-    const workload::Step& step = StepOf(row, task.step);
-    VictimGroup& group =
-        groups[{KeyOf(task), task.step, step.gang ? -1 : task.index}];
-    group.tasks.push_back(task);
-    group.lost_work += LostWork(run, step.saves_checkpoints, now);
-    if (TermsOf(policy, *row.job).priority <= unit.terms.priority) {
+    const int worker = FindWorker(fleet, run.on.agent);
+    const workload::Step& facts = StepOf(*row, task.step);
+    if (!facts.gang || step != task.step || groups.empty()) {
+      groups.emplace_back();
+      step = task.step;
+    }
+    VictimGroup& group = groups.back();
+    group.runs.push_back({&task, worker, run.need});
+    group.lost_work += LostWork(run, facts.saves_checkpoints, now);
+    if (row->terms.priority <= unit.Priority()) {
       group.lost_work += kUrgentVictimPenalty;
     }
   }
-  std::vector<VictimGroup> list;
-  for (auto& [key, group] : groups) {
-    list.push_back(std::move(group));
+  return groups;
+}
+
+/// @brief Free resources of some candidates while victims are chosen, and how
+/// many tasks of the demand fit into them.
+class TrialRoom {
+ public:
+  TrialRoom(const std::vector<Candidate>& candidates,
+            const Demand& demand,
+            std::size_t fleet_size)
+      : candidates_(candidates), demand_(demand), position_(fleet_size, -1) {
+    for (std::size_t n = 0; n < candidates_.size(); ++n) {
+      position_[static_cast<std::size_t>(candidates_[n].worker)] =
+          static_cast<int>(n);
+      slots_ += SlotsOf(candidates_[n]);
+    }
+  }
+
+  bool Fits() const { return slots_ >= demand_.count; }
+  std::vector<int> Workers() const { return FitInto(candidates_, demand_); }
+
+  bool Has(int worker) const { return worker >= 0 && At(worker) >= 0; }
+
+  void Free(int worker, const Resources& need) {
+    Change(worker, [&](Resources& free) { free += need; });
+  }
+  void Occupy(int worker, const Resources& need) {
+    Change(worker, [&](Resources& free) { free -= need; });
+  }
+
+ private:
+  int At(int worker) const {
+    return position_[static_cast<std::size_t>(worker)];
+  }
+  std::int64_t SlotsOf(const Candidate& it) const {
+    return Slots(it.free, demand_.need, it.limit);
+  }
+  template <class Function>
+  void Change(int worker, Function change) {
+    if (!Has(worker)) {
+      return;
+    }
+    Candidate& it = candidates_[static_cast<std::size_t>(At(worker))];
+    slots_ -= SlotsOf(it);
+    change(it.free);
+    slots_ += SlotsOf(it);
+  }
+
+  std::vector<Candidate> candidates_;
+  const Demand& demand_;
+  std::vector<int> position_;  ///< Of a worker among the candidates, or -1.
+  std::int64_t slots_ = 0;
+};
+
+/// @brief Core equivalents that a stop of the group frees on the candidates.
+double RoomOf(const TrialRoom& room, const VictimGroup& group) {
+  double n = 0;
+  for (const Victim& it : group.runs) {
+    if (room.Has(it.worker)) {
+      n += CoreEquivalents(it.need);
+    }
+  }
+  return n;
+}
+
+/// @brief The groups with runs on the candidates, those with the least loss for
+/// each core freed first.
+std::vector<const VictimGroup*> ByCost(const TrialRoom& room,
+                                       const std::vector<VictimGroup>& groups) {
+  std::vector<std::pair<double, const VictimGroup*>> costs;
+  for (const VictimGroup& it : groups) {
+    const double freed = RoomOf(room, it);
+    if (freed > 0) {
+      // The added constant keeps groups that lose nothing from having no cost,
+      // so that no more of them are stopped than needed.
+      costs.emplace_back((it.lost_work + 1.0) / std::max(freed, 0.1), &it);
+    }
+  }
+  std::stable_sort(
+      costs.begin(), costs.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<const VictimGroup*> sorted;
+  sorted.reserve(costs.size());
+  for (const auto& [cost, group] : costs) {
+    sorted.push_back(group);
+  }
+  return sorted;
+}
+
+void FreeGroup(TrialRoom& room, const VictimGroup& group) {
+  for (const Victim& it : group.runs) {
+    room.Free(it.worker, it.need);
+  }
+}
+
+void OccupyGroup(TrialRoom& room, const VictimGroup& group) {
+  for (const Victim& it : group.runs) {
+    room.Occupy(it.worker, it.need);
   }
-  return list;
 }
 
 /// @brief Greedily adds the groups with the least loss per core freed until the
 /// unit fits into the candidates, then drops those that are not needed.
+/// @param stopping Runs that are stopping already; their room counts as free.
 std::optional<PreemptionPlan> FindPreemptionWithin(
-    const State& state,
-    std::vector<Candidate> candidates,
+    std::size_t fleet_size,
+    const std::vector<Candidate>& candidates,
+    const std::vector<Victim>& stopping,
     const std::vector<VictimGroup>& groups,
     const Demand& demand) {
-  const auto find = [&](const AgentName& agent) {
-    return std::find_if(candidates.begin(), candidates.end(),
-                        [&](const Candidate& it) { return it.agent == agent; });
-  };
-  // Count the resources of runs that are already stopping as free.
-  for (const auto& [task, run] : state.runs) {
-    const auto it = find(run.on.agent);
-    if (run.stop_requested && it != candidates.end()) {
-      it->free += run.need;
-    }
+  TrialRoom room(candidates, demand, fleet_size);
+  for (const Victim& it : stopping) {
+    room.Free(it.worker, it.need);
   }
-  PreemptionPlan preemption;
   std::vector<const VictimGroup*> chosen;
-  std::set<const VictimGroup*> left;
-  for (const VictimGroup& it : groups) {
-    const bool here =
-        std::any_of(it.tasks.begin(), it.tasks.end(), [&](const TaskRef& t) {
-          return find(state.runs.at(t).on.agent) != candidates.end();
-        });
-    if (here) {
-      left.insert(&it);
-    }
-  }
-  const auto room = [&](const VictimGroup& group) {
-    double n = 0;
-    for (const TaskRef& it : group.tasks) {
-      const RunRow& run = state.runs.at(it);
-      if (find(run.on.agent) != candidates.end()) {
-        n += CoreEquivalents(run.need);
+  if (!room.Fits()) {
+    for (const VictimGroup* it : ByCost(room, groups)) {
+      FreeGroup(room, *it);
+      chosen.push_back(it);
+      if (room.Fits()) {
+        break;
       }
     }
-    return n;
-  };
-  const auto change = [&](const VictimGroup& group, bool add) {
-    for (const TaskRef& it : group.tasks) {
-      const RunRow& run = state.runs.at(it);
-      const auto at = find(run.on.agent);
-      if (at != candidates.end()) {
-        if (add) {
-          at->free += run.need;
-        } else {
-          at->free -= run.need;
-        }
-      }
-    }
-  };
-  while (FitInto(candidates, demand).empty()) {
-    if (left.empty()) {
+    if (!room.Fits()) {
       return std::nullopt;
     }
-    // The added constant keeps groups that lose nothing from having no cost,
-    // so that no more of them are stopped than needed.
-    const auto cost = [&](const VictimGroup* it) {
-      return (it->lost_work + 1.0) / std::max(room(*it), 0.1);
-    };
-    const auto best = std::min_element(
-        left.begin(), left.end(),
-        [&](const auto* a, const auto* b) { return cost(a) < cost(b); });
-    change(**best, true);
-    chosen.push_back(*best);
-    left.erase(best);
   }
   std::sort(chosen.begin(), chosen.end(), [](const auto* a, const auto* b) {
     return a->lost_work > b->lost_work;
   });
+  PreemptionPlan preemption;
   for (const VictimGroup* it : chosen) {
-    change(*it, false);
-    if (!FitInto(candidates, demand).empty()) {
+    OccupyGroup(room, *it);
+    if (room.Fits()) {
       continue;
     }
-    change(*it, true);
+    FreeGroup(room, *it);
     preemption.lost_work += it->lost_work;
-    preemption.victims.insert(preemption.victims.end(), it->tasks.begin(),
-                              it->tasks.end());
+    for (const Victim& victim : it->runs) {
+      preemption.victims.push_back(*victim.task);
+    }
   }
-  preemption.workers = FitInto(candidates, demand);
+  preemption.workers = room.Workers();
   return preemption;
 }
 
+std::vector<Victim> StoppingRuns(const State& state, const Fleet& fleet) {
+  std::vector<Victim> stopping;
+  for (const auto& [task, run] : state.runs.All()) {
+    if (run.stop_requested) {
+      stopping.push_back({&task, FindWorker(fleet, run.on.agent), run.need});
+    }
+  }
+  return stopping;
+}
+
 }  // namespace
 
 std::optional<PreemptionPlan> FindPreemption(
     const State& state,
-    const workload::Policy& policy,
-    const std::set<OccurrenceKey>& guaranteed,
+    const Fleet& fleet,
     const Unit& unit,
     const std::vector<Candidate>& candidates,
     const Demand& demand,
     bool spread,
     TimePoint now) {
-  const std::vector<VictimGroup> groups =
-      Groups(state, policy, guaranteed, unit, now);
+  const std::vector<VictimGroup> groups = Groups(state, fleet, unit, now);
+  const std::vector<Victim> stopping = StoppingRuns(state, fleet);
   std::optional<PreemptionPlan> best;
   const auto consider = [&](const std::vector<Candidate>& among) {
     std::optional<PreemptionPlan> it =
-        FindPreemptionWithin(state, among, groups, demand);
+        FindPreemptionWithin(fleet.size(), among, stopping, groups, demand);
     if (it && (!best || it->lost_work < best->lost_work)) {
       best = std::move(it);
     }
   };
-  for (const auto& [rack, members] : ByRack(candidates)) {
+  for (const std::vector<Candidate>& members : ByRack(candidates)) {
     consider(members);
   }
   if (!best && spread) {
--- a/packages/scheduler/src/victims.h
+++ b/packages/scheduler/src/victims.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "fleet.h"
 #include "placement.h"
 #include "units.h"
 
@@ -13,19 +14,17 @@
 /// @brief Runs to stop, and the workers for the unit once they have ended.
 struct PreemptionPlan {
   std::vector<workload::TaskRef> victims;
-  std::vector<AgentName> workers;
+  std::vector<int> workers;
   double lost_work = 0;  ///< In core-seconds, without checkpointed work.
 };
 
 /// @brief Finds runs of lower priority to preempt at a low loss of work.
 /// Returns nullopt if no such set makes room, or if a unit that is not
 /// guaranteed would cause too much loss.
-/// @param guaranteed The occurrences that are within their guarantee.
 /// @param spread The unit may be spread over racks.
 std::optional<PreemptionPlan> FindPreemption(
     const State& state,
-    const workload::Policy& policy,
-    const std::set<OccurrenceKey>& guaranteed,
+    const Fleet& fleet,
     const Unit& unit,
     const std::vector<Candidate>& candidates,
     const Demand& demand,
--- a/packages/service/src/follow_loop.cc
+++ b/packages/service/src/follow_loop.cc
@@ -33,6 +33,7 @@
 void FollowLoop::ReadNext() {
   const joblog::FollowCall call = follower_.Next();
   const TimePoint began = ReadClock();
+  read_at_ = began;
   const Millis timeout = response_timer_.Timeout();
   if (call.kind == joblog::FollowCall::Kind::kNewest) {
     client_.ReadNewest(options_.topic, call.after_key, timeout,
@@ -83,10 +84,22 @@
   }
   if (!unavailable) {
     on_page_();
-    ReadNext();
+    const Millis since_read = ReadClock() - read_at_;
+    // While the newest records of the keys are paged, there is more to read.
+    const bool paging =
+        follower_.Next().kind == joblog::FollowCall::Kind::kNewest;
+    if (paging || since_read >= interval_) {
+      ReadNext();
+    } else {
+      ReadAfter(interval_ - since_read);
+    }
     return;
   }
-  timer_.expires_after(kRetryDelay);
+  ReadAfter(kRetryDelay);
+}
+
+void FollowLoop::ReadAfter(Millis delay) {
+  timer_.expires_after(delay);
   timer_.async_wait([this](const boost::system::error_code& ec) {
     if (!ec) {
       ReadNext();
--- a/packages/service/src/follow_loop.h
+++ b/packages/service/src/follow_loop.h
@@ -30,6 +30,9 @@
 
   void Start();
 
+  /// @brief Reads no sooner than this after the former read was sent.
+  void SetInterval(Millis interval) { interval_ = interval; }
+
   const joblog::Follower& GetFollower() const { return follower_; }
 
   /// @brief Whether the store was unavailable for the last read.
@@ -38,6 +41,7 @@
  private:
   void ReadNext();
   void RecordLatency(joblog::ReadStatus status, Millis wait, TimePoint began);
+  void ReadAfter(Millis delay);
   void OnReadDone(joblog::ReadStatus status, const std::string& detail);
 
   boost::asio::steady_timer timer_;
@@ -47,6 +51,8 @@
   joblog::ResponseTimer response_timer_;
   std::function<void()> on_page_;
   bool store_unavailable_ = false;
+  Millis interval_{0};
+  TimePoint read_at_{};  ///< When the last read was sent.
 };
 
 }  // namespace shallotlug::service
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -40,6 +40,12 @@
 // renewed expires after the lifetime.
 constexpr Millis kRegistrationInterval{30'000};
 constexpr Millis kRegistrationLifetime{600'000};
+constexpr double kMillisPerCore = 1'000.0;
+// Interval of reads of the job log. Each record wakes every entry, so that
+// without an interval each append costs a read for each entry. The scheduler
+// acts on records, others only show them to callers.
+constexpr Millis kSchedulerReadInterval{15};
+constexpr Millis kFollowerReadInterval{150};
 // Time limit for answering open calls during a shutdown.
 constexpr Millis kShutdownTimeout{3'500};
 constexpr Millis kShutdownPoll{20};
@@ -65,7 +71,7 @@
             context_,
             FollowOptions{settings.store, platform::kJobTopic, kJobsWait},
             [this](const joblog::StoredRecord& it) { OnJobRecord(it); },
-            [this] { host_.OnPage(job_log_.GetFollower()); }),
+            [this] { OnJobPage(); }),
         configuration_log_(
             context_,
             FollowOptions{settings.store, platform::kOperatorTopic,
@@ -134,7 +140,9 @@
     const TimePoint deadline = now.local + kRegistrationInterval;
     records_.Append(
         workload::Encode(workload::EntryAddress{
-            EntryName(settings_.name), settings_.peers_listen, now.wall}),
+            EntryName(settings_.name), settings_.peers_listen, now.wall,
+            static_cast<std::int64_t>(settings_.processor_cores *
+                                      kMillisPerCore)}),
         deadline, [](Stored it) {
           if (it != Stored::kYes) {
             WriteLog({LogLevel::kWarning,
@@ -202,6 +210,12 @@
     host_.OnRecord(stored);
   }
 
+  void OnJobPage() {
+    host_.OnPage(job_log_.GetFollower());
+    job_log_.SetInterval(host_.Epoch() != 0 ? kSchedulerReadInterval
+                                            : kFollowerReadInterval);
+  }
+
   void OnOperatorRecord(const joblog::StoredRecord& stored) {
     if (stored.record.key != platform::kConfigurationKey) {
       return;
--- a/packages/service/src/scheduler_host.cc
+++ b/packages/service/src/scheduler_host.cc
@@ -100,6 +100,7 @@
     boost::asio::post(context_, [old = std::move(links_)] {});
     links_.clear();
     links_epoch_ = epoch;
+    links_version_ = 0;
     if (epoch != 0) {
       StartTimer();
     }
@@ -108,7 +109,20 @@
   if (scheduler == nullptr) {
     return;
   }
-  const std::vector<workload::AgentAddress> agents = scheduler->Agents();
+  if (scheduler->AgentsVersion() != links_version_) {
+    links_version_ = scheduler->AgentsVersion();
+    ReplaceLinks(scheduler->Agents());
+  }
+  for (const AgentName& it : scheduler->TakeNews(ReadBothClocks())) {
+    const auto link = links_.find(it);
+    if (link != links_.end()) {
+      link->second->SendPending();
+    }
+  }
+}
+
+void SchedulerHost::ReplaceLinks(
+    const std::vector<workload::AgentAddress>& agents) {
   RemoveStaleLinks(agents);
   for (const workload::AgentAddress& it : agents) {
     std::unique_ptr<AgentLink>& link = links_[it.agent];
@@ -117,7 +131,6 @@
                                          [this] { ScheduleStep(); });
       link->Start();
     }
-    link->SendPending();
   }
 }
 
--- a/packages/service/src/scheduler_host.h
+++ b/packages/service/src/scheduler_host.h
@@ -47,6 +47,8 @@
   void Step();
   void StartTimer();
   void UpdateLinks();
+  /// @brief Opens the links to new agents, and to those with a new address.
+  void ReplaceLinks(const std::vector<workload::AgentAddress>& agents);
   /// @brief Removes the links to agents that are no longer registered.
   void RemoveStaleLinks(const std::vector<workload::AgentAddress>& agents);
 
@@ -55,7 +57,8 @@
   scheduler::Role role_;
   platform::StoreClient producer_;
   boost::asio::steady_timer timer_;
-  std::uint64_t links_epoch_ = 0;  ///< Epoch that the links belong to.
+  std::uint64_t links_epoch_ = 0;    ///< Epoch that the links belong to.
+  std::uint64_t links_version_ = 0;  ///< Of the scheduler's list of agents.
   std::map<AgentName, std::unique_ptr<AgentLink>> links_;
   bool step_posted_ = false;
 };
--- a/packages/settings/include/shallotlug/settings/job_settings.h
+++ b/packages/settings/include/shallotlug/settings/job_settings.h
@@ -28,6 +28,9 @@
   std::string peers_listen;  ///< For requests forwarded by other entries.
   std::string metrics_listen;
   std::string store;
+  /// Processor time that the machine gives this process, in cores. Entries with
+  /// more of it take the scheduler role first.
+  double processor_cores = 1.0;
   HttpLimits http;
   JobTiming timing;
   LogSettings log;
--- a/packages/settings/src/job_settings.cc
+++ b/packages/settings/src/job_settings.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+constexpr double kMinCores = 0.001;
+constexpr double kMaxCores = 4'096.0;
+
 void ReadTiming(ObjectReader& parent,
                 const std::string& file,
                 JobTiming& to,
@@ -40,6 +43,7 @@
   ReadAddress(reader, "peers_listen", to.peers_listen);
   ReadAddress(reader, "metrics_listen", to.metrics_listen);
   ReadAddress(reader, "store", to.store);
+  reader.Optional("processor_cores", to.processor_cores, kMinCores, kMaxCores);
   ReadHttp(reader, file, to.http, findings);
   ReadTiming(reader, file, to.timing, findings);
   ReadLog(reader, file, to.log, findings);
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -50,6 +50,8 @@
   EntryName entry;
   std::string address;   ///< `ip:port`.
   WallTime stated_at{};  ///< Renewed periodically while the entry runs.
+  /// Processor time of its machine, in thousandths of a core; 0: unknown.
+  std::int64_t cpu_millis = 0;
 };
 
 /// @brief A key whose value was dropped. All members are empty for the other
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -1,6 +1,10 @@
 #include "shallotlug/workload/record.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cstddef>
+#include <map>
+#include <utility>
 
 #include <boost/json.hpp>
 
@@ -107,28 +111,76 @@
   return {std::move(job)};
 }
 
-// Omits tasks that are still in their initial state.
-json::array EncodeTasks(const Progress& progress) {
+/// @brief Numbers the workers of a record, so that each is written once.
+class WorkerList {
+ public:
+  /// @return The worker's number; -1 for a task that is not assigned.
+  int Add(const TaskProgress& task) {
+    if (task.phase != TaskPhase::kAssigned) {
+      return -1;
+    }
+    const auto [it, added] = numbers_.try_emplace(
+        {task.on.agent, task.on.worker}, static_cast<int>(numbers_.size()));
+    if (added) {
+      rows_.emplace_back(json::array{task.on.agent.value, task.on.worker.id,
+                                     task.on.worker.born});
+    }
+    return it->second;
+  }
+  json::array Take() { return std::move(rows_); }
+
+ private:
+  std::map<std::pair<AgentName, WorkerLife>, int> numbers_;
+  json::array rows_;
+};
+
+// One row for consecutive tasks in the same state: [step, first, count, phase,
+// run, failures, worker, checkpoint]. Tasks in their initial state are omitted,
+// and so is an empty checkpoint.
+json::array EncodeTasks(const Progress& progress, WorkerList& workers) {
   json::array rows;
   for (std::size_t step = 0; step < progress.steps.size(); ++step) {
-    for (std::size_t n = 0; n < progress.steps[step].size(); ++n) {
-      const TaskProgress& it = progress.steps[step][n];
-      if (it == TaskProgress{}) {
-        continue;
+    const auto& tasks = progress.steps[step];
+    std::size_t first = 0;
+    while (first < tasks.size()) {
+      const TaskProgress& it = tasks[first];
+      std::size_t end = first + 1;
+      while (end < tasks.size() && tasks[end] == it) {
+        ++end;
       }
-      json::array row{step,   n,           static_cast<int>(it.phase),
-                      it.run, it.failures, it.checkpoint};
-      if (it.phase == TaskPhase::kAssigned) {
-        row.emplace_back(it.on.agent.value);
-        row.emplace_back(it.on.worker.id);
-        row.emplace_back(it.on.worker.born);
+      if (it != TaskProgress{}) {
+        json::array row{
+            step,   first,       end - first,    static_cast<int>(it.phase),
+            it.run, it.failures, workers.Add(it)};
+        if (!it.checkpoint.empty()) {
+          row.emplace_back(it.checkpoint);
+        }
+        rows.emplace_back(std::move(row));
       }
-      rows.emplace_back(std::move(row));
+      first = end;
     }
   }
   return rows;
 }
 
+TaskProgress DecodeTask(const json::array& row, const json::array& workers) {
+  TaskProgress task;
+  task.phase = static_cast<TaskPhase>(row.at(3).to_number<int>());
+  task.run = row.at(4).to_number<int>();
+  task.failures = row.at(5).to_number<int>();
+  if (row.size() > 7) {
+    task.checkpoint = row.at(7).as_string();
+  }
+  if (task.phase == TaskPhase::kAssigned) {
+    const json::array& worker =
+        workers.at(row.at(6).to_number<std::size_t>()).as_array();
+    task.on = {AgentName(std::string(worker.at(0).as_string())),
+               {std::string(worker.at(1).as_string()),
+                worker.at(2).to_number<std::int64_t>()}};
+  }
+  return task;
+}
+
 Progress DecodeProgress(const json::object& from) {
   Progress progress;
   progress.outcome = static_cast<Outcome>(GetInt(from, "outcome"));
@@ -139,19 +191,17 @@
     }
     progress.steps.emplace_back(static_cast<std::size_t>(n));
   }
+  const json::array& workers = from.at("workers").as_array();
   for (const json::value& it : from.at("tasks").as_array()) {
     const json::array& row = it.as_array();
-    TaskProgress& task = progress.steps.at(row.at(0).to_number<std::size_t>())
-                             .at(row.at(1).to_number<std::size_t>());
-    task.phase = static_cast<TaskPhase>(row.at(2).to_number<int>());
-    task.run = row.at(3).to_number<int>();
-    task.failures = row.at(4).to_number<int>();
-    task.checkpoint = row.at(5).as_string();
-    if (task.phase == TaskPhase::kAssigned) {
-      task.on = {AgentName(std::string(row.at(6).as_string())),
-                 {std::string(row.at(7).as_string()),
-                  row.at(8).to_number<std::int64_t>()}};
+    auto& tasks = progress.steps.at(row.at(0).to_number<std::size_t>());
+    const auto first = row.at(1).to_number<std::size_t>();
+    const auto count = row.at(2).to_number<std::size_t>();
+    if (count > tasks.size() || first > tasks.size() - count) {
+      throw std::out_of_range("task number out of range");
     }
+    std::fill_n(tasks.begin() + static_cast<std::ptrdiff_t>(first), count,
+                DecodeTask(row, workers));
   }
   return progress;
 }
@@ -187,9 +237,9 @@
         Incarnation{static_cast<std::uint64_t>(GetInt(from, "incarnation"))}};
   }
   if (key.starts_with(kEntryPrefix)) {
-    return EntryAddress{EntryName(key.substr(kEntryPrefix.size())),
-                        GetString(from, "address"),
-                        WallTime(Millis(GetInt(from, "stated")))};
+    return EntryAddress{
+        EntryName(key.substr(kEntryPrefix.size())), GetString(from, "address"),
+        WallTime(Millis(GetInt(from, "stated"))), GetInt(from, "cpu")};
   }
   if (key == kClaimKey) {
     return SchedulerClaim{static_cast<std::uint64_t>(GetInt(from, "epoch")),
@@ -246,11 +296,14 @@
   for (const auto& step : it.progress.steps) {
     counts.emplace_back(step.size());
   }
+  WorkerList workers;
+  json::array tasks = EncodeTasks(it.progress, workers);
   return {ProgressKey(it.job, it.occurrence),
           json::serialize(
               json::object{{"outcome", static_cast<int>(it.progress.outcome)},
                            {"counts", std::move(counts)},
-                           {"tasks", EncodeTasks(it.progress)}})};
+                           {"workers", workers.Take()},
+                           {"tasks", std::move(tasks)}})};
 }
 
 RawRecord Encode(const SchedulerClaim& it) {
@@ -271,9 +324,10 @@
 
 RawRecord Encode(const EntryAddress& it) {
   return {std::string(kEntryPrefix) + it.entry.value,
-          json::serialize(json::object{
-              {"address", it.address},
-              {"stated", it.stated_at.time_since_epoch().count()}})};
+          json::serialize(
+              json::object{{"address", it.address},
+                           {"stated", it.stated_at.time_since_epoch().count()},
+                           {"cpu", it.cpu_millis}})};
 }
 
 RawRecord DropEntry(const EntryName& entry) {
