Keep a test's port reserved until its program listens

Change: the socket stays bound without listening; only a program that allows the reuse of addresses can bind beside it.

--- a/apps/tests/processes.cc
+++ b/apps/tests/processes.cc
@@ -52,7 +52,8 @@
   constexpr int kFirstPort = 10'000;
   constexpr int kPorts = 20'000;
   static std::mt19937 random{std::random_device()()};
-  asio::io_context context;
+  static asio::io_context context;
+  static std::vector<tcp::acceptor> reserved;
   while (true) {
     const tcp::endpoint endpoint(
         asio::ip::address_v4::loopback(),
@@ -60,9 +61,15 @@
     tcp::acceptor acceptor(context, endpoint.protocol());
     boost::system::error_code ec;
     acceptor.bind(endpoint, ec);
-    if (!ec) {
-      return AddressOf(endpoint);
+    if (ec) {
+      continue;
     }
+    // A program that sets the option too can bind the address beside a socket
+    // that does not listen; others cannot.
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
+    reserved.push_back(std::move(acceptor));
+    return AddressOf(endpoint);
   }
 }
 
--- a/apps/tests/processes.h
+++ b/apps/tests/processes.h
@@ -23,8 +23,8 @@
 constexpr Millis kPatience{60'000};
 
 /// @brief A free loopback address below the range that the system gives to
-/// connections and to port 0, so that only another test can take it before its
-/// process binds it.
+/// connections and to port 0. It stays reserved until this process ends; only a
+/// program that allows the reuse of addresses, as ours do, can listen on it.
 std::string FreeAddress();
 
 /// @brief Calls `condition` until it is true or kPatience has passed.
