--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -1,3 +1,4 @@
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include "test_scheduler.h"
@@ -103,6 +104,24 @@
   EXPECT_EQ(scheduler.Running("slow").count("a1"), 1U);
 }
 
+// Guards against an append, and a read by every entry, for each checkpoint of
+// each task.
+TEST_F(OutcomesTest, RecordsACheckpointOnlyWithAnotherChange) {
+  workload::Job saves = scheduler.Job("saves", "batch", "acme", 1, 8);
+  saves.steps[0].saves_checkpoints = true;
+  scheduler.Submit(saves);
+  scheduler.Run(2);
+  const int records = scheduler.Records();
+  for (const char* checkpoint : {"c1", "c2", "c3"}) {
+    scheduler.SaveCheckpoint("a1", checkpoint);
+    scheduler.Run(2);
+  }
+  EXPECT_EQ(scheduler.Records(), records);
+  scheduler.End({JobId("saves"), 0, 0, 0}, workload::EndReason::kLapsed);
+  scheduler.Run(1);
+  EXPECT_THAT(scheduler.Log().at("p/saves/0"), testing::HasSubstr("c3"));
+}
+
 // Guards against a list of agents, and of calls to them, that grows with every
 // machine that was ever replaced.
 TEST_F(OutcomesTest, RemovesUnreachableAgents) {
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -39,6 +39,14 @@
     agents_.at(agent).percent = percent;
   }
 
+  /// @brief Sets the newest checkpoint of the worker's tasks.
+  void SaveCheckpoint(const std::string& agent, const std::string& checkpoint) {
+    agents_.at(agent).checkpoint = checkpoint;
+  }
+
+  /// @brief Number of records that were planned.
+  int Records() const { return records_; }
+
   /// @brief Latest planned record of each key.
   const std::map<std::string, std::string>& Log() const { return log_; }
 
@@ -60,6 +68,7 @@
     std::uint64_t next_end = 1;
     std::uint64_t version = 1;
     int percent = 0;
+    std::string checkpoint;
   };
 
   void Call(const std::string& name, Agent& agent);
@@ -71,6 +80,7 @@
   Scheduler scheduler_;
   std::map<std::string, Agent> agents_;
   std::map<std::string, std::string> log_;
+  int records_ = 0;
 };
 
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -89,6 +89,7 @@
     protocol::RunReport report;
     report.active.run = run;
     report.active.percent = agent.percent;
+    report.active.checkpoint = agent.checkpoint;
     report.phase = protocol::RunPhase::kRunning;
     reply.runs.push_back(report);
   }
@@ -132,6 +133,7 @@
     }
     for (const workload::RawRecord& it : scheduler_.Plan(policy_, now_)) {
       log_[it.key] = it.value;
+      ++records_;
     }
     scheduler_.Commit();
     scheduler_.ConfirmAuthority(now_);
