Preempt by the cost of the whole gang, and leave leaving workers early

Runs on workers taken at short notice (1.9 s) were placed again after 12 s: the lease of a silent worker was extended as long as its agent spoke.

Change: a victim costs its lost work and the restart of all tasks of its gang; the worker is emptied first on which another task costs least. A batch unit may preempt lower work at up to 15 % of its own work, an urgent one may cause the loss of four times its own. Runs without checkpoints that need a leaving worker for over 2 s longer than announced start elsewhere; draining workers get leases of 3 s and silent ones none.

--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -148,6 +148,10 @@
 // A task with at least this progress is left to finish.
 constexpr int kAlmostDonePercent = 95;
 
+// A leaving worker often stays longer than it has announced. A run without
+// checkpoints that would need more than this of it is lost in any case.
+constexpr Millis kMaxOverstay{2'000};
+
 /// @brief Remaining run time, extrapolated from the progress so far.
 std::optional<Millis> TimeLeft(const RunRow& run, TimePoint now) {
   if (run.state != RunState::kRunning || run.percent <= 0) {
@@ -198,12 +202,15 @@
     for (const auto& [task, run] : state.runs.On(name).rows) {
       const OccurrenceRow* row = FindOccurrence(state, task);
       if (run->stop_requested || row == nullptr ||
-          !StepOf(*row, task.step).saves_checkpoints ||
+          StepOf(*row, task.step).lasting ||
           run->percent >= kAlmostDonePercent) {
         continue;
       }
       const auto left = TimeLeft(*run, now);
-      if (left && *left > remaining) {
+      const Millis allowed = StepOf(*row, task.step).saves_checkpoints
+                                 ? remaining
+                                 : remaining + kMaxOverstay;
+      if (left && *left > allowed) {
         RequestStop(state, task, *run, "worker_leaves", now);
       }
     }
@@ -270,6 +277,10 @@
     return;
   }
   state.policy_version = policy.version;
+  state.lowest_priority = 0;
+  for (const workload::Queue& it : policy.queues) {
+    state.lowest_priority = std::max(state.lowest_priority, it.terms.priority);
+  }
   state.guarantees_outdated = true;
   for (const OccurrenceKey& it : state.open) {
     DeriveTerms(policy, state.occurrences.at(it));
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -224,18 +224,23 @@
   }
 }
 
-/// @brief Preempts runs for an urgent unit that does not fit.
+/// @brief Whether runs of lower priority should be looked for.
+bool PreemptionIsDue(const State& state, const Unit& unit, Now now) {
+  if (unit.Priority() >= state.lowest_priority && !unit.guaranteed) {
+    return false;
+  }
+  const auto failed = state.preemption_failed_at.find(unit.key);
+  return failed == state.preemption_failed_at.end() ||
+         now.local - failed->second >= kPreemptionRetry;
+}
+
+/// @brief Preempts runs for a unit that does not fit.
 void Preempt(Placement& placement,
              const Unit& unit,
              const std::vector<Candidate>& candidates,
              const Demand& demand) {
   State& state = placement.state;
   const Now now = placement.now;
-  const auto failed = state.preemption_failed_at.find(unit.key);
-  if (failed != state.preemption_failed_at.end() &&
-      now.local - failed->second < kPreemptionRetry) {
-    return;
-  }
   const bool spread = MaySpreadOverRacks(state, unit, candidates, demand, now);
   const std::optional<PreemptionPlan> preemption = FindPreemption(
       state, placement.fleet, unit, candidates, demand, spread, now.local);
@@ -313,22 +318,26 @@
 void PlaceUnit(Placement& placement, const Unit& unit) {
   State& state = placement.state;
   const Demand demand = DemandOf(state, unit);
-  const bool urgent = unit.Priority() == 0;
-  if (!urgent && !MayFit(placement.fleet, unit, demand)) {
-    return;
-  }
-  std::vector<Candidate> candidates = Candidates(placement, unit, true);
-  if (candidates.empty()) {
-    candidates = Candidates(placement, unit, false);
-  }
-  if (PlaceTasks(placement, unit, demand, candidates)) {
-    return;
+  const bool may_preempt = !state.reservations.contains(unit.key) &&
+                           PreemptionIsDue(state, unit, placement.now);
+  const bool may_fit = MayFit(placement.fleet, unit, demand);
+  if (may_fit || may_preempt) {
+    std::vector<Candidate> candidates = Candidates(placement, unit, true);
+    if (candidates.empty()) {
+      candidates = Candidates(placement, unit, false);
+    }
+    if (may_fit && PlaceTasks(placement, unit, demand, candidates)) {
+      return;
+    }
+    if (may_preempt) {
+      ExcludeReservedWorkers(state, unit, candidates, placement.now);
+      Preempt(placement, unit, candidates, demand);
+      return;
+    }
   }
   const auto reservation = state.reservations.find(unit.key);
   if (reservation != state.reservations.end()) {
     DeductReservation(placement.fleet, reservation->second);
-  } else if (urgent) {
-    Preempt(placement, unit, candidates, demand);
   }
 }
 
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -390,7 +390,7 @@
   if (!agent.heard) {
     // From now on the agent accepts no lower epoch; a lease of a predecessor
     // started at an earlier reading of the agent's clock.
-    agent.lease_expiry = LeaseExpiry(state.options, now);
+    agent.lease_expiry = LeaseExpiry(state.options, now, state.options.lease);
     state.placement_outdated = true;
   }
   agent.incarnation = reply.incarnation;
--- a/packages/scheduler/src/run_table.cc
+++ b/packages/scheduler/src/run_table.cc
@@ -68,9 +68,9 @@
 }
 
 const AgentRuns& RunTable::On(const AgentName& agent) const {
-  static const AgentRuns kNone;
+  static const AgentRuns none;
   const auto it = by_agent_.find(agent);
-  return it == by_agent_.end() ? kNone : it->second;
+  return it == by_agent_.end() ? none : it->second;
 }
 
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -22,6 +22,9 @@
 constexpr Millis kMaxNotedDelay{200};
 // Orders to be repeated are found by a sweep over all agents.
 constexpr Millis kNewsSweepInterval{100};
+// A draining worker leaves without a word; its runs are placed again when its
+// lease is over.
+constexpr Millis kMaxDrainingLease{3'000};
 // How long leases are extended without contact to the store; longer than its
 // usual outages.
 constexpr Millis kAuthorityTimeout{12'000};
@@ -279,14 +282,20 @@
                  AgentRow& agent,
                  SyncRequest& request,
                  TimePoint now) {
-  if (!agent.heard || now - state.authority_confirmed > kAuthorityTimeout) {
+  // A silent worker gets no lease from its agent, and the agent may be lost
+  // before it can report that the last one has ended.
+  if (!agent.heard || now - state.authority_confirmed > kAuthorityTimeout ||
+      agent.worker_state == protocol::WorkerState::kSilent) {
     return;
   }
   request.lease_from = agent.clock;
-  request.lease = state.options.lease;
+  request.lease = agent.worker.draining
+                      ? std::min(state.options.lease, kMaxDrainingLease)
+                      : state.options.lease;
   // The agent read its clock before its reply arrived here.
   agent.lease_expiry =
-      std::max(LeaseExpiry(state.options, agent.heard_at), agent.lease_expiry);
+      std::max(LeaseExpiry(state.options, agent.heard_at, request.lease),
+               agent.lease_expiry);
 }
 
 }  // namespace
--- a/packages/scheduler/src/state.cc
+++ b/packages/scheduler/src/state.cc
@@ -60,9 +60,10 @@
   state.log.push_back({LogLevel::kInfo, std::move(event), std::move(fields)});
 }
 
-TimePoint LeaseExpiry(const SchedulerOptions& options, TimePoint from) {
-  return from + options.lease + LeaseMargin(options.lease) +
-         options.stop_timeout;
+TimePoint LeaseExpiry(const SchedulerOptions& options,
+                      TimePoint from,
+                      Millis lease) {
+  return from + lease + LeaseMargin(lease) + options.stop_timeout;
 }
 
 Label Age(std::string name, TimePoint at, TimePoint now) {
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -118,6 +118,7 @@
   std::set<OccurrenceKey> guaranteed;
   bool guarantees_outdated = true;
   std::int64_t policy_version = -1;  ///< Of the derived terms.
+  int lowest_priority = 0;           ///< The highest number of all queues.
   /// A unit may fit since the last placement.
   bool placement_outdated = true;
   TimePoint placed_at{};
@@ -173,7 +174,9 @@
 
 /// @brief Latest end of a lease granted at `from`, including clock drift and
 /// the time to stop the runs.
-TimePoint LeaseExpiry(const SchedulerOptions& options, TimePoint from);
+TimePoint LeaseExpiry(const SchedulerOptions& options,
+                      TimePoint from,
+                      Millis lease);
 
 /// @brief Label with the age of `at`, in ms.
 Label Age(std::string name, TimePoint at, TimePoint now);
@@ -199,8 +202,9 @@
                     const workload::Policy& policy,
                     TimePoint now);
 
-/// @brief Stops checkpointed runs on draining workers that leave before the
-/// runs would finish, so that they continue elsewhere.
+/// @brief Stops runs on draining workers that leave before the runs would
+/// finish, so that they continue elsewhere: checkpointed runs, and those that
+/// would need the worker for much longer than it stays.
 void EvictFromDrainingWorkers(State& state, TimePoint now);
 
 /// @brief Whether old rows should be removed now; at most once a second.
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -34,6 +34,9 @@
   /// @brief Makes the worker drain, with its tasks at `percent`.
   void Drain(const std::string& agent, Millis remaining, int percent);
 
+  /// @brief The agent reports on, but its worker does not answer it any more.
+  void Silence(const std::string& agent) { agents_.at(agent).silent = true; }
+
   /// @brief Sets the progress of the worker's tasks.
   void Advance(const std::string& agent, int percent) {
     agents_.at(agent).percent = percent;
@@ -68,6 +71,7 @@
     std::uint64_t next_end = 1;
     std::uint64_t version = 1;
     int percent = 0;
+    bool silent = false;
     std::string checkpoint;
   };
 
--- a/packages/scheduler/src/victims.cc
+++ b/packages/scheduler/src/victims.cc
@@ -2,6 +2,11 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace shallotlug::scheduler {
@@ -12,9 +17,16 @@
 
 namespace {
 
-// In core-seconds; limit for a unit that is not guaranteed.
-constexpr double kMaxLossBeyondGuarantee = 100.0;
-// Added to the loss of urgent runs beyond their guarantee, so that runs of
+// An urgent unit may cause a loss of as much work as it does itself, another
+// one of a small part of that: lost work delays the jobs of others.
+constexpr double kUrgentLossShare = 4.0;
+constexpr double kBatchCostShare = 0.15;
+// In core-seconds; allowed to a small urgent unit as well.
+constexpr double kMinUrgentLoss = 100.0;
+// A preempted group has to be placed and restored again, for which it loses
+// about this time on all of its workers, also where the room is not needed.
+constexpr double kRestartSeconds = 1.0;
+// Added to the cost of urgent runs beyond their guarantee, so that runs of
 // lower priority are preempted first.
 constexpr double kUrgentVictimPenalty = 1'000'000.0;
 
@@ -29,6 +41,7 @@
 struct VictimGroup {
   std::vector<Victim> runs;
   double lost_work = 0;
+  double cost = 0;  ///< Includes the restart.
 };
 
 double LostWork(const RunRow& run, bool saves, TimePoint now) {
@@ -82,9 +95,11 @@
     }
     VictimGroup& group = groups.back();
     group.runs.push_back({&task, worker, run.need});
-    group.lost_work += LostWork(run, facts.saves_checkpoints, now);
+    const double lost = LostWork(run, facts.saves_checkpoints, now);
+    group.lost_work += lost;
+    group.cost += lost + kRestartSeconds * CoreEquivalents(run.need);
     if (row->terms.priority <= unit.Priority()) {
-      group.lost_work += kUrgentVictimPenalty;
+      group.cost += kUrgentVictimPenalty;
     }
   }
   return groups;
@@ -109,6 +124,9 @@
   std::vector<int> Workers() const { return FitInto(candidates_, demand_); }
 
   bool Has(int worker) const { return worker >= 0 && At(worker) >= 0; }
+  std::int64_t SlotsOn(int worker) const {
+    return SlotsOf(candidates_[static_cast<std::size_t>(At(worker))]);
+  }
 
   void Free(int worker, const Resources& need) {
     Change(worker, [&](Resources& free) { free += need; });
@@ -141,55 +159,138 @@
   std::int64_t slots_ = 0;
 };
 
-/// @brief Core equivalents that a stop of the group frees on the candidates.
-double RoomOf(const TrialRoom& room, const VictimGroup& group) {
-  double n = 0;
+void FreeGroup(TrialRoom& room, const VictimGroup& group) {
+  for (const Victim& it : group.runs) {
+    room.Free(it.worker, it.need);
+  }
+}
+
+void OccupyGroup(TrialRoom& room, const VictimGroup& group) {
+  for (const Victim& it : group.runs) {
+    room.Occupy(it.worker, it.need);
+  }
+}
+
+using GroupSet = std::set<const VictimGroup*>;
+
+/// @brief Groups of one worker whose stop makes room for another task there.
+struct Option {
+  double cost_per_slot = 0;
+  int worker = 0;
+  std::vector<const VictimGroup*> groups;
+
+  bool operator>(const Option& other) const {
+    return std::tie(cost_per_slot, worker) >
+           std::tie(other.cost_per_slot, other.worker);
+  }
+};
+
+/// @brief What the group occupies on one worker.
+Resources NeedOn(const VictimGroup& group, int worker) {
+  Resources need;
   for (const Victim& it : group.runs) {
-    if (room.Has(it.worker)) {
-      n += CoreEquivalents(it.need);
+    if (it.worker == worker) {
+      need += it.need;
     }
   }
-  return n;
+  return need;
 }
 
-/// @brief The groups with runs on the candidates, those with the least loss for
-/// each core freed first.
-std::vector<const VictimGroup*> ByCost(const TrialRoom& room,
-                                       const std::vector<VictimGroup>& groups) {
-  std::vector<std::pair<double, const VictimGroup*>> costs;
-  for (const VictimGroup& it : groups) {
-    const double freed = RoomOf(room, it);
-    if (freed > 0) {
-      // The added constant keeps groups that lose nothing from having no cost,
-      // so that no more of them are stopped than needed.
-      costs.emplace_back((it.lost_work + 1.0) / std::max(freed, 0.1), &it);
+/// @brief Adds the cheapest groups of a worker until another task fits there.
+/// @param groups Those of the worker, cheapest first.
+/// @param chosen Groups that are stopped in any case.
+std::optional<Option> FindOption(TrialRoom& room,
+                                 int worker,
+                                 const std::vector<const VictimGroup*>& groups,
+                                 const GroupSet& chosen) {
+  const std::int64_t before = room.SlotsOn(worker);
+  Option option;
+  option.worker = worker;
+  double cost = 0;
+  std::int64_t gained = 0;
+  for (const VictimGroup* it : groups) {
+    if (chosen.contains(it)) {
+      continue;
     }
+    room.Free(worker, NeedOn(*it, worker));
+    option.groups.push_back(it);
+    cost += it->cost;
+    gained = room.SlotsOn(worker) - before;
+    if (gained > 0) {
+      break;
+    }
+  }
+  for (const VictimGroup* it : option.groups) {
+    room.Occupy(worker, NeedOn(*it, worker));
   }
-  std::stable_sort(
-      costs.begin(), costs.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
-  std::vector<const VictimGroup*> sorted;
-  sorted.reserve(costs.size());
-  for (const auto& [cost, group] : costs) {
-    sorted.push_back(group);
+  if (gained <= 0) {
+    return std::nullopt;
   }
-  return sorted;
+  option.cost_per_slot = cost / static_cast<double>(gained);
+  return option;
 }
 
-void FreeGroup(TrialRoom& room, const VictimGroup& group) {
-  for (const Victim& it : group.runs) {
-    room.Free(it.worker, it.need);
+/// @brief The groups of each candidate worker, those with the least cost for
+/// each core freed there first.
+std::map<int, std::vector<const VictimGroup*>> GroupsByWorker(
+    const TrialRoom& room,
+    const std::vector<VictimGroup>& groups) {
+  std::map<int, std::vector<const VictimGroup*>> by_worker;
+  for (const VictimGroup& group : groups) {
+    std::set<int> workers;
+    for (const Victim& it : group.runs) {
+      if (room.Has(it.worker) && workers.insert(it.worker).second) {
+        by_worker[it.worker].push_back(&group);
+      }
+    }
+  }
+  for (auto& [worker, list] : by_worker) {
+    const auto cost = [on = worker](const VictimGroup* it) {
+      return it->cost / std::max(CoreEquivalents(NeedOn(*it, on)), 0.1);
+    };
+    std::stable_sort(
+        list.begin(), list.end(),
+        [&](const auto* a, const auto* b) { return cost(a) < cost(b); });
   }
+  return by_worker;
 }
 
-void OccupyGroup(TrialRoom& room, const VictimGroup& group) {
-  for (const Victim& it : group.runs) {
-    room.Occupy(it.worker, it.need);
+/// @brief Chooses groups until the demand fits, the worker first where another
+/// task costs least: room in small pieces on many workers holds no large task.
+/// @return The chosen groups; the demand still does not fit if they are all
+/// that there is.
+GroupSet ChooseGroups(TrialRoom& room, const std::vector<VictimGroup>& groups) {
+  const auto by_worker = GroupsByWorker(room, groups);
+  GroupSet chosen;
+  std::priority_queue<Option, std::vector<Option>, std::greater<>> options;
+  const auto offer = [&](int worker) {
+    auto option = FindOption(room, worker, by_worker.at(worker), chosen);
+    if (option) {
+      options.push(std::move(*option));
+    }
+  };
+  for (const auto& [worker, list] : by_worker) {
+    offer(worker);
+  }
+  while (!room.Fits() && !options.empty()) {
+    const Option option = options.top();
+    options.pop();
+    const bool outdated =
+        std::any_of(option.groups.begin(), option.groups.end(),
+                    [&](const auto* it) { return chosen.contains(it); });
+    if (!outdated) {
+      for (const VictimGroup* it : option.groups) {
+        FreeGroup(room, *it);
+        chosen.insert(it);
+      }
+    }
+    offer(option.worker);
   }
+  return chosen;
 }
 
-/// @brief Greedily adds the groups with the least loss per core freed until the
-/// unit fits into the candidates, then drops those that are not needed.
+/// @brief Chooses groups so that the unit fits into the candidates, then drops
+/// those that are not needed, the most expensive first.
 /// @param stopping Runs that are stopping already; their room counts as free.
 std::optional<PreemptionPlan> FindPreemptionWithin(
     std::size_t fleet_size,
@@ -201,21 +302,13 @@
   for (const Victim& it : stopping) {
     room.Free(it.worker, it.need);
   }
-  std::vector<const VictimGroup*> chosen;
+  const GroupSet set = ChooseGroups(room, groups);
   if (!room.Fits()) {
-    for (const VictimGroup* it : ByCost(room, groups)) {
-      FreeGroup(room, *it);
-      chosen.push_back(it);
-      if (room.Fits()) {
-        break;
-      }
-    }
-    if (!room.Fits()) {
-      return std::nullopt;
-    }
+    return std::nullopt;
   }
+  std::vector<const VictimGroup*> chosen(set.begin(), set.end());
   std::sort(chosen.begin(), chosen.end(), [](const auto* a, const auto* b) {
-    return a->lost_work > b->lost_work;
+    return std::tie(b->cost, a) < std::tie(a->cost, b);
   });
   PreemptionPlan preemption;
   for (const VictimGroup* it : chosen) {
@@ -225,6 +318,7 @@
     }
     FreeGroup(room, *it);
     preemption.lost_work += it->lost_work;
+    preemption.cost += it->cost;
     for (const Victim& victim : it->runs) {
       preemption.victims.push_back(*victim.task);
     }
@@ -233,6 +327,20 @@
   return preemption;
 }
 
+/// @brief Whether the preemption costs others too much for what the unit does.
+bool CostsTooMuch(const PreemptionPlan& preemption,
+                  const Unit& unit,
+                  const Demand& demand) {
+  const double seconds =
+      std::chrono::duration<double>(unit.step->estimate).count();
+  const double work = CoreEquivalents(demand.need) * demand.count * seconds;
+  if (unit.Priority() == 0) {
+    return preemption.lost_work >
+           std::max(work * kUrgentLossShare, kMinUrgentLoss);
+  }
+  return preemption.cost > work * kBatchCostShare;
+}
+
 std::vector<Victim> StoppingRuns(const State& state, const Fleet& fleet) {
   std::vector<Victim> stopping;
   for (const auto& [task, run] : state.runs.All()) {
@@ -254,12 +362,15 @@
     bool spread,
     TimePoint now) {
   const std::vector<VictimGroup> groups = Groups(state, fleet, unit, now);
+  if (groups.empty()) {
+    return std::nullopt;
+  }
   const std::vector<Victim> stopping = StoppingRuns(state, fleet);
   std::optional<PreemptionPlan> best;
   const auto consider = [&](const std::vector<Candidate>& among) {
     std::optional<PreemptionPlan> it =
         FindPreemptionWithin(fleet.size(), among, stopping, groups, demand);
-    if (it && (!best || it->lost_work < best->lost_work)) {
+    if (it && (!best || it->cost < best->cost)) {
       best = std::move(it);
     }
   };
@@ -269,7 +380,7 @@
   if (!best && spread) {
     consider(candidates);
   }
-  if (best && !unit.guaranteed && best->lost_work > kMaxLossBeyondGuarantee) {
+  if (best && !unit.guaranteed && CostsTooMuch(*best, unit, demand)) {
     return std::nullopt;
   }
   return best;
--- a/packages/scheduler/src/victims.h
+++ b/packages/scheduler/src/victims.h
@@ -16,11 +16,12 @@
   std::vector<workload::TaskRef> victims;
   std::vector<int> workers;
   double lost_work = 0;  ///< In core-seconds, without checkpointed work.
+  double cost = 0;       ///< In core-seconds; includes the restart.
 };
 
 /// @brief Finds runs of lower priority to preempt at a low loss of work.
 /// Returns nullopt if no such set makes room, or if a unit that is not
-/// guaranteed would cause too much loss.
+/// guaranteed would cause the loss of too much work for its own.
 /// @param spread The unit may be spread over racks.
 std::optional<PreemptionPlan> FindPreemption(
     const State& state,
