Show a job's end at the next query, and ask fewer peers in an outage

Cause: the interval of followers' reads showed ends up to 150 ms late.

Change: a query of an open job reads the log first; followers read every 250 ms. An entry whose reads have failed for 0.4 s refuses at once. Metrics for the time of plans and the agents heard.

--- a/packages/service/src/follow_loop.cc
+++ b/packages/service/src/follow_loop.cc
@@ -34,6 +34,7 @@
   const joblog::FollowCall call = follower_.Next();
   const TimePoint began = ReadClock();
   read_at_ = began;
+  reading_ = true;
   const Millis timeout = response_timer_.Timeout();
   if (call.kind == joblog::FollowCall::Kind::kNewest) {
     client_.ReadNewest(options_.topic, call.after_key, timeout,
@@ -46,7 +47,8 @@
   }
   // While the store is unavailable, reads do not long-poll, so that its
   // recovery is seen at once.
-  const Millis wait = store_unavailable_ ? Millis(0) : options_.wait;
+  const Millis wait =
+      store_unavailable_ || !refreshing_.empty() ? Millis(0) : options_.wait;
   client_.Read(options_.topic, call.from, wait, timeout,
                [this, wait, began](const joblog::ReadResult& result) {
                  RecordLatency(result.status, wait, began);
@@ -69,9 +71,11 @@
 }
 
 void FollowLoop::OnReadDone(ReadStatus status, const std::string& detail) {
+  reading_ = false;
   const bool unavailable = status == ReadStatus::kUnavailable;
   if (unavailable != store_unavailable_) {
     store_unavailable_ = unavailable;
+    unavailable_since_ = ReadClock();
     WriteLog({unavailable ? LogLevel::kWarning : LogLevel::kInfo,
               unavailable ? "store_lost" : "store_regained",
               {{"topic", options_.topic}, {"detail", detail}}});
@@ -84,6 +88,7 @@
   }
   if (!unavailable) {
     on_page_();
+    CallRefreshed();
     const Millis since_read = ReadClock() - read_at_;
     // While the newest records of the keys are paged, there is more to read.
     const bool paging =
@@ -91,17 +96,41 @@
     if (paging || since_read >= interval_) {
       ReadNext();
     } else {
+      waiting_ = true;
       ReadAfter(interval_ - since_read);
     }
     return;
   }
+  CallRefreshed();
   ReadAfter(kRetryDelay);
 }
 
+void FollowLoop::Refresh(std::function<void()> handler) {
+  if (!waiting_ && refreshing_.empty()) {
+    handler();
+    return;
+  }
+  refreshing_.push_back(std::move(handler));
+  if (waiting_) {
+    waiting_ = false;
+    ReadAfter(Millis(0));
+  }
+}
+
+void FollowLoop::CallRefreshed() {
+  const std::vector<std::function<void()>> handlers =
+      std::exchange(refreshing_, {});
+  for (const std::function<void()>& it : handlers) {
+    it();
+  }
+}
+
 void FollowLoop::ReadAfter(Millis delay) {
   timer_.expires_after(delay);
   timer_.async_wait([this](const boost::system::error_code& ec) {
-    if (!ec) {
+    // The handler of an earlier wait may already be queued.
+    if (!ec && !reading_) {
+      waiting_ = false;
       ReadNext();
     }
   });
--- a/packages/service/src/follow_loop.h
+++ b/packages/service/src/follow_loop.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,15 +34,26 @@
   /// @brief Reads no sooner than this after the former read was sent.
   void SetInterval(Millis interval) { interval_ = interval; }
 
+  /// @brief Calls the handler once all records that are in the log now have
+  /// been read, or a read has failed: at once, unless the loop waits for its
+  /// interval, which this ends.
+  void Refresh(std::function<void()> handler);
+
   const joblog::Follower& GetFollower() const { return follower_; }
 
   /// @brief Whether the store was unavailable for the last read.
   bool StoreUnavailable() const { return store_unavailable_; }
 
+  /// @brief For how long all reads have failed; 0 if the last one has not.
+  Millis UnavailableFor(TimePoint now) const {
+    return store_unavailable_ ? now - unavailable_since_ : Millis{0};
+  }
+
  private:
   void ReadNext();
   void RecordLatency(joblog::ReadStatus status, Millis wait, TimePoint began);
   void ReadAfter(Millis delay);
+  void CallRefreshed();
   void OnReadDone(joblog::ReadStatus status, const std::string& detail);
 
   boost::asio::steady_timer timer_;
@@ -50,7 +62,11 @@
   joblog::Follower follower_;
   joblog::ResponseTimer response_timer_;
   std::function<void()> on_page_;
+  bool reading_ = false;
+  bool waiting_ = false;  ///< For the interval.
+  std::vector<std::function<void()>> refreshing_;
   bool store_unavailable_ = false;
+  TimePoint unavailable_since_{};  ///< While the store is unavailable.
   Millis interval_{0};
   TimePoint read_at_{};  ///< When the last read was sent.
 };
--- a/packages/service/src/job_api.cc
+++ b/packages/service/src/job_api.cc
@@ -19,8 +19,11 @@
 // Responses with these statuses are retried at another entry.
 constexpr int kNotRunStatus = 503;
 constexpr int kOutcomeUnknownStatus = 504;
-// Appends are refused without a try when the log was last read this long ago.
+// Appends are refused without a try when the log was last read this long ago,
+// or when reads have failed for this long: the outcome of a failed append is
+// unknown, and a caller cannot repeat a request then, but can after a refusal.
 constexpr Millis kStoreLostAfter{1'800};
+constexpr Millis kStoreFailingFor{400};
 // "Unknown job" is reported only if the log was read to its end this recently.
 constexpr Millis kMaxStateAge{1'500};
 constexpr Millis kRetryAfter{1'000};
@@ -34,6 +37,11 @@
   WriteLog({LogLevel::kInfo, event, std::move(all)});
 }
 
+bool IsFinal(workload::JobState state) {
+  return state != workload::JobState::kQueued &&
+         state != workload::JobState::kInProgress;
+}
+
 /// @brief Log fields for the properties that scheduling decisions depend on.
 std::vector<Label> JobLabels(const workload::Job& job) {
   std::int64_t tasks = 0;
@@ -93,6 +101,11 @@
   return at && ReadClock() - *at <= age;
 }
 
+bool JobApi::IsStoreLost() const {
+  return !IsLogCurrent(kStoreLostAfter) ||
+         state_.store_unavailable_for() >= kStoreFailingFor;
+}
+
 void JobApi::Handle(const net::HttpRequest& request, Reply reply) {
   const TimePoint deadline = ReadClock() + kCallDeadline;
   if (!state_.store_available()) {
@@ -183,7 +196,7 @@
     reply(platform::AcceptedReply());
     return;
   }
-  if (!IsLogCurrent(kStoreLostAfter)) {
+  if (IsStoreLost()) {
     LogJobEvent("job_not_accepted", id, {{"reason", "store_lost"}});
     reply(platform::UnavailableReply("store_lost", kRetryAfter));
     return;
@@ -212,12 +225,11 @@
 
 void JobApi::Cancel(const platform::CancelCall& call, const Reply& reply) {
   const auto state = StateOf(state_.ledger, call.job);
-  if (state && *state != workload::JobState::kQueued &&
-      *state != workload::JobState::kInProgress) {
+  if (state && IsFinal(*state)) {
     reply(platform::AcceptedReply());
     return;
   }
-  if (!IsLogCurrent(kStoreLostAfter)) {
+  if (IsStoreLost()) {
     reply(platform::UnavailableReply("store_lost", kRetryAfter));
     return;
   }
@@ -236,8 +248,19 @@
       });
 }
 
+// A caller that waits for the end of its job should not see it later because
+// this entry reads the log at intervals.
 void JobApi::QueryState(const platform::StateCall& call, const Reply& reply) {
   const auto state = StateOf(state_.ledger, call.job);
+  if (state && IsFinal(*state)) {
+    reply(platform::StateReply(*state));
+    return;
+  }
+  state_.refresh([this, job = call.job, reply] { ReplyState(job, reply); });
+}
+
+void JobApi::ReplyState(const JobId& job, const Reply& reply) {
+  const auto state = StateOf(state_.ledger, job);
   if (state) {
     reply(platform::StateReply(*state));
   } else if (IsLogCurrent(kMaxStateAge)) {
--- a/packages/service/src/job_api.h
+++ b/packages/service/src/job_api.h
@@ -27,8 +27,12 @@
   PeerRelay& peers;
   /// When the log was last read to its end; empty before the first time.
   std::function<std::optional<TimePoint>()> log_caught_up_at;
+  /// Calls back once the records that are in the log now have been read.
+  std::function<void(std::function<void()>)> refresh;
   /// Whether this entry can reach the store.
   std::function<bool()> store_available;
+  /// For how long all reads of the store have failed; 0 while they succeed.
+  std::function<Millis()> store_unavailable_for;
 };
 
 /// @brief Serves the job API to callers and to other entries.
@@ -59,6 +63,9 @@
   void Submit(platform::SubmitCall call, const Reply& reply);
   void Cancel(const platform::CancelCall& call, const Reply& reply);
   void QueryState(const platform::StateCall& call, const Reply& reply);
+  void ReplyState(const JobId& job, const Reply& reply);
+  /// @brief Whether an append would be tried in vain.
+  bool IsStoreLost() const;
   /// @brief Whether the log was read to its end within `age`.
   bool IsLogCurrent(Millis age) const;
 
--- a/packages/service/src/job_api_test.cc
+++ b/packages/service/src/job_api_test.cc
@@ -73,7 +73,12 @@
     records.emplace(context, store.Address());
     api.emplace(JobApiState{ledger, policy, *records, counters, histograms,
                             peers, [this] { return current_at; },
-                            [this] { return store_available; }});
+                            [this](const std::function<void()>& handler) {
+                              refreshed();
+                              handler();
+                            },
+                            [this] { return store_available; },
+                            [this] { return store_unavailable_for; }});
   }
 
   void AddPeer(const std::string& name, const std::string& address) {
@@ -108,7 +113,9 @@
   HistogramTable histograms;
   PeerRelay peers{context, EntryName("self"), ledger, policy};
   std::optional<TimePoint> current_at = net::ReadClock();
+  std::function<void()> refreshed = [] {};  // What a read of the log brings.
   bool store_available = true;
+  Millis store_unavailable_for{0};
   std::optional<RecordQueue> records;
   std::optional<JobApi> api;
 };
@@ -170,6 +177,35 @@
   EXPECT_EQ(first.requests.size(), 1U);
 }
 
+// Guards against an answer of unknown outcome, after which the caller cannot
+// repeat its request, while the store is down for all entries.
+TEST_F(JobApiTest, RefusesJobWithoutAppendWhileTheStoreIsDown) {
+  store_available = false;
+  store_unavailable_for = Millis(500);
+  store.drops = true;
+  first.status = 503;
+  second.status = 503;
+  const HttpResponse response = Submit();
+  EXPECT_EQ(response.status, 503);
+  EXPECT_FALSE(response.headers.empty());
+  EXPECT_TRUE(store.requests.empty());
+}
+
+// Guards against requests that each go through all entries, dozens of them,
+// while the store is down.
+TEST_F(JobApiTest, AsksAFewPeersOnly) {
+  constexpr std::size_t kFew = 16;
+  for (int n = 0; n < 30; ++n) {
+    AddPeer("f" + std::to_string(n), first.Address());
+  }
+  store_available = false;
+  store_unavailable_for = Millis(500);
+  first.status = 503;
+  second.status = 503;
+  EXPECT_EQ(Submit().status, 503);
+  EXPECT_LE(first.requests.size() + second.requests.size(), kFew);
+}
+
 // Guards against reporting "not run" for a job that a peer may have stored.
 TEST_F(JobApiTest, ReportsUnknownOutcomeWhenPeerDoesNotAnswer) {
   store_available = false;
@@ -187,6 +223,27 @@
   EXPECT_FALSE(response.headers.empty());
 }
 
+// Guards against a caller that learns of the end of its job late, because its
+// entry has not read the newest records.
+TEST_F(JobApiTest, ReadsTheLogBeforeItReportsAnOpenState) {
+  workload::JobEntry& entry = ledger.jobs[JobId("0123456789abcdef")];
+  entry.job.emplace();
+  entry.job->queue = "live";
+  entry.job->steps.emplace_back();
+  refreshed = [&] {
+    workload::Progress done = workload::MakeProgress(*entry.job);
+    done.outcome = workload::Outcome::kCompleted;
+    entry.occurrences[0] = done;
+  };
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/live/0123456789abcdef";
+  request.host = "host.example";
+  std::string body;
+  api->Handle(request, [&](const HttpResponse& it) { body = it.body; });
+  EXPECT_NE(body.find("completed"), std::string::npos) << body;
+}
+
 // Guards against a caller seeing a configuration take effect and then revert
 // because two entries with different versions served its requests.
 TEST_F(JobApiTest, NeverServesOlderConfigurationThanPeer) {
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -45,7 +45,7 @@
 // without an interval each append costs a read for each entry. The scheduler
 // acts on records, others only show them to callers.
 constexpr Millis kSchedulerReadInterval{15};
-constexpr Millis kFollowerReadInterval{150};
+constexpr Millis kFollowerReadInterval{250};
 // Time limit for answering open calls during a shutdown.
 constexpr Millis kShutdownTimeout{3'500};
 constexpr Millis kShutdownPoll{20};
@@ -81,7 +81,11 @@
         peers_(context_, EntryName(settings.name), ledger_, policy_),
         api_({ledger_, policy_, records_, counters_, histograms_, peers_,
               [this] { return LogCaughtUpAt(); },
-              [this] { return StoreAvailable(); }}) {}
+              [this](std::function<void()> handler) {
+                job_log_.Refresh(std::move(handler));
+              },
+              [this] { return StoreAvailable(); },
+              [this] { return job_log_.UnavailableFor(net::ReadClock()); }}) {}
 
   int Run() {
     if (!OpenServer(caller_server_, settings_.callers_listen,
@@ -170,11 +174,16 @@
     SetGauge("shallotlug_policy_version", policy_.version);
     SetGauge("shallotlug_jobs_known",
              static_cast<std::int64_t>(ledger_.jobs.size()));
+    const scheduler::Scheduler::Reach reach = host_.AgentsHeard();
+    SetGauge("shallotlug_scheduler_agents", reach.known, {{"state", "known"}});
+    SetGauge("shallotlug_scheduler_agents", reach.heard, {{"state", "heard"}});
     return counters_.ToPrometheusText() + histograms_.ToPrometheusText();
   }
 
-  void SetGauge(std::string_view name, std::int64_t value) {
-    counters_.Set(counters_.Define(name, {}, CounterKind::kGauge), value);
+  void SetGauge(std::string_view name,
+                std::int64_t value,
+                const std::vector<Label>& labels = {}) {
+    counters_.Set(counters_.Define(name, labels, CounterKind::kGauge), value);
   }
 
   std::optional<TimePoint> LogCaughtUpAt() const {
--- a/packages/service/src/peer_relay.cc
+++ b/packages/service/src/peer_relay.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstddef>
 #include <string_view>
 #include <utility>
 
@@ -20,6 +21,9 @@
 // Limit of concurrently forwarded requests; callers beyond it are told to retry
 // later.
 constexpr std::size_t kMaxForwards = 64;
+// Peers tried for one request. If none of them can serve it, the store is most
+// likely unavailable to all.
+constexpr std::size_t kMaxPeersTried = 16;
 // A peer that takes longer is unreachable or waits for the store itself.
 constexpr Millis kPeerTimeout{700};
 // Back-off after a peer has answered that it is unavailable, and the longer one
@@ -109,14 +113,30 @@
   const TimePoint now = ReadClock();
   std::erase_if(backoff_until_,
                 [&](const auto& it) { return now >= it.second; });
-  std::vector<std::string> peers;
+  std::vector<std::string> ring;
+  std::size_t before_self = 0;
   for (const auto& [name, address] : ledger_.entries) {
     if (name != self_ && !backoff_until_.contains(address.address)) {
-      peers.push_back(address.address);
+      ring.push_back(address.address);
+      before_self += name < self_ ? 1 : 0;
     }
   }
-  std::stable_partition(peers.begin(), peers.end(),
-                        [&](const auto& it) { return it == last_answered_; });
+  // Each entry begins behind itself, so that they do not all ask the same one.
+  std::rotate(ring.begin(),
+              ring.begin() + static_cast<std::ptrdiff_t>(before_self),
+              ring.end());
+  std::vector<std::string> peers;
+  if (std::find(ring.begin(), ring.end(), last_answered_) != ring.end()) {
+    peers.push_back(last_answered_);
+    std::erase(ring, last_answered_);
+  }
+  // Neighbours are often in one data centre and are lost together.
+  const std::size_t stride =
+      std::max<std::size_t>(ring.size() / kMaxPeersTried, 1);
+  for (std::size_t n = 0; n < ring.size() && peers.size() < kMaxPeersTried;
+       n += stride) {
+    peers.push_back(ring[n]);
+  }
   return peers;
 }
 
--- a/packages/service/src/peer_relay.h
+++ b/packages/service/src/peer_relay.h
@@ -56,7 +56,7 @@
   /// been served under. Requests must not be served under an older one.
   std::int64_t MinPolicyVersion() const;
 
-  /// @brief Tries the peers in turn until one answers or `deadline` passes.
+  /// @brief Tries a few peers in turn until one answers or `deadline` passes.
   /// Peers that answer "not run" are skipped.
   void Forward(const net::HttpRequest& request,
                TimePoint deadline,
--- a/packages/service/src/scheduler_host.cc
+++ b/packages/service/src/scheduler_host.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Millis kStepInterval{100};
+// An agent that has not answered for longer counts as lost in the metrics.
+constexpr Millis kAgentHeardWithin{2'500};
 // Leases are shorter than the workers' limit to allow for clock drift.
 constexpr int kLeasePercentOfMax = 75;
 
@@ -67,7 +69,13 @@
 
 void SchedulerHost::Step() {
   if (!producer_.Busy()) {
-    if (auto append = role_.NextAppend(net::DrawNumber(), ReadBothClocks())) {
+    const TimePoint planned_at = net::ReadClock();
+    auto append = role_.NextAppend(net::DrawNumber(), ReadBothClocks());
+    if (role_.Active() != nullptr) {
+      histograms_.Observe("shallotlug_plan_seconds", {},
+                          net::ReadClock() - planned_at);
+    }
+    if (append) {
       producer_.Append(
           platform::kJobTopic, append->records, append->options,
           [this, began = net::ReadClock()](const joblog::AppendResult& result) {
@@ -153,6 +161,13 @@
   }
 }
 
+scheduler::Scheduler::Reach SchedulerHost::AgentsHeard() {
+  scheduler::Scheduler* scheduler = role_.Active();
+  return scheduler == nullptr
+             ? scheduler::Scheduler::Reach{}
+             : scheduler->AgentsHeard(kAgentHeardWithin, ReadBothClocks());
+}
+
 void SchedulerHost::Retire() {
   role_.Retire();
   ScheduleStep();
--- a/packages/service/src/scheduler_host.h
+++ b/packages/service/src/scheduler_host.h
@@ -43,6 +43,10 @@
   /// @brief Epoch of this entry's leadership; 0 while it is not the scheduler.
   std::uint64_t Epoch() const { return role_.Epoch(); }
 
+  /// @brief Agents known and lately heard; 0 while this entry is not the
+  /// scheduler.
+  scheduler::Scheduler::Reach AgentsHeard();
+
  private:
   void Step();
   void StartTimer();
