--- a/bench/main.cc
+++ b/bench/main.cc
@@ -8,6 +8,7 @@
 #include "event_loop.h"
 #include "figure.h"
 #include "guarantee_cells.h"
+#include "job_scheduler.h"
 #include "scale.h"
 #include "test_state.h"
 
@@ -152,9 +153,12 @@
   if (wants("waves")) {
     append(MeasureWaves(1));
   }
+  if (wants("jobs")) {
+    append(MeasureJobScheduler(1));
+  }
   if (figures.empty()) {
     std::fputs(
-        "usage: bench [deployments|guarantees|scale|waves] "
+        "usage: bench [deployments|guarantees|scale|waves|jobs] "
         "[--output=json]\n",
         stderr);
     return 2;
