--- a/bench/job_scheduler.cc
+++ b/bench/job_scheduler.cc
@@ -44,7 +44,7 @@
 };
 
 // The urgent, batch and filling work of the users' large deployment.
-const JobShape kShapes[] = {
+const JobShape kJobShapes[] = {
     {"urgent", 8, {15'000, 31'000, 4}, Millis(2'500), true},
     {"batch", 25, {52'000, 140'000, 4}, Millis(6'800), true},
     {"filling", 100, {11'000, 16'000, 1}, Millis(7'600), false}};
@@ -55,7 +55,7 @@
   policy.version = 1;
   for (int n = 0; n < 3; ++n) {
     workload::Queue queue;
-    queue.name = kShapes[n].queue;
+    queue.name = kJobShapes[n].queue;
     queue.terms.pool = "pool";
     queue.terms.priority = n;
     queue.terms.max_attempts = 2;
@@ -142,7 +142,7 @@
     for (; n > 0; --n) {
       std::discrete_distribution<std::size_t> shape(std::begin(kShapeShares),
                                                     std::end(kShapeShares));
-      Submit(kShapes[shape(random_)]);
+      Submit(kJobShapes[shape(random_)]);
     }
   }
 
--- a/packages/scheduler/src/victims.cc
+++ b/packages/scheduler/src/victims.cc
@@ -17,9 +17,10 @@
 
 namespace {
 
-// An urgent unit may cause a loss of as much work as it does itself, another
-// one of a small part of that: lost work delays the jobs of others.
+// Lost work delays the jobs of others. An urgent unit, which is worth far more
+// for its work than others, may cause the loss of this multiple of its own work.
 constexpr double kUrgentLossShare = 4.0;
+// Limit of the cost for another unit, as a share of its own work.
 constexpr double kBatchCostShare = 0.15;
 // In core-seconds; allowed to a small urgent unit as well.
 constexpr double kMinUrgentLoss = 100.0;
