Count the failure of a run once across schedulers

The first scheduler recorded the failure and was lost before the agent heard so; the next one was told of the same end, found the task waiting with the same run number, and counted it again. Which run was counted was kept in memory only.

Change: the progress of a task holds the newest run that was counted; the table of the scheduler goes.

--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -248,8 +248,6 @@
     }
     std::erase_if(state.failed_on,
                   [&](const auto& entry) { return entry.first.job == it.job; });
-    std::erase_if(state.counted_gang_failures,
-                  [&](const auto& entry) { return entry.first.job == it.job; });
   }
   return drops;
 }
--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -109,6 +109,26 @@
   EXPECT_TRUE(scheduler.Running("j").empty());
 }
 
+// Guards against a job shown as failed too early: its scheduler recorded the
+// failure of a run and was lost before the agent heard so, and the next one was
+// told of the same failure.
+TEST_F(OutcomesTest, CountsTheFailureOfARunOnceAcrossSchedulers) {
+  workload::Job job = scheduler.Job("j", "batch", "acme", 2, 4);
+  job.steps[0].gang = true;
+  scheduler.Submit(job);
+  scheduler.Run(2);
+  scheduler.LoseAcknowledgements();
+  // There is no room for another run.
+  scheduler.Drain("a1", Millis(60'000), 50);
+  scheduler.End({JobId("j"), 0, 0, 0}, workload::EndReason::kFailed);
+  scheduler.Run(1);
+  for (int n = 0; n < 3; ++n) {
+    scheduler.Replace();
+    scheduler.Run(1);
+  }
+  EXPECT_THAT(scheduler.Log().at("p/j/0"), testing::HasSubstr("\"outcome\":0"));
+}
+
 // Guards against jobs that stay on a worker whose agent reports but whose tasks
 // make no progress, and against new runs that are placed there.
 TEST_F(OutcomesTest, MigratesJobsWithoutProgress) {
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -72,13 +72,12 @@
 }
 
 // Failures of several gang members in one run count as one failed attempt.
-void ApplyFailure(State& state, OccurrenceRow& row, const RunRef& run) {
-  const std::vector<TaskRef> tasks = GangOf(row, run.task);
-  int& counted = state.counted_gang_failures[tasks.front()];
-  if (counted < run.run) {
-    counted = run.run;
-    for (const TaskRef& it : tasks) {
-      ++ProgressOf(row, it).failures;
+void ApplyFailure(OccurrenceRow& row, const RunRef& run) {
+  if (ProgressOf(row, run.task).failed_run < run.run) {
+    for (const TaskRef& it : GangOf(row, run.task)) {
+      TaskProgress& task = ProgressOf(row, it);
+      ++task.failures;
+      task.failed_run = run.run;
     }
   }
   SetWaiting(ProgressOf(row, run.task));
@@ -133,7 +132,7 @@
       ApplyDone(*row, task);
       return;
     case EndReason::kFailed:
-      ApplyFailure(state, *row, end.run);
+      ApplyFailure(*row, end.run);
       state.failed_on[task].insert(agent.address.agent);
       CountFailure(state, agent, task, now);
       return;
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -136,8 +136,6 @@
   UrgentDemand urgent;
   /// Workers on which a task has failed; its next run goes elsewhere.
   std::map<workload::TaskRef, std::set<AgentName>> failed_on;
-  /// Newest run of each gang that was counted as failed, by its first task.
-  std::map<workload::TaskRef, int> counted_gang_failures;
   TimePoint authority_confirmed{};
   std::vector<LogLine> log;
 };
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -34,6 +34,13 @@
   /// @brief Makes the worker drain, with its tasks at `percent`.
   void Drain(const std::string& agent, Millis remaining, int percent);
 
+  /// @brief Replaces the scheduler by one that knows only what was recorded.
+  void Replace();
+
+  /// @brief From now on acknowledgements of ends do not reach the agents, which
+  /// report these ends again.
+  void LoseAcknowledgements() { acknowledgements_lost_ = true; }
+
   /// @brief The agent reports on, but its worker does not answer it any more.
   void Silence(const std::string& agent) { agents_.at(agent).silent = true; }
 
@@ -84,6 +91,8 @@
   Scheduler scheduler_;
   std::map<std::string, Agent> agents_;
   std::map<std::string, std::string> log_;
+  std::map<JobId, workload::JobEntry> submitted_;
+  bool acknowledgements_lost_ = false;
   int records_ = 0;
 };
 
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -74,6 +74,22 @@
   workload::JobEntry entry;
   entry.job = job;
   scheduler_.AddJob(entry, now_);
+  submitted_[job.id] = entry;
+}
+
+void TestScheduler::Replace() {
+  workload::Ledger ledger;
+  ledger.jobs = submitted_;
+  std::uint64_t offset = 0;
+  for (const auto& [key, value] : log_) {
+    Apply(ledger, key, value, offset++);
+  }
+  for (const auto& [name, agent] : agents_) {
+    ledger.agents[AgentName(name)] = {AgentName(name), name, Incarnation{1}};
+  }
+  SchedulerOptions options = Options();
+  ++options.epoch;
+  scheduler_ = Scheduler(options, ledger, now_);
 }
 
 protocol::SyncReply TestScheduler::ReplyOf(const std::string& name,
@@ -119,7 +135,7 @@
     }
   }
   std::erase_if(agent.ends, [&](const workload::RunEnd& it) {
-    return it.number <= request.noted_ends;
+    return !acknowledgements_lost_ && it.number <= request.noted_ends;
   });
   ++agent.version;
   scheduler_.OnReply(AgentName(name), ReplyOf(name, agent), now_);
--- a/packages/scheduler/src/victims.cc
+++ b/packages/scheduler/src/victims.cc
@@ -18,7 +18,8 @@
 namespace {
 
 // Lost work delays the jobs of others. An urgent unit, which is worth far more
-// for its work than others, may cause the loss of this multiple of its own work.
+// for its work than others, may cause the loss of this multiple of its own
+// work.
 constexpr double kUrgentLossShare = 4.0;
 // Limit of the cost for another unit, as a share of its own work.
 constexpr double kBatchCostShare = 0.15;
--- a/packages/workload/include/shallotlug/workload/progress.h
+++ b/packages/workload/include/shallotlug/workload/progress.h
@@ -29,6 +29,9 @@
   TaskPhase phase = TaskPhase::kWaiting;
   int run = 0;       ///< Highest run so far.
   int failures = 0;  ///< Runs that failed; counts against the attempts.
+  /// Newest run that `failures` counts. Its end may be reported again, to
+  /// another scheduler or by another member of the gang.
+  int failed_run = 0;
   Placement on;      ///< While assigned.
   std::string checkpoint;
 
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -135,8 +135,8 @@
 };
 
 // One row for consecutive tasks in the same state: [step, first, count, phase,
-// run, failures, worker, checkpoint]. Tasks in their initial state are omitted,
-// and so is an empty checkpoint.
+// run, failures, failed run, worker, checkpoint]. Tasks in their initial state
+// are omitted, and so is an empty checkpoint.
 json::array EncodeTasks(const Progress& progress, WorkerList& workers) {
   json::array rows;
   for (std::size_t step = 0; step < progress.steps.size(); ++step) {
@@ -150,8 +150,8 @@
       }
       if (it != TaskProgress{}) {
         json::array row{
-            step,   first,       end - first,    static_cast<int>(it.phase),
-            it.run, it.failures, workers.Add(it)};
+            step,   first,       end - first,   static_cast<int>(it.phase),
+            it.run, it.failures, it.failed_run, workers.Add(it)};
         if (!it.checkpoint.empty()) {
           row.emplace_back(it.checkpoint);
         }
@@ -168,12 +168,13 @@
   task.phase = static_cast<TaskPhase>(row.at(3).to_number<int>());
   task.run = row.at(4).to_number<int>();
   task.failures = row.at(5).to_number<int>();
-  if (row.size() > 7) {
-    task.checkpoint = row.at(7).as_string();
+  task.failed_run = row.at(6).to_number<int>();
+  if (row.size() > 8) {
+    task.checkpoint = row.at(8).as_string();
   }
   if (task.phase == TaskPhase::kAssigned) {
     const json::array& worker =
-        workers.at(row.at(6).to_number<std::size_t>()).as_array();
+        workers.at(row.at(7).to_number<std::size_t>()).as_array();
     task.on = {AgentName(std::string(worker.at(0).as_string())),
                {std::string(worker.at(1).as_string()),
                 worker.at(2).to_number<std::int64_t>()}};
--- a/packages/workload/src/record_test.cc
+++ b/packages/workload/src/record_test.cc
@@ -42,6 +42,7 @@
   tasks[5].on = {};
   tasks[6].checkpoint = "00000bb87a21d94b";
   tasks[7].failures = 2;
+  tasks[7].failed_run = 3;
   tasks[11] = {};
   EXPECT_EQ(Decoded(Encode(record)), record.progress);
 }
@@ -50,9 +51,9 @@
 // tasks of its step.
 TEST(ProgressRecordTest, RejectsTasksBeyondTheStep) {
   const std::string key = Encode(RunningGang(1, 1)).key;
-  for (const char* row :
-       {"[0,1,2,2,1,0,-1]", "[0,3,1,2,1,0,-1]", "[1,0,1,2,1,0,-1]",
-        "[0,0,1,1,1,0,0]", "[0,-1,1,2,1,0,-1]", "[0,0,99999999,2,1,0,-1]"}) {
+  for (const char* row : {"[0,1,2,2,1,0,0,-1]", "[0,3,1,2,1,0,0,-1]",
+                          "[1,0,1,2,1,0,-1]", "[0,0,1,1,1,0,0]",
+                          "[0,-1,1,2,1,0,0,-1]", "[0,0,99999999,2,1,0,0,-1]"}) {
     const std::string value =
         R"({"outcome":0,"counts":[2],"workers":[],"tasks":[)" +
         std::string(row) + "]}";
