Place nothing in data centres that the operator evacuates

Change: the adapter names the data centre of an evacuation's key; the set is part of the policy, and a placement passes over its workers. After the operator's topic has lost its history, evacuations that are not among its newest records are ended once all of these have been read.

--- a/packages/scheduler/src/fleet.cc
+++ b/packages/scheduler/src/fleet.cc
@@ -9,16 +9,21 @@
 // An agent without contact for this long gets no new runs.
 constexpr Millis kMaxAgentSilence{2'500};
 
-bool IsSchedulable(const AgentRow& agent, TimePoint now) {
+bool IsSchedulable(const AgentRow& agent,
+                   const workload::Policy& policy,
+                   TimePoint now) {
   return agent.heard && now - agent.heard_at < kMaxAgentSilence &&
          agent.worker_state == protocol::WorkerState::kPresent &&
          !agent.worker.draining && now >= agent.avoid_until &&
-         agent.orphans.empty();
+         agent.orphans.empty() &&
+         !policy.evacuated_data_centres.contains(agent.worker.data_centre);
 }
 
 }  // namespace
 
-Fleet MakeFleet(const State& state, TimePoint now) {
+Fleet MakeFleet(const State& state,
+                const workload::Policy& policy,
+                TimePoint now) {
   Fleet fleet;
   fleet.reserve(state.agents.size());
   // Both tables are in order of the agents' names.
@@ -29,7 +34,7 @@
     worker.name = &name;
     worker.agent = &agent;
     worker.free = agent.worker.capacity;
-    worker.schedulable = IsSchedulable(agent, now);
+    worker.schedulable = IsSchedulable(agent, policy, now);
     while (runs != end && runs->first < name) {
       ++runs;
     }
--- a/packages/scheduler/src/fleet.h
+++ b/packages/scheduler/src/fleet.h
@@ -20,7 +20,9 @@
 using Fleet = std::vector<FleetWorker>;
 
 /// @brief The workers of all agents, with the resources that no run occupies.
-Fleet MakeFleet(const State& state, TimePoint now);
+Fleet MakeFleet(const State& state,
+                const workload::Policy& policy,
+                TimePoint now);
 
 /// @brief The number of an agent's worker, or -1.
 int FindWorker(const Fleet& fleet, const AgentName& agent);
--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -129,6 +129,17 @@
   EXPECT_THAT(scheduler.Log().at("p/j/0"), testing::HasSubstr("\"outcome\":0"));
 }
 
+// Guards against runs in a data centre that the operator has evacuated.
+TEST_F(OutcomesTest, PlacesNothingInAnEvacuatedDataCentre) {
+  scheduler.Policy().evacuated_data_centres = {"dc-r1"};
+  scheduler.Submit(scheduler.Job("j", "batch", "acme", 1, 8));
+  scheduler.Run(4);
+  EXPECT_TRUE(scheduler.Running("j").empty());
+  scheduler.Policy().evacuated_data_centres.clear();
+  scheduler.Run(4);
+  EXPECT_EQ(scheduler.Running("j").size(), 1U);
+}
+
 // Guards against jobs that stay on a worker whose agent reports but whose tasks
 // make no progress, and against new runs that are placed there.
 TEST_F(OutcomesTest, MigratesJobsWithoutProgress) {
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -369,7 +369,7 @@
   if (units.empty()) {
     return;
   }
-  Placement placement{state, MakeFleet(state, now.local), now};
+  Placement placement{state, MakeFleet(state, policy, now.local), now};
   for (const Unit& it : units) {
     PlaceUnit(placement, it);
   }
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -29,6 +29,7 @@
   it.facts.life = {"w-" + agent, 1};
   it.facts.service = "pool";
   it.facts.rack = rack;
+  it.facts.data_centre = "dc-" + rack;
   it.facts.labels = {"a", rack};
   it.facts.capacity = capacity;
   scheduler_.AddAgent({AgentName(agent), agent, Incarnation{1}}, now_);
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <memory>
 #include <optional>
+#include <set>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -77,7 +79,7 @@
             FollowOptions{settings.store, platform::kOperatorTopic,
                           kConfigurationWait},
             [this](const joblog::StoredRecord& it) { OnOperatorRecord(it); },
-            [] {}),
+            [this] { OnOperatorPage(); }),
         peers_(context_, EntryName(settings.name), ledger_, policy_),
         api_({ledger_, policy_, records_, counters_, histograms_, peers_,
               [this] { return LogCaughtUpAt(); },
@@ -225,7 +227,43 @@
                                             : kFollowerReadInterval);
   }
 
+  void SetEvacuated(const std::string& data_centre, bool evacuated) {
+    outdated_evacuations_.erase(data_centre);
+    std::set<std::string>& all = policy_.evacuated_data_centres;
+    if (all.contains(data_centre) == evacuated) {
+      return;
+    }
+    if (evacuated) {
+      all.insert(data_centre);
+    } else {
+      all.erase(data_centre);
+    }
+    WriteLog({LogLevel::kInfo,
+              evacuated ? "data_centre_evacuated" : "data_centre_taken_back",
+              {{"data_centre", data_centre}}});
+    host_.ScheduleStep();
+  }
+
+  // After the topic's history was dropped, only the newest records are read:
+  // what was taken back meanwhile is not among them.
+  void OnOperatorPage() {
+    const joblog::Follower& follower = configuration_log_.GetFollower();
+    if (follower.Restarts() != operator_restarts_) {
+      operator_restarts_ = follower.Restarts();
+      outdated_evacuations_ = policy_.evacuated_data_centres;
+    } else if (follower.Next().kind == joblog::FollowCall::Kind::kRead) {
+      for (const std::string& it : std::exchange(outdated_evacuations_, {})) {
+        SetEvacuated(it, false);
+      }
+    }
+  }
+
   void OnOperatorRecord(const joblog::StoredRecord& stored) {
+    if (const auto evacuated =
+            platform::EvacuatedDataCentre(stored.record.key)) {
+      SetEvacuated(*evacuated, !stored.record.value.empty());
+      return;
+    }
     if (stored.record.key != platform::kConfigurationKey) {
       return;
     }
@@ -242,6 +280,7 @@
               {{"version", std::to_string(policy->version)},
                {"former", std::to_string(policy_.version)},
                {"queues", std::to_string(policy->queues.size())}}});
+    policy->evacuated_data_centres = std::move(policy_.evacuated_data_centres);
     policy_ = std::move(*policy);
     host_.ScheduleStep();
   }
@@ -298,6 +337,9 @@
   HistogramTable histograms_;
   workload::Ledger ledger_;
   workload::Policy policy_;
+  std::uint64_t operator_restarts_ = 0;  ///< Of the operator topic's follower.
+  /// Evacuations that were not read again since the last restart.
+  std::set<std::string> outdated_evacuations_;
   RecordQueue records_;
   SchedulerHost host_;
   FollowLoop job_log_;
--- a/packages/workload/include/shallotlug/workload/policy.h
+++ b/packages/workload/include/shallotlug/workload/policy.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,9 @@
   std::vector<Queue> queues;
   std::vector<Customer> customers;
   std::vector<Pool> pools;
+  /// Data centres whose workers get no new runs until the operator takes them
+  /// back; independent of the version.
+  std::set<std::string> evacuated_data_centres;
 };
 
 /// @brief The queue with the longest path prefix on that host, or null.
