--- a/apps/tests/processes_test.cc
+++ b/apps/tests/processes_test.cc
@@ -18,10 +18,10 @@
     acceptor.open(tcp::v4(), ec);
     acceptor.set_option(tcp::acceptor::reuse_address(reuse), ec);
     const std::size_t colon = address.rfind(':');
-    acceptor.bind({boost::asio::ip::make_address(address.substr(0, colon)),
-                   static_cast<std::uint16_t>(
-                       std::stoi(address.substr(colon + 1)))},
-                  ec);
+    acceptor.bind(
+        {boost::asio::ip::make_address(address.substr(0, colon)),
+         static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))},
+        ec);
     if (!ec) {
       acceptor.listen(1, ec);
     }
--- a/packages/workload/include/shallotlug/workload/progress.h
+++ b/packages/workload/include/shallotlug/workload/progress.h
@@ -32,7 +32,7 @@
   /// Newest run that `failures` counts. Its end may be reported again, to
   /// another scheduler or by another member of the gang.
   int failed_run = 0;
-  Placement on;      ///< While assigned.
+  Placement on;  ///< While assigned.
   std::string checkpoint;
 
   bool operator==(const TaskProgress&) const = default;
