--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -2,7 +2,6 @@
 // processor time and memory per agent, job, task and record. Prints `name value
 // unit`, one figure a line.
 #include <malloc.h>
-#include <time.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -10,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "processor_time.h"
 #include "shallotlug/agent/agent.h"
 #include "shallotlug/decision/plan.h"
 #include "shallotlug/entry/entry.h"
@@ -24,13 +24,6 @@
 // 240,000 tasks on 14,000 workers.
 constexpr int kTasksPerWorker = 17;
 
-double ProcessorMicros() {
-  timespec now{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
-  return static_cast<double>(now.tv_sec) * 1e6 +
-         static_cast<double>(now.tv_nsec) / 1e3;
-}
-
 double HeapBytes() {
   const struct mallinfo2 info = mallinfo2();
   return static_cast<double>(info.uordblks + info.hblkhd);
--- a/bench/job_scheduler.cc
+++ b/bench/job_scheduler.cc
@@ -1,7 +1,5 @@
 #include "job_scheduler.h"
 
-#include <ctime>
-
 #include <algorithm>
 #include <map>
 #include <random>
@@ -9,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "processor_time.h"
 #include "shallotlug/scheduler/scheduler.h"
 
 namespace shallotlug::bench {
@@ -26,14 +25,6 @@
 // Jobs a second for each worker: about 80 % of the accelerators are busy.
 constexpr double kJobsPerWorkerSecond = 0.022;
 
-/// @brief Processor time of this process, in microseconds.
-double ProcessorMicros() {
-  timespec time{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) * 1e6 +
-         static_cast<double>(time.tv_nsec) / 1e3;
-}
-
 /// @brief A class of jobs of one step.
 struct JobShape {
   const char* queue;
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -284,6 +284,17 @@
   --it->limit;
 }
 
+/// @brief Workers for the next task of the unit, or for all of its gang,
+/// outside of the reserve; empty if they do not fit.
+std::vector<int> FitOutsideReserve(const Placement& placement,
+                                   const Unit& unit,
+                                   const Demand& demand,
+                                   const std::vector<Candidate>& all) {
+  std::vector<Candidate> candidates = all;
+  ExcludeReservedWorkers(placement.state, unit, candidates, placement.now);
+  return Fit(placement.state, unit, candidates, demand, placement.now);
+}
+
 /// @brief Places a gang, or as many tasks of a step as fit.
 /// @return Whether all tasks were placed.
 bool PlaceTasks(Placement& placement,
@@ -291,21 +302,16 @@
                 const Demand& demand,
                 std::vector<Candidate>& all) {
   if (unit.step->gang) {
-    std::vector<Candidate> candidates = all;
-    ExcludeReservedWorkers(placement.state, unit, candidates, placement.now);
     const std::vector<int> workers =
-        Fit(placement.state, unit, candidates, demand, placement.now);
-    if (workers.empty()) {
-      return false;
+        FitOutsideReserve(placement, unit, demand, all);
+    if (!workers.empty()) {
+      Assign(placement, unit, unit.tasks, workers);
     }
-    Assign(placement, unit, unit.tasks, workers);
-    return true;
+    return !workers.empty();
   }
   for (const int it : unit.tasks) {
-    std::vector<Candidate> candidates = all;
-    ExcludeReservedWorkers(placement.state, unit, candidates, placement.now);
     const std::vector<int> workers =
-        Fit(placement.state, unit, candidates, demand, placement.now);
+        FitOutsideReserve(placement, unit, demand, all);
     if (workers.empty()) {
       return false;
     }
