--- a/bench/job_scheduler.cc
+++ b/bench/job_scheduler.cc
@@ -35,7 +35,7 @@
 };
 
 // The urgent, batch and filling work of the users' large deployment.
-const JobShape kJobShapes[] = {
+constexpr JobShape kJobShapes[] = {
     {"urgent", 8, {15'000, 31'000, 4}, Millis(2'500), true},
     {"batch", 25, {52'000, 140'000, 4}, Millis(6'800), true},
     {"filling", 100, {11'000, 16'000, 1}, Millis(7'600), false}};
