Restore the limit of work lost for urgent jobs

Urgent jobs beyond their guarantee could make others lose four times their own work, on a site where late work keeps half its worth.

Change: the former limit of 100 core-seconds.

--- a/packages/scheduler/src/victims.cc
+++ b/packages/scheduler/src/victims.cc
@@ -17,14 +17,11 @@
 
 namespace {
 
-// Lost work delays the jobs of others. An urgent unit, which is worth far more
-// for its work than others, may cause the loss of this multiple of its own
-// work.
-constexpr double kUrgentLossShare = 4.0;
+// Lost work delays the jobs of others. Limit of what an urgent unit beyond its
+// guarantee may cause, in core-seconds.
+constexpr double kMaxUrgentLoss = 100.0;
 // Limit of the cost for another unit, as a share of its own work.
 constexpr double kBatchCostShare = 0.15;
-// In core-seconds; allowed to a small urgent unit as well.
-constexpr double kMinUrgentLoss = 100.0;
 // A preempted group has to be placed and restored again, for which it loses
 // about this time on all of its workers, also where the room is not needed.
 constexpr double kRestartSeconds = 1.0;
@@ -333,13 +330,12 @@
 bool CostsTooMuch(const PreemptionPlan& preemption,
                   const Unit& unit,
                   const Demand& demand) {
+  if (unit.Priority() == 0) {
+    return preemption.lost_work > kMaxUrgentLoss;
+  }
   const double seconds =
       std::chrono::duration<double>(unit.step->estimate).count();
   const double work = CoreEquivalents(demand.need) * demand.count * seconds;
-  if (unit.Priority() == 0) {
-    return preemption.lost_work >
-           std::max(work * kUrgentLossShare, kMinUrgentLoss);
-  }
   return preemption.cost > work * kBatchCostShare;
 }
 
