Print the logs when a frozen agent's request gets no answer

AFrozenAgentLosesItsLeases failed once without a trace. 320 runs of it beside load (16, 30 and 40 at a time, 6 cores) all passed; the logs of the entry and the agent are needed if it comes again.

--- a/apps/tests/failure_test.cc
+++ b/apps/tests/failure_test.cc
@@ -108,7 +108,9 @@
       WaitFor([&] { return !installation.History(*agent, "lapsed").empty(); }));
   agent->process->Signal(SIGCONT);
   const Response response = answer.get();
-  ASSERT_TRUE(response) << response.error().message();
+  ASSERT_TRUE(response) << response.error().message()
+                        << installation.LogOf(entry[0]->name)
+                        << installation.LogOf(agent->name);
   EXPECT_EQ(response.value().status, 504) << response.value().body;
   EXPECT_TRUE(installation.WaitServing(*entry[0]))
       << installation.LogOf(agent->name);
