Spread registrations and claims of the entries over time

At 16.0 s, 30 s after their common start, all 55 entries appended their addresses at once; each append holds the partition for about 60 ms, so their appends, most repeated after a timeout, held up every other one until 18.5 s: five urgent jobs were acknowledged after 0.5 to 2.0 s, two were placed 2 s later. The scheduler could append nothing, and 50 entries claimed its role from 17.5 to 18.5 s, with 50 more appends; all of these claims were lost.

Change: an entry appends its address only when the log lacks it or it is two minutes old, and checks that at random times between 15 and 30 s. Entries claim in turns 40 ms apart, in an order that differs for each epoch, so that the later ones read of the first claim.

Ruled out: the scheduler's own appends (none between 16.5 and 18.5 s) and configuration changes (nothing is appended for them).

--- a/packages/joblog/include/shallotlug/joblog/authority.h
+++ b/packages/joblog/include/shallotlug/joblog/authority.h
@@ -26,6 +26,11 @@
 /// @brief An entry waits this long with its claim while others are stronger, so
 /// that the scheduler role goes to a machine with enough processor time.
 inline constexpr Millis kWeakClaimDelay{500};
+/// @brief Time between the claims of equally strong entries, in which the next
+/// one reads of a claim before its own turn. Without it all entries claim at
+/// once, and on a slow store their appends hold up all others.
+inline constexpr Millis kClaimTurn{40};
+inline constexpr Millis kMaxClaimTurns{1'000};
 /// @brief The first claim waits this long for the entries to register.
 inline constexpr Millis kFirstClaimDelay{500};
 
@@ -45,6 +50,11 @@
 /// considerably more processor time, else 0.
 Millis ClaimDelay(const workload::Ledger& ledger, const EntryName& self);
 
+/// @brief Delay by which an entry lets other registered entries claim first:
+/// kClaimTurn for each that comes before it in the order of this election, at
+/// most kMaxClaimTurns. The newest scheduler, which is silent, has no turn.
+Millis ClaimTurn(const workload::Ledger& ledger, const EntryName& self);
+
 /// @brief Whether an entry that is not the scheduler should claim now.
 /// @param current_at When the log was last read to its end.
 bool ShouldClaim(const AuthorityView& view,
--- a/packages/joblog/src/authority.cc
+++ b/packages/joblog/src/authority.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <xxhash.h>
+
 namespace shallotlug::joblog {
 
 namespace {
@@ -15,6 +17,11 @@
 // An entry with this many percent of another one's processor time is as strong.
 constexpr std::int64_t kEqualStrengthPercent = 70;
 
+// All entries must compute the same order, and another one for each epoch.
+std::uint64_t OrderOf(const EntryName& name, std::uint64_t epoch) {
+  return XXH64(name.value.data(), name.value.size(), epoch);
+}
+
 }  // namespace
 
 Millis ClaimDelay(const workload::Ledger& ledger, const EntryName& self) {
@@ -28,6 +35,17 @@
   return weaker ? kWeakClaimDelay : Millis{0};
 }
 
+Millis ClaimTurn(const workload::Ledger& ledger, const EntryName& self) {
+  const std::uint64_t epoch = ledger.claim.epoch;
+  const std::uint64_t own = OrderOf(self, epoch);
+  const auto before = std::count_if(
+      ledger.entries.begin(), ledger.entries.end(), [&](const auto& it) {
+        return it.first != self && it.first != ledger.claim.entry &&
+               OrderOf(it.first, epoch) < own;
+      });
+  return std::min(kClaimTurn * before, kMaxClaimTurns);
+}
+
 bool ShouldClaim(const AuthorityView& view,
                  const Claimant& claimant,
                  TimePoint current_at,
--- a/packages/joblog/src/joblog_test.cc
+++ b/packages/joblog/src/joblog_test.cc
@@ -1,8 +1,14 @@
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include "shallotlug/joblog/authority.h"
 #include "shallotlug/joblog/follower.h"
+#include "shallotlug/joblog/registration.h"
 
 namespace shallotlug::joblog {
 namespace {
@@ -156,5 +162,89 @@
   EXPECT_EQ(ClaimDelay(ledger, EntryName("strong")), Millis(0));
 }
 
+// Guards against claims of all entries at the same moment: on a store that
+// needs 60 ms for an append, those of 50 entries held it up for 3 s.
+TEST(ClaimTurnTest, GivesEachEntryATurnOfItsOwn) {
+  workload::Ledger ledger;
+  constexpr int kEntries = 20;
+  for (int n = 0; n < kEntries; ++n) {
+    const EntryName entry("entry" + std::to_string(n));
+    ledger.entries[entry] = {entry, "127.0.0.1:1", {}, 500};
+  }
+  ledger.claim.epoch = 1;
+  ledger.claim.entry = EntryName("entry7");
+  const auto turns = [&ledger] {
+    std::map<Millis, EntryName> out;
+    for (const auto& [name, entry] : ledger.entries) {
+      if (name != ledger.claim.entry) {
+        out.emplace(ClaimTurn(ledger, name), name);
+      }
+    }
+    return out;
+  };
+  const std::map<Millis, EntryName> first = turns();
+  EXPECT_EQ(first.size(), kEntries - 1U);
+  EXPECT_EQ(first.begin()->first, Millis(0));
+  EXPECT_EQ(first.rbegin()->first, kClaimTurn * (kEntries - 2));
+  // Lost entries must not come first in each election.
+  ledger.claim.epoch = 2;
+  EXPECT_NE(turns().begin()->second, first.begin()->second);
+}
+
+TEST(ClaimTurnTest, HasALimit) {
+  workload::Ledger ledger;
+  Millis longest{0};
+  for (int n = 0; n < 300; ++n) {
+    const EntryName entry("entry" + std::to_string(n));
+    ledger.entries[entry] = {entry, "127.0.0.1:1", {}, 500};
+  }
+  for (const auto& [name, entry] : ledger.entries) {
+    longest = std::max(longest, ClaimTurn(ledger, name));
+  }
+  EXPECT_EQ(longest, kMaxClaimTurns);
+}
+
+class RegistrationTest : public testing::Test {
+ protected:
+  workload::EntryAddress own{EntryName("self"), "127.0.0.1:1",
+                             workload::WallTime(Millis(5'000'000)), 500};
+  workload::Ledger ledger;
+};
+
+TEST_F(RegistrationTest, IsDueWithoutTheOwnAddress) {
+  EXPECT_TRUE(RegistrationIsDue(ledger, own));
+  workload::EntryAddress former = own;
+  former.address = "127.0.0.1:2";
+  ledger.entries[own.entry] = former;
+  EXPECT_TRUE(RegistrationIsDue(ledger, own));
+}
+
+// Guards against an entry that the others drop while it runs, also after the
+// time of day of its machine was set back.
+TEST_F(RegistrationTest, IsDueLongBeforeItExpires) {
+  workload::EntryAddress stated = own;
+  ledger.entries[own.entry] = stated;
+  EXPECT_FALSE(RegistrationIsDue(ledger, own));
+  stated.stated_at = own.stated_at - kRegistrationLifetime / 4;
+  ledger.entries[own.entry] = stated;
+  EXPECT_TRUE(RegistrationIsDue(ledger, own));
+  stated.stated_at = own.stated_at + kRegistrationLifetime / 4;
+  ledger.entries[own.entry] = stated;
+  EXPECT_TRUE(RegistrationIsDue(ledger, own));
+}
+
+// Guards against the appends of all entries at the same moment, 30 s after they
+// were started together.
+TEST_F(RegistrationTest, IsCheckedAtDifferentTimes) {
+  EXPECT_EQ(RegistrationCheckDelay(0), kLongestRegistrationCheck / 2);
+  EXPECT_LE(RegistrationCheckDelay(~std::uint64_t{0}),
+            kLongestRegistrationCheck);
+  std::set<Millis> delays;
+  for (std::uint64_t n = 0; n < 55; ++n) {
+    delays.insert(RegistrationCheckDelay(n * 0x9e3779b97f4a7c15));
+  }
+  EXPECT_GE(delays.size(), 50U);
+}
+
 }  // namespace
 }  // namespace shallotlug::joblog
--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -143,8 +143,9 @@
     it.BeginTerm(claim, now);
     return;
   }
-  const joblog::Claimant self{it.options.entry,
-                              joblog::ClaimDelay(it.ledger, it.options.entry)};
+  const EntryName& name = it.options.entry;
+  const joblog::Claimant self{name, joblog::ClaimDelay(it.ledger, name) +
+                                        joblog::ClaimTurn(it.ledger, name)};
   if (it.policy.version > 0 &&
       joblog::ShouldClaim(it.authority, self, follower.CurrentAt(),
                           now.local)) {
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -18,6 +18,7 @@
 #include "record_queue.h"
 #include "scheduler_host.h"
 #include "shallotlug/base/logging.h"
+#include "shallotlug/joblog/registration.h"
 #include "shallotlug/net/http_server.h"
 #include "shallotlug/net/role_loop.h"
 #include "shallotlug/platform/configuration.h"
@@ -38,10 +39,6 @@
 // the client's timeout, well before configuration changes must be in force.
 constexpr Millis kJobsWait{300};
 constexpr Millis kConfigurationWait{500};
-// Entries register their address at this interval; a registration that is not
-// renewed expires after the lifetime.
-constexpr Millis kRegistrationInterval{30'000};
-constexpr Millis kRegistrationLifetime{600'000};
 constexpr double kMillisPerCore = 1'000.0;
 // Interval of reads of the job log. Each record wakes every entry, so that
 // without an interval each append costs a read for each entry. The scheduler
@@ -139,30 +136,31 @@
                         server);
   }
 
-  // Registers this entry's peer address periodically and removes expired
+  // Keeps this entry's peer address registered and removes expired
   // registrations of other entries.
   void Register() {
     const scheduler::Now now = ReadBothClocks();
-    const TimePoint deadline = now.local + kRegistrationInterval;
-    records_.Append(
-        workload::Encode(workload::EntryAddress{
-            EntryName(settings_.name), settings_.peers_listen, now.wall,
-            static_cast<std::int64_t>(settings_.processor_cores *
-                                      kMillisPerCore)}),
-        deadline, [](Stored it) {
-          if (it != Stored::kYes) {
-            WriteLog({LogLevel::kWarning,
-                      "address_not_stated",
-                      {{"outcome", Name(it)}}});
-          }
-        });
+    const Millis until_next = joblog::RegistrationCheckDelay(net::DrawNumber());
+    const TimePoint deadline = now.local + until_next;
+    const workload::EntryAddress own{
+        EntryName(settings_.name), settings_.peers_listen, now.wall,
+        static_cast<std::int64_t>(settings_.processor_cores * kMillisPerCore)};
+    if (joblog::RegistrationIsDue(ledger_, own)) {
+      records_.Append(workload::Encode(own), deadline, [](Stored it) {
+        if (it != Stored::kYes) {
+          WriteLog({LogLevel::kWarning,
+                    "address_not_stated",
+                    {{"outcome", Name(it)}}});
+        }
+      });
+    }
     for (const auto& [name, entry] : ledger_.entries) {
-      if (now.wall - entry.stated_at > kRegistrationLifetime) {
+      if (now.wall - entry.stated_at > joblog::kRegistrationLifetime) {
         WriteLog({LogLevel::kInfo, "entry_forgotten", {{"name", name.value}}});
         records_.Append(workload::DropEntry(name), deadline, [](Stored) {});
       }
     }
-    registration_timer_.expires_after(kRegistrationInterval);
+    registration_timer_.expires_after(until_next);
     registration_timer_.async_wait([this](const boost::system::error_code& ec) {
       if (!ec) {
         Register();
