Rename simulation, bench and soak items by their usual terms

JobWorld becomes JobSimulation, LookCall WorkerQuery, MakeLook MakeQuery, Draw RandomInt or RandomFraction, Both BothClocks, the bench's Figure Measurement.

--- a/apps/tests/soak/callers.cc
+++ b/apps/tests/soak/callers.cc
@@ -64,7 +64,7 @@
       random_(random),
       entries_(std::move(entries)) {}
 
-int Callers::Draw(int low, int high) {
+int Callers::RandomInt(int low, int high) {
   return std::uniform_int_distribution<>(low, high)(random_);
 }
 
@@ -75,21 +75,21 @@
   std::snprintf(id.data(), id.size(), "%016llx",
                 static_cast<unsigned long long>(random_()));
   job.id = JobId(id.data());
-  job.queue = Draw(0, 2) == 0 ? "live" : "batch";
+  job.queue = RandomInt(0, 2) == 0 ? "live" : "batch";
   job.terms.max_attempts = 3;
-  const int work = Draw(100, 2'000);
+  const int work = RandomInt(100, 2'000);
   job.payload = std::to_string(work);
-  if (Draw(0, 9) == 0) {
+  if (RandomInt(0, 9) == 0) {
     job.payload += "!1";  // Fails in its first run.
   }
-  const int steps = Draw(1, 2);
+  const int steps = RandomInt(1, 2);
   for (int n = 0; n < steps; ++n) {
     workload::Step step;
-    step.count = Draw(1, 3);
+    step.count = RandomInt(1, 3);
     step.need = kNeed;
     step.estimate = Millis(work);
-    step.gang = step.count > 1 && Draw(0, 2) == 0;
-    step.saves_checkpoints = Draw(0, 1) == 0;
+    step.gang = step.count > 1 && RandomInt(0, 2) == 0;
+    step.saves_checkpoints = RandomInt(0, 1) == 0;
     if (n > 0) {
       step.depends_on = {0};
     }
@@ -98,9 +98,10 @@
     }
     job.steps.push_back(step);
   }
-  caller->cancels = Draw(0, 9) == 0;
+  caller->cancels = RandomInt(0, 9) == 0;
   caller->next_call = now;
-  caller->entry = static_cast<std::size_t>(Draw(0, 1'000)) % entries_.size();
+  caller->entry =
+      static_cast<std::size_t>(RandomInt(0, 1'000)) % entries_.size();
   caller->client = std::make_unique<net::HttpClient>(context_);
   oracle_.OnSent(job);
   callers_.push_back(std::move(caller));
@@ -183,7 +184,7 @@
 
 void Callers::Tick(TimePoint now) {
   if (submitting_ && now >= next_job_) {
-    next_job_ = now + Millis(Draw(50, 500));
+    next_job_ = now + Millis(RandomInt(50, 500));
     Add(now);
   }
   for (const CallerPtr& it : callers_) {
--- a/apps/tests/soak/callers.h
+++ b/apps/tests/soak/callers.h
@@ -62,7 +62,7 @@
   void Submit(const CallerPtr& caller);
   void Ask(const CallerPtr& caller);
   void Cancel(const CallerPtr& caller);
-  int Draw(int low, int high);
+  int RandomInt(int low, int high);
 
   boost::asio::io_context& context_;
   jobharness::JobOracle& oracle_;
--- a/apps/tests/soak/soak.cc
+++ b/apps/tests/soak/soak.cc
@@ -80,7 +80,7 @@
     while (ReadClock() < faults_until) {
       Tick();
       if (ReadClock() >= next_fault) {
-        next_fault = ReadClock() + Millis(Draw(100, 2'000));
+        next_fault = ReadClock() + Millis(RandomInt(100, 2'000));
         InjectFault();
       }
     }
@@ -97,7 +97,7 @@
   }
 
  private:
-  int Draw(int low, int high) {
+  int RandomInt(int low, int high) {
     return std::uniform_int_distribution<>(low, high)(random_);
   }
 
@@ -199,7 +199,7 @@
       // A program that ends is started again, as the platform does.
       if (it->process && !it->process->Running()) {
         it->process.reset();
-        it->start_at = now + Millis(Draw(50, 2'000));
+        it->start_at = now + Millis(RandomInt(50, 2'000));
       }
       if (!it->process && now >= it->start_at) {
         Start(*it);
@@ -219,13 +219,13 @@
 
   Member& Pick() {
     return *members_[static_cast<std::size_t>(
-        Draw(0, static_cast<int>(members_.size()) - 1))];
+        RandomInt(0, static_cast<int>(members_.size()) - 1))];
   }
 
   void For(const char* what,
            const std::string& whom,
            std::function<void()> undo) {
-    const Millis time(Draw(kShortestFault, kLongestFault));
+    const Millis time(RandomInt(kShortestFault, kLongestFault));
     std::printf("%8lld ms %s %s for %lld ms\n", Elapsed(), what, whom.c_str(),
                 static_cast<long long>(time.count()));
     undo_.emplace_back(ReadClock() + time, std::move(undo));
@@ -242,8 +242,9 @@
 
   void InjectFault() {
     Member& member = Pick();
-    LinkProxy& link = Draw(0, 1) == 0 ? *member.store_link : *member.other_link;
-    switch (Draw(0, 13)) {
+    LinkProxy& link =
+        RandomInt(0, 1) == 0 ? *member.store_link : *member.other_link;
+    switch (RandomInt(0, 13)) {
       case 0:
         return Signal(member, SIGKILL, "kill");
       case 1:
@@ -259,7 +260,7 @@
         link.Block(true, true);
         return For("cut", member.name, [&link] { link.Block(false, false); });
       case 4: {
-        const bool requests = Draw(0, 1) == 0;
+        const bool requests = RandomInt(0, 1) == 0;
         link.Block(requests, !requests);
         return For(requests ? "cut requests of" : "cut answers to", member.name,
                    [&link] { link.Block(false, false); });
@@ -273,7 +274,7 @@
         std::printf("%8lld ms silence %s\n", Elapsed(), member.name.c_str());
         return;
       case 7:
-        link.Delay(Millis(Draw(20, 300)));
+        link.Delay(Millis(RandomInt(20, 300)));
         return For("delay", member.name, [&link] { link.Delay(Millis(0)); });
       case 8:
         faults_.busy = true;
@@ -282,7 +283,8 @@
         faults_.silent = true;
         return For("store silent", "", [this] { faults_.silent = false; });
       case 10:
-        (Draw(0, 1) == 0 ? faults_.lost_answers : faults_.late_appends) = 0.3;
+        (RandomInt(0, 1) == 0 ? faults_.lost_answers : faults_.late_appends) =
+            0.3;
         return For("store loses", "", [this] {
           faults_.lost_answers = 0;
           faults_.late_appends = 0;
@@ -300,9 +302,9 @@
 
   void HarmWorker() {
     const auto n = static_cast<std::size_t>(
-        Draw(0, static_cast<int>(workers_.size()) - 1));
+        RandomInt(0, static_cast<int>(workers_.size()) - 1));
     const std::string name = "agent-" + std::to_string(n + 1);
-    if (Draw(0, 1) == 0) {
+    if (RandomInt(0, 1) == 0) {
       std::printf("%8lld ms worker of %s restarts\n", Elapsed(), name.c_str());
       fleet_.Restart(name, ReadClock());
       return;
@@ -313,7 +315,7 @@
   }
 
   void HarmAll() {
-    switch (Draw(0, 2)) {
+    switch (RandomInt(0, 2)) {
       case 0:
         for (const auto& it : members_) {
           Signal(*it, SIGKILL, "kill");
@@ -326,7 +328,7 @@
         std::printf("%8lld ms history dropped\n", Elapsed());
         return;
       default:
-        WriteConfiguration(version_ + Draw(1, 3));
+        WriteConfiguration(version_ + RandomInt(1, 3));
         std::printf("%8lld ms configuration %d\n", Elapsed(), version_);
     }
   }
--- a/bench/guarantee_cells.cc
+++ b/bench/guarantee_cells.cc
@@ -123,7 +123,7 @@
 
 }  // namespace
 
-Figures MeasureGuaranteeCells(std::uint64_t seed) {
+Measurements MeasureGuaranteeCells(std::uint64_t seed) {
   std::uint64_t random = seed;
   Admitted check;
   Admitted cells;
--- a/bench/guarantee_cells.h
+++ b/bench/guarantee_cells.h
@@ -3,14 +3,14 @@
 
 #include <cstdint>
 
-#include "figure.h"
+#include "measurement.h"
 
 namespace shallotlug::bench {
 
 /// @brief The feasibility check against fixed cells: how much work that cannot
 /// be stopped is admitted, and how many guaranteed groups are left after one
 /// worker failed.
-Figures MeasureGuaranteeCells(std::uint64_t seed);
+Measurements MeasureGuaranteeCells(std::uint64_t seed);
 
 }  // namespace shallotlug::bench
 
--- a/bench/job_scheduler.cc
+++ b/bench/job_scheduler.cc
@@ -123,7 +123,9 @@
     longest_micros_ = std::max(longest_micros_, took);
   }
 
-  double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
+  double RandomFraction() {
+    return std::uniform_real_distribution<>(0, 1)(random_);
+  }
 
   void SubmitJobs() {
     const double per_tick = kJobsPerWorkerSecond *
@@ -145,7 +147,7 @@
     job.customer = CustomerName("customer");
     job.accepted_at = now_.wall;
     workload::Step& step = job.steps.emplace_back();
-    step.count = 1 + static_cast<int>(Draw() * 2 * shape.mean_tasks);
+    step.count = 1 + static_cast<int>(RandomFraction() * 2 * shape.mean_tasks);
     // No gang asks for more than a quarter of the workers.
     const int most = static_cast<int>(agents_.size()) / 4;
     step.count = shape.gang ? std::min(step.count, most) : step.count;
@@ -213,7 +215,9 @@
   }
 
   // Between half and one and a half of the mean of all shapes.
-  Millis RunTime() { return Millis(3'000 + static_cast<int>(Draw() * 6'000)); }
+  Millis RunTime() {
+    return Millis(3'000 + static_cast<int>(RandomFraction() * 6'000));
+  }
 
   static protocol::SyncReply ReplyOf(const FakeAgent& agent) {
     protocol::SyncReply reply;
@@ -248,9 +252,9 @@
 
 }  // namespace
 
-Figures MeasureJobScheduler(std::uint64_t seed) {
+Measurements MeasureJobScheduler(std::uint64_t seed) {
   constexpr int kSizes[] = {11, 84, 240, 1'000};
-  Figures out;
+  Measurements out;
   for (const int size : kSizes) {
     Day day(size, seed);
     day.Run();
--- a/bench/job_scheduler.h
+++ b/bench/job_scheduler.h
@@ -3,14 +3,14 @@
 
 #include <cstdint>
 
-#include "figure.h"
+#include "measurement.h"
 
 namespace shallotlug::bench {
 
 /// @brief Cost of the scheduler of `serve-jobs` at 11 to 1,000 workers: its own
 /// processor time and record bytes for each placed task, and its longest step,
 /// with arrivals that grow with the workers.
-Figures MeasureJobScheduler(std::uint64_t seed);
+Measurements MeasureJobScheduler(std::uint64_t seed);
 
 }  // namespace shallotlug::bench
 
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -6,9 +6,9 @@
 #include <vector>
 
 #include "event_loop.h"
-#include "figure.h"
 #include "guarantee_cells.h"
 #include "job_scheduler.h"
+#include "measurement.h"
 #include "scale.h"
 #include "test_state.h"
 
@@ -31,7 +31,7 @@
          static_cast<double>(std::max(it.live_latency.size(), std::size_t{1}));
 }
 
-void AddRun(Figures& out,
+void AddRun(Measurements& out,
             const std::string& prefix,
             Deployment deployment,
             std::uint64_t seed) {
@@ -71,8 +71,8 @@
   add("migrated", static_cast<double>(a.migrated), "jobs", 0);
 }
 
-Figures MeasureDeployments() {
-  Figures out;
+Measurements MeasureDeployments() {
+  Measurements out;
   for (const std::uint64_t seed : kSeeds) {
     AddRun(out, "fargekort_", Deployment::kFargekort, seed);
     AddRun(out, "authority_", Deployment::kAuthority, seed);
@@ -81,7 +81,7 @@
 }
 
 /// 10,000 random states; the baseline is the same without kept guarantees.
-Figures MeasureGuarantees() {
+Measurements MeasureGuarantees() {
   const auto missed = [](bool keep) {
     double count = 0;
     for (std::uint64_t seed = 1; seed <= 500; ++seed) {
@@ -98,8 +98,8 @@
            missed(false), 1}};
 }
 
-void PrintText(const Figures& figures) {
-  for (const Figure& it : figures) {
+void PrintText(const Measurements& figures) {
+  for (const Measurement& it : figures) {
     const double ratio = it.baseline != 0 ? it.value / it.baseline : 0;
     std::printf("%-44s %12.3f %-5s baseline %12.3f ratio %8.4f seed %llu\n",
                 it.name.c_str(), it.value, it.unit.c_str(), it.baseline, ratio,
@@ -107,9 +107,9 @@
   }
 }
 
-void PrintJson(const Figures& figures) {
+void PrintJson(const Measurements& figures) {
   boost::json::array rows;
-  for (const Figure& it : figures) {
+  for (const Measurement& it : figures) {
     boost::json::object row{{"name", it.name},
                             {"value", it.value},
                             {"unit", it.unit},
@@ -136,8 +136,8 @@
   const auto wants = [&](const std::string& it) {
     return name.empty() || name == it;
   };
-  Figures figures;
-  const auto append = [&](const Figures& more) {
+  Measurements figures;
+  const auto append = [&](const Measurements& more) {
     figures.insert(figures.end(), more.begin(), more.end());
   };
   if (wants("deployments")) {
--- a/bench/figure.h
+++ b/bench/measurement.h
@@ -1,5 +1,5 @@
-#ifndef SHALLOTLUG_BENCH_FIGURE_H_
-#define SHALLOTLUG_BENCH_FIGURE_H_
+#ifndef SHALLOTLUG_BENCH_MEASUREMENT_H_
+#define SHALLOTLUG_BENCH_MEASUREMENT_H_
 
 #include <cstdint>
 #include <string>
@@ -7,8 +7,8 @@
 
 namespace shallotlug::bench {
 
-/// @brief One measured figure.
-struct Figure {
+/// @brief One measured value with its unit.
+struct Measurement {
   std::string name;
   double value = 0;
   std::string unit;
@@ -16,8 +16,8 @@
   std::uint64_t seed = 0;
 };
 
-using Figures = std::vector<Figure>;
+using Measurements = std::vector<Measurement>;
 
 }  // namespace shallotlug::bench
 
-#endif  // SHALLOTLUG_BENCH_FIGURE_H_
+#endif  // SHALLOTLUG_BENCH_MEASUREMENT_H_
--- a/bench/scale.cc
+++ b/bench/scale.cc
@@ -150,7 +150,7 @@
   return {static_cast<double>(rows), MillisSince(start), true};
 }
 
-void AddScale(Figures& out,
+void AddScale(Measurements& out,
               const BigCluster& big,
               int workers,
               const std::string& name,
@@ -168,7 +168,7 @@
 
 /// Ends all work of a class, so that its guarantee is unused, and reclaims one
 /// group after each of a number of changes of other work.
-void AddReclaim(Figures& out,
+void AddReclaim(Measurements& out,
                 BigCluster& big,
                 int workers,
                 std::uint64_t seed) {
@@ -225,8 +225,8 @@
 
 }  // namespace
 
-Figures MeasureScale(std::uint64_t seed) {
-  Figures out;
+Measurements MeasureScale(std::uint64_t seed) {
+  Measurements out;
   for (const int workers : {1750, 3500, 7000, 14'000}) {
     BigCluster big(workers, seed);
     AddScale(out, big, workers, "single",
@@ -242,8 +242,8 @@
   return out;
 }
 
-Figures MeasureWaves(std::uint64_t seed) {
-  Figures out;
+Measurements MeasureWaves(std::uint64_t seed) {
+  Measurements out;
   for (const int part : {2, 1}) {
     BigCluster big(kWorkers, seed);
     const std::string suffix = part == 1 ? "" : "_half";
--- a/bench/scale.h
+++ b/bench/scale.h
@@ -3,16 +3,16 @@
 
 #include <cstdint>
 
-#include "figure.h"
+#include "measurement.h"
 
 namespace shallotlug::bench {
 
 /// @brief Work of one placement at up to 14,000 workers and 240,000 tasks,
 /// against a scan of all workers.
-Figures MeasureScale(std::uint64_t seed);
+Measurements MeasureScale(std::uint64_t seed);
 
 /// @brief 10,000 cancellations and 19,000 submissions at once.
-Figures MeasureWaves(std::uint64_t seed);
+Measurements MeasureWaves(std::uint64_t seed);
 
 }  // namespace shallotlug::bench
 
--- a/packages/executor/include/shallotlug/executor/executor.h
+++ b/packages/executor/include/shallotlug/executor/executor.h
@@ -27,7 +27,7 @@
 using Action = std::variant<StartAction, StopAction>;
 
 /// @brief A call that reads the worker's run lists and renews its lease.
-struct LookCall {
+struct WorkerQuery {
   std::uint64_t number = 0;  ///< Passed to OnView() with the answer.
   OrderContext context;
   std::uint64_t noted_ends = 0;
@@ -49,7 +49,7 @@
   /// @brief The worker has left. Its lists must have been read before.
   void OnDeparture(const std::string& worker, TimePoint now);
   /// @brief The final call to a worker that announces its departure.
-  LookCall LastCall();
+  WorkerQuery LastCall();
 
   /// @brief Handles the scheduler's call; false when its epoch is outdated.
   bool OnSync(const protocol::SyncRequest& request, TimePoint now);
@@ -69,9 +69,9 @@
                     TimePoint now);
 
   /// @brief The long-polling call, which waits for the end of a run.
-  LookCall WatchCall(TimePoint now);
+  WorkerQuery WatchCall(TimePoint now);
   /// @brief A call without a wait, if one is needed before the long poll ends.
-  std::optional<LookCall> QuickCall(TimePoint now);
+  std::optional<WorkerQuery> QuickCall(TimePoint now);
   void OnView(std::uint64_t number, const WorkerView& view, TimePoint now);
 
   std::vector<LogLine> TakeLog();
--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -122,7 +122,7 @@
   std::optional<WorkerTime> SafeWorkerLease() const;
   std::optional<WorkerTime> GrantLease();
   void ExpireSilentWorker(TimePoint now);
-  LookCall MakeLook(Millis wait);
+  WorkerQuery MakeQuery(Millis wait);
   void ApplyActiveRuns(const std::vector<workload::ActiveRun>& active,
                        std::uint64_t number);
   void ApplyEnds(const std::vector<workload::RunEnd>& list);
@@ -286,8 +286,8 @@
   }
 }
 
-LookCall Executor::Impl::MakeLook(Millis wait) {
-  LookCall look;
+WorkerQuery Executor::Impl::MakeQuery(Millis wait) {
+  WorkerQuery look;
   look.number = next_look++;
   look.context.worker = facts ? facts->life.id : "";
   look.context.epoch = epoch;
@@ -605,20 +605,20 @@
   }
 }
 
-LookCall Executor::WatchCall(TimePoint now) {
+WorkerQuery Executor::WatchCall(TimePoint now) {
   Impl& it = *impl_;
   if (!it.lists_read) {
-    return it.MakeLook(Millis{0});
+    return it.MakeQuery(Millis{0});
   }
   const bool idle = it.runs.empty() || it.lease_until <= now;
-  return it.MakeLook(idle ? kIdleWatchWait : kWatchWait);
+  return it.MakeQuery(idle ? kIdleWatchWait : kWatchWait);
 }
 
-LookCall Executor::LastCall() {
-  return impl_->MakeLook(Millis{0});
+WorkerQuery Executor::LastCall() {
+  return impl_->MakeQuery(Millis{0});
 }
 
-std::optional<LookCall> Executor::QuickCall(TimePoint) {
+std::optional<WorkerQuery> Executor::QuickCall(TimePoint) {
   Impl& it = *impl_;
   const auto lease = it.SafeWorkerLease();
   const bool renew = lease && !it.runs.empty() &&
@@ -626,7 +626,7 @@
   if (it.immediate_look < it.next_look && !renew) {
     return std::nullopt;
   }
-  return it.MakeLook(Millis{0});
+  return it.MakeQuery(Millis{0});
 }
 
 void Executor::OnView(std::uint64_t number,
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -47,7 +47,7 @@
     return view;
   }
 
-  void Answer(const LookCall& look, const WorkerView& view) {
+  void Answer(const WorkerQuery& look, const WorkerView& view) {
     subject.OnView(look.number, view, now);
   }
 
@@ -142,7 +142,7 @@
   OrderStart();
   subject.TakeActions(now);
   subject.OnStartResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
-  const LookCall watch = subject.WatchCall(now);
+  const WorkerQuery watch = subject.WatchCall(now);
   Answer(subject.LastCall(), View({FirstRun()}));
   Wait(Millis(40));
   Answer(watch, View({}, {{1, FirstRun(), EndReason::kDone, ""}}));
@@ -152,7 +152,7 @@
 
 TEST_F(ExecutorTest, IgnoresAnOutdatedView) {
   Connect();
-  const LookCall first = subject.WatchCall(now);
+  const WorkerQuery first = subject.WatchCall(now);
   const WorkerView old = View({FirstRun()});
   Wait(Millis(40));
   Answer(subject.LastCall(), View({}, {{1, FirstRun(), EndReason::kDone, ""}}));
@@ -180,7 +180,7 @@
   Answer(subject.WatchCall(now), View({FirstRun()}));
   Millis waited{0};
   while (Reply().refusals.empty() && waited < Millis(20'000)) {
-    const LookCall look = subject.WatchCall(now);
+    const WorkerQuery look = subject.WatchCall(now);
     Wait(Millis(500));
     waited += Millis(500);
     WorkerView lost;
--- a/packages/jobharness/include/shallotlug/jobharness/job_world.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
@@ -1,5 +1,5 @@
-#ifndef SHALLOTLUG_JOBHARNESS_JOB_WORLD_H_
-#define SHALLOTLUG_JOBHARNESS_JOB_WORLD_H_
+#ifndef SHALLOTLUG_JOBHARNESS_JOB_SIMULATION_H_
+#define SHALLOTLUG_JOBHARNESS_JOB_SIMULATION_H_
 
 #include <cstdint>
 #include <memory>
@@ -14,7 +14,7 @@
 
 namespace shallotlug::jobharness {
 
-struct JobWorldOptions {
+struct JobSimulationOptions {
   std::uint64_t seed = 1;
   int entries = 3;
   int agents = 4;
@@ -32,12 +32,12 @@
 /// @brief Entries and agents on a fake clock, against the stand-ins, in one
 /// thread. The real state machines run; calls between them take a few
 /// milliseconds, drawn from the seed.
-class JobWorld {
+class JobSimulation {
  public:
-  explicit JobWorld(const JobWorldOptions& options);
-  ~JobWorld();
-  JobWorld(const JobWorld&) = delete;
-  JobWorld& operator=(const JobWorld&) = delete;
+  explicit JobSimulation(const JobSimulationOptions& options);
+  ~JobSimulation();
+  JobSimulation(const JobSimulation&) = delete;
+  JobSimulation& operator=(const JobSimulation&) = delete;
 
   /// @brief Lets time pass.
   void Run(Millis time);
@@ -93,4 +93,4 @@
 
 }  // namespace shallotlug::jobharness
 
-#endif  // SHALLOTLUG_JOBHARNESS_JOB_WORLD_H_
+#endif  // SHALLOTLUG_JOBHARNESS_JOB_SIMULATION_H_
--- a/packages/jobharness/src/job_oracle_test.cc
+++ b/packages/jobharness/src/job_oracle_test.cc
@@ -3,7 +3,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include "shallotlug/jobharness/job_world.h"
+#include "shallotlug/jobharness/job_simulation.h"
 
 namespace shallotlug::jobharness {
 namespace {
--- a/packages/jobharness/src/job_world.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -1,4 +1,4 @@
-#include "shallotlug/jobharness/job_world.h"
+#include "shallotlug/jobharness/job_simulation.h"
 
 #include <algorithm>
 #include <functional>
@@ -54,11 +54,11 @@
 
 }  // namespace
 
-struct JobWorld::Impl {
-  explicit Impl(const JobWorldOptions& given)
+struct JobSimulation::Impl {
+  explicit Impl(const JobSimulationOptions& given)
       : options(given), random(given.seed), fleet(oracle) {}
 
-  JobWorldOptions options;
+  JobSimulationOptions options;
   std::mt19937_64 random;
   TimePoint now{Millis(1'000)};
 
@@ -84,7 +84,7 @@
   std::vector<AgentSim> agents;
   std::map<JobId, workload::Job> jobs;
 
-  scheduler::Now Both() const {
+  scheduler::Now BothClocks() const {
     return {now, workload::WallTime(now.time_since_epoch())};
   }
   bool Chance(double share) {
@@ -106,7 +106,7 @@
   void StepAgent(std::size_t n);
   void Register(std::size_t n);
   void SendAction(std::size_t n, const executor::Action& action);
-  void Look(std::size_t n, const executor::LookCall& look);
+  void Look(std::size_t n, const executor::WorkerQuery& look);
   void TrySubmit(const JobId& job, int attempts);
   void TryCancel(const JobId& job, int attempts);
   AgentSim* FindAgent(const AgentName& name);
@@ -122,7 +122,7 @@
   }
 };
 
-AgentSim* JobWorld::Impl::FindAgent(const AgentName& name) {
+AgentSim* JobSimulation::Impl::FindAgent(const AgentName& name) {
   for (AgentSim& it : agents) {
     if (it.machine == name.value) {
       return &it;
@@ -133,7 +133,9 @@
 
 // An append whose answer is lost may have been carried out.
 template <class Call, class Answer>
-void JobWorld::Impl::CallStore(const std::string&, Call call, Answer answer) {
+void JobSimulation::Impl::CallStore(const std::string&,
+                                    Call call,
+                                    Answer answer) {
   const bool lost = Chance(options.lost_appends);
   const bool done = !lost || Chance(0.5);
   After(Delay(), [this, call, answer, lost, done] {
@@ -150,7 +152,7 @@
 }
 
 template <class Result, class Call, class Answer>
-void JobWorld::Impl::CallWorker(std::size_t n, Call call, Answer answer) {
+void JobSimulation::Impl::CallWorker(std::size_t n, Call call, Answer answer) {
   const std::uint64_t life = agents[n].life;
   if (agents[n].worker_cut) {
     After(kCallTimeout, [this, n, life, answer] {
@@ -194,7 +196,7 @@
   }
 }
 
-void JobWorld::Impl::Tick() {
+void JobSimulation::Impl::Tick() {
   now += kStep;
   fleet.Advance(now);
   while (!events.empty() && events.begin()->first <= now) {
@@ -214,7 +216,7 @@
   }
 }
 
-void JobWorld::Impl::Read(std::size_t n) {
+void JobSimulation::Impl::Read(std::size_t n) {
   EntrySim& entry = entries[n];
   entry.next_read = now + kReadInterval;
   const std::string caller = "entry-" + std::to_string(n);
@@ -224,12 +226,12 @@
   } else {
     entry.follower->OnRead(store.Read(caller, call.from), now);
   }
-  entry.role->OnPage(*entry.follower, Both());
+  entry.role->OnPage(*entry.follower, BothClocks());
 }
 
-void JobWorld::Impl::StartAppend(std::size_t n) {
+void JobSimulation::Impl::StartAppend(std::size_t n) {
   EntrySim& entry = entries[n];
-  const auto append = entry.role->NextAppend(random(), Both());
+  const auto append = entry.role->NextAppend(random(), BothClocks());
   if (!append) {
     return;
   }
@@ -241,12 +243,12 @@
       },
       [this, n, life = entry.life](const joblog::AppendResult& result) {
         if (EntryLives(n, life)) {
-          entries[n].role->OnAppended(result, Both());
+          entries[n].role->OnAppended(result, BothClocks());
         }
       });
 }
 
-void JobWorld::Impl::StepEntry(std::size_t n) {
+void JobSimulation::Impl::StepEntry(std::size_t n) {
   EntrySim& entry = entries[n];
   if (now >= entry.next_read) {
     Read(n);
@@ -259,18 +261,18 @@
   for (const auto& it : entry.role->Active()->Agents()) {
     if (!entry.syncing.contains(it.agent) &&
         (now >= entry.next_sync[it.agent] ||
-         entry.role->Active()->HasNews(it.agent, Both()))) {
+         entry.role->Active()->HasNews(it.agent, BothClocks()))) {
       Sync(n, it.agent);
     }
   }
 }
 
-void JobWorld::Impl::Sync(std::size_t n, const AgentName& name) {
+void JobSimulation::Impl::Sync(std::size_t n, const AgentName& name) {
   EntrySim& entry = entries[n];
   entry.next_sync[name] = now + kSyncInterval;
   entry.syncing.insert(name);
   const protocol::SyncRequest request =
-      entry.role->Active()->MakeSync(name, Millis{0}, Both());
+      entry.role->Active()->MakeSync(name, Millis{0}, BothClocks());
   const std::uint64_t life = entry.life;
   const std::uint64_t epoch = entry.role->Epoch();
   After(Delay(), [this, n, name, request, life, epoch] {
@@ -293,9 +295,9 @@
         return;
       }
       if (reply.accepted) {
-        entries[n].role->Active()->OnReply(name, reply, Both());
+        entries[n].role->Active()->OnReply(name, reply, BothClocks());
       } else {
-        entries[n].role->OnDeposed(epoch, Both());
+        entries[n].role->OnDeposed(epoch, BothClocks());
       }
     });
   });
@@ -303,8 +305,8 @@
 
 // What a cut holds up may arrive when it has healed, long after the caller has
 // given up.
-void JobWorld::Impl::HoldUp(const AgentName& name,
-                            const protocol::SyncRequest& request) {
+void JobSimulation::Impl::HoldUp(const AgentName& name,
+                                 const protocol::SyncRequest& request) {
   const Millis held(std::uniform_int_distribution<std::int64_t>(
       0, kLongestHoldUp.count())(random));
   After(held, [this, name, request] {
@@ -315,7 +317,7 @@
   });
 }
 
-void JobWorld::Impl::Register(std::size_t n) {
+void JobSimulation::Impl::Register(std::size_t n) {
   AgentSim& agent = agents[n];
   agent.registered = true;
   workload::AgentAddress address;
@@ -327,7 +329,7 @@
   agent.registered = result.status == joblog::AppendStatus::kDone;
 }
 
-void JobWorld::Impl::StepAgent(std::size_t n) {
+void JobSimulation::Impl::StepAgent(std::size_t n) {
   AgentSim& agent = agents[n];
   if (!agent.registered) {
     Register(n);
@@ -350,7 +352,8 @@
   Trace(agent.machine, agent.executor->TakeLog());
 }
 
-void JobWorld::Impl::Look(std::size_t n, const executor::LookCall& look) {
+void JobSimulation::Impl::Look(std::size_t n,
+                               const executor::WorkerQuery& look) {
   const std::string machine = agents[n].machine;
   CallWorker<executor::WorkerView>(
       n,
@@ -362,7 +365,8 @@
       });
 }
 
-void JobWorld::Impl::SendAction(std::size_t n, const executor::Action& action) {
+void JobSimulation::Impl::SendAction(std::size_t n,
+                                     const executor::Action& action) {
   AgentSim& agent = agents[n];
   const std::string machine = agent.machine;
   const executor::OrderContext context = agent.executor->Context();
@@ -387,7 +391,7 @@
   }
 }
 
-void JobWorld::Impl::TrySubmit(const JobId& id, int attempts) {
+void JobSimulation::Impl::TrySubmit(const JobId& id, int attempts) {
   const auto record = workload::Encode(workload::JobAccepted{jobs.at(id)});
   CallStore(
       "caller", [this, record] { return store.Append("caller", {record}, {}); },
@@ -401,7 +405,7 @@
       });
 }
 
-void JobWorld::Impl::TryCancel(const JobId& id, int attempts) {
+void JobSimulation::Impl::TryCancel(const JobId& id, int attempts) {
   const auto record = workload::Encode(workload::JobCancelled{id});
   CallStore(
       "caller", [this, record] { return store.Append("caller", {record}, {}); },
@@ -415,7 +419,7 @@
       });
 }
 
-JobWorld::JobWorld(const JobWorldOptions& options)
+JobSimulation::JobSimulation(const JobSimulationOptions& options)
     : impl_(std::make_unique<Impl>(options)) {
   Impl& it = *impl_;
   it.policy.version = 1;
@@ -442,18 +446,18 @@
   }
 }
 
-JobWorld::~JobWorld() = default;
+JobSimulation::~JobSimulation() = default;
 
-void JobWorld::Run(Millis time) {
+void JobSimulation::Run(Millis time) {
   const TimePoint until = impl_->now + time;
   while (impl_->now < until) {
     impl_->Tick();
   }
 }
 
-void JobWorld::Submit(const workload::Job& job) {
+void JobSimulation::Submit(const workload::Job& job) {
   impl_->jobs[job.id] = job;
-  impl_->jobs[job.id].accepted_at = impl_->Both().wall;
+  impl_->jobs[job.id].accepted_at = impl_->BothClocks().wall;
   impl_->oracle.OnSent(job);
   for (std::size_t n = 0; n < job.steps.size(); ++n) {
     if (job.steps[n].gang) {
@@ -463,15 +467,15 @@
   impl_->TrySubmit(job.id, kSubmitAttempts);
 }
 
-void JobWorld::Cancel(const JobId& job) {
+void JobSimulation::Cancel(const JobId& job) {
   impl_->TryCancel(job, kSubmitAttempts);
 }
 
-void JobWorld::KillEntry(int entry) {
+void JobSimulation::KillEntry(int entry) {
   impl_->entries[static_cast<std::size_t>(entry)].running = false;
 }
 
-void JobWorld::StartEntry(int entry) {
+void JobSimulation::StartEntry(int entry) {
   Impl* world = impl_.get();
   const auto n = static_cast<std::size_t>(entry);
   EntrySim& it = world->entries[n];
@@ -490,26 +494,26 @@
   it.follower.emplace([world, n](const joblog::StoredRecord& stored) {
     EntrySim& self = world->entries[n];
     Apply(self.ledger, stored.record.key, stored.record.value, stored.offset);
-    self.role->OnRecord(stored, world->Both());
+    self.role->OnRecord(stored, world->BothClocks());
   });
 }
 
-void JobWorld::FreezeEntry(int entry, bool frozen) {
+void JobSimulation::FreezeEntry(int entry, bool frozen) {
   impl_->entries[static_cast<std::size_t>(entry)].frozen = frozen;
 }
 
-void JobWorld::RetireEntry(int entry) {
+void JobSimulation::RetireEntry(int entry) {
   EntrySim& it = impl_->entries[static_cast<std::size_t>(entry)];
   if (it.running) {
     it.role->Retire();
   }
 }
 
-void JobWorld::KillAgent(int agent) {
+void JobSimulation::KillAgent(int agent) {
   impl_->agents[static_cast<std::size_t>(agent)].running = false;
 }
 
-void JobWorld::StartAgent(int agent) {
+void JobSimulation::StartAgent(int agent) {
   AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
   if (it.running) {
     return;
@@ -521,25 +525,25 @@
       executor::ExecutorOptions{AgentName(it.machine), Incarnation{it.life}});
 }
 
-void JobWorld::CutAgent(int agent, bool cut) {
+void JobSimulation::CutAgent(int agent, bool cut) {
   impl_->agents[static_cast<std::size_t>(agent)].cut = cut;
 }
 
-void JobWorld::CutWorker(int agent, bool cut) {
+void JobSimulation::CutWorker(int agent, bool cut) {
   impl_->agents[static_cast<std::size_t>(agent)].worker_cut = cut;
 }
 
-void JobWorld::RestartWorker(int agent) {
+void JobSimulation::RestartWorker(int agent) {
   AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
   it.draining = false;
   impl_->fleet.Restart(it.machine, impl_->now);
 }
 
-void JobWorld::DrainWorker(int agent) {
+void JobSimulation::DrainWorker(int agent) {
   impl_->agents[static_cast<std::size_t>(agent)].draining = true;
 }
 
-int JobWorld::Scheduler() const {
+int JobSimulation::Scheduler() const {
   int best = -1;
   std::uint64_t epoch = 0;
   for (std::size_t n = 0; n < impl_->entries.size(); ++n) {
@@ -552,32 +556,32 @@
   return best;
 }
 
-void JobWorld::SetLosses(double orders, double appends) {
+void JobSimulation::SetLosses(double orders, double appends) {
   impl_->options.lost_orders = orders;
   impl_->options.lost_appends = appends;
 }
 
-FakeStore& JobWorld::Store() {
+FakeStore& JobSimulation::Store() {
   return impl_->store;
 }
 
-FakeFleet& JobWorld::Fleet() {
+FakeFleet& JobSimulation::Fleet() {
   return impl_->fleet;
 }
 
-JobOracle& JobWorld::Oracle() {
+JobOracle& JobSimulation::Oracle() {
   return impl_->oracle;
 }
 
-workload::Policy& JobWorld::Targets() {
+workload::Policy& JobSimulation::Targets() {
   return impl_->policy;
 }
 
-TimePoint JobWorld::Now() const {
+TimePoint JobSimulation::Now() const {
   return impl_->now;
 }
 
-std::string JobWorld::Shown(const JobId& job) const {
+std::string JobSimulation::Shown(const JobId& job) const {
   // An entry that has not read the log hands its callers to one that has.
   const EntrySim* newest = nullptr;
   for (const EntrySim& it : impl_->entries) {
@@ -594,7 +598,7 @@
   return state ? workload::Name(*state) : "unknown";
 }
 
-std::string JobWorld::Finish(Millis settle) {
+std::string JobSimulation::Finish(Millis settle) {
   SetLosses(0, 0);
   impl_->store.Serve("*");
   for (int n = 0; n < impl_->options.entries; ++n) {
--- a/packages/jobharness/src/job_world_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -1,4 +1,4 @@
-#include "shallotlug/jobharness/job_world.h"
+#include "shallotlug/jobharness/job_simulation.h"
 
 #include <cstdlib>
 #include <random>
@@ -11,8 +11,8 @@
 
 constexpr Millis kSettle{40'000};
 
-TEST(JobWorldTest, CompletesAJobOfStepsAndGangs) {
-  JobWorld world({});
+TEST(JobSimulationTest, CompletesAJobOfStepsAndGangs) {
+  JobSimulation world({});
   world.Run(Millis(1'000));
   workload::Job job = MakeJob("j1", 4, "800");
   job.steps[0].gang = true;
@@ -28,12 +28,12 @@
 }
 
 // Three entries that claim the same epoch at once must not all be schedulers.
-TEST(JobWorldTest, HasOneSchedulerAfterSimultaneousClaims) {
+TEST(JobSimulationTest, HasOneSchedulerAfterSimultaneousClaims) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    JobWorldOptions options;
+    JobSimulationOptions options;
     options.seed = seed;
     options.entries = 5;
-    JobWorld world(options);
+    JobSimulation world(options);
     world.Submit(MakeJob("j1", 12, "500"));
     world.Run(Millis(3'000));
     EXPECT_EQ(world.Finish(Millis(5'000)), "") << "seed " << seed;
@@ -41,11 +41,11 @@
 }
 
 // The successor learns of every run from the log and orders none twice.
-TEST(JobWorldTest, SurvivesTheLossOfTheSchedulerInTheMiddleOfStarts) {
+TEST(JobSimulationTest, SurvivesTheLossOfTheSchedulerInTheMiddleOfStarts) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    JobWorldOptions options;
+    JobSimulationOptions options;
     options.seed = seed;
-    JobWorld world(options);
+    JobSimulation world(options);
     world.Run(Millis(1'000));
     world.Submit(MakeJob("j1", 10, "1500"));
     world.Run(Millis(10 + 3 * static_cast<int>(seed)));
@@ -58,11 +58,11 @@
 
 // A repeated start must not be refused by an agent that has not yet read what
 // its worker runs, or the task is started elsewhere while it runs.
-TEST(JobWorldTest, AdoptsRunsAfterAllProcessesWereKilled) {
+TEST(JobSimulationTest, AdoptsRunsAfterAllProcessesWereKilled) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    JobWorldOptions options;
+    JobSimulationOptions options;
     options.seed = seed;
-    JobWorld world(options);
+    JobSimulation world(options);
     world.Run(Millis(1'000));
     world.Submit(MakeJob("j1", 12, "3000"));
     world.Run(Millis(500));
@@ -84,8 +84,8 @@
 }
 
 // The scheduler must not go on extending the lease of a worker that is silent.
-TEST(JobWorldTest, StartsTheTasksOfASilentWorkerElsewhere) {
-  JobWorld world({});
+TEST(JobSimulationTest, StartsTheTasksOfASilentWorkerElsewhere) {
+  JobSimulation world({});
   world.Run(Millis(1'000));
   world.Submit(MakeJob("j1", 12, "4000"));
   world.Run(Millis(500));
@@ -95,8 +95,8 @@
   EXPECT_EQ(world.Finish(kSettle), "");
 }
 
-TEST(JobWorldTest, StartsTheTasksOfAnUnreachableAgentElsewhere) {
-  JobWorld world({});
+TEST(JobSimulationTest, StartsTheTasksOfAnUnreachableAgentElsewhere) {
+  JobSimulation world({});
   world.Run(Millis(1'000));
   world.Submit(MakeJob("j1", 12, "4000"));
   world.Run(Millis(500));
@@ -106,8 +106,8 @@
   EXPECT_EQ(world.Finish(kSettle), "");
 }
 
-TEST(JobWorldTest, HandsOverWithoutWaitingForATimeout) {
-  JobWorld world({});
+TEST(JobSimulationTest, HandsOverWithoutWaitingForATimeout) {
+  JobSimulation world({});
   world.Run(Millis(2'000));
   const int first = world.Scheduler();
   world.RetireEntry(first);
@@ -116,8 +116,8 @@
   EXPECT_NE(world.Scheduler(), first);
 }
 
-TEST(JobWorldTest, StoreRefusesTheSchedulerOnly) {
-  JobWorld world({});
+TEST(JobSimulationTest, StoreRefusesTheSchedulerOnly) {
+  JobSimulation world({});
   world.Run(Millis(2'000));
   const int first = world.Scheduler();
   world.Store().Refuse("entry-" + std::to_string(first));
@@ -127,8 +127,8 @@
   EXPECT_EQ(world.Finish(kSettle), "");
 }
 
-TEST(JobWorldTest, RunningWorkOutlivesAnOutageOfTheStore) {
-  JobWorld world({});
+TEST(JobSimulationTest, RunningWorkOutlivesAnOutageOfTheStore) {
+  JobSimulation world({});
   world.Run(Millis(2'000));
   world.Submit(MakeJob("j1", 8, "9000"));
   world.Run(Millis(500));
@@ -142,8 +142,8 @@
   EXPECT_EQ(world.Finish(kSettle), "");
 }
 
-TEST(JobWorldTest, ReloadsWhenTheHistoryWasDropped) {
-  JobWorld world({});
+TEST(JobSimulationTest, ReloadsWhenTheHistoryWasDropped) {
+  JobSimulation world({});
   world.Run(Millis(1'000));
   for (int n = 0; n < 70; ++n) {
     world.Submit(MakeJob("j" + std::to_string(n), 1, "50"));
@@ -156,8 +156,8 @@
   EXPECT_EQ(world.Finish(kSettle), "");
 }
 
-TEST(JobWorldTest, FailsAJobWhoseAttemptsAreUsedUp) {
-  JobWorld world({});
+TEST(JobSimulationTest, FailsAJobWhoseAttemptsAreUsedUp) {
+  JobSimulation world({});
   world.Run(Millis(1'000));
   world.Submit(MakeJob("j1", 2, "300!9"));
   world.Run(Millis(10'000));
@@ -167,10 +167,10 @@
 
 /// @brief Draws jobs and faults; the same seed draws the same.
 std::string RandomDay(std::uint64_t seed, bool trace = false) {
-  JobWorldOptions options;
+  JobSimulationOptions options;
   options.seed = seed;
   options.trace = trace;
-  JobWorld world(options);
+  JobSimulation world(options);
   world.Oracle().AllowLoneMembers();
   std::mt19937_64 random(seed * 977);
   const auto draw = [&](int n) {
@@ -265,11 +265,11 @@
 
 // The worker keeps its id when it starts again, so that a start which was
 // answered may have reached either life.
-TEST(JobWorldTest, StopsStartsThatMayHaveReachedANewLife) {
+TEST(JobSimulationTest, StopsStartsThatMayHaveReachedANewLife) {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-    JobWorldOptions options;
+    JobSimulationOptions options;
     options.seed = seed;
-    JobWorld world(options);
+    JobSimulation world(options);
     world.Oracle().AllowLoneMembers();
     world.Run(Millis(1'000));
     world.Submit(MakeJob("j1", 12, "2000"));
@@ -280,8 +280,8 @@
   }
 }
 
-TEST(JobWorldTest, CancelsAJobWhoseCancelWasReadFirst) {
-  JobWorld world({});
+TEST(JobSimulationTest, CancelsAJobWhoseCancelWasReadFirst) {
+  JobSimulation world({});
   world.Run(Millis(1'000));
   world.Store().Append(
       "caller", {workload::Encode(workload::JobCancelled{JobId("j1")})}, {});
@@ -296,11 +296,11 @@
 // of the product's own interface do not pass: a job is submitted, then an entry
 // freezes, the store is away for 2.7 s, one agent is lost for good and another
 // restarts.
-TEST(JobWorldTest, EndsAJobThatWasSubmittedJustBeforeEverythingFailed) {
+TEST(JobSimulationTest, EndsAJobThatWasSubmittedJustBeforeEverythingFailed) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    JobWorldOptions options;
+    JobSimulationOptions options;
     options.seed = seed;
-    JobWorld world(options);
+    JobSimulation world(options);
     world.Oracle().AllowLoneMembers();
     world.Run(Millis(1'000));
     workload::Job job = MakeJob("j2", 4, "3000");
@@ -325,14 +325,14 @@
   }
 }
 
-TEST(JobWorldTest, RandomDaysKeepThePromises) {
+TEST(JobSimulationTest, RandomDaysKeepThePromises) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     EXPECT_EQ(RandomDay(seed), "") << "seed " << seed;
   }
 }
 
 // Plays the day of one seed with its log: SHALLOTLUG_SEED=N.
-TEST(JobWorldTest, OneRandomDay) {
+TEST(JobSimulationTest, OneRandomDay) {
   const char* seed = std::getenv("SHALLOTLUG_SEED");
   if (seed != nullptr) {
     EXPECT_EQ(RandomDay(std::stoull(seed), true), "");
--- a/packages/service/src/job_agent.cc
+++ b/packages/service/src/job_agent.cc
@@ -25,9 +25,9 @@
 
 namespace shallotlug::service {
 
-using executor::LookCall;
 using executor::OrderResult;
 using executor::OrderStatus;
+using executor::WorkerQuery;
 using net::ExchangeId;
 using net::HttpRequest;
 using net::HttpResponse;
@@ -259,7 +259,7 @@
   }
 
   void Look(WorkerClient& client,
-            const LookCall& look,
+            const WorkerQuery& look,
             std::function<void(const executor::WorkerView&)> done) {
     client.Look(look.context, look.noted_ends, look.wait,
                 [this, number = look.number,
