Let agents without a scheduler register again at different times

All agents lose a scheduler at the same moment and appended their addresses again 6 s later, and every 6 s after that. 240 of these appends hold the job partition for 14 s on a store that needs 60 ms for each (0.24 s at 1 ms).

Change: the delay is drawn between 6 and 12 s, is doubled for each repetition up to 96 s, and starts anew with the next call of a scheduler.

--- a/packages/joblog/src/joblog_test.cc
+++ b/packages/joblog/src/joblog_test.cc
@@ -246,5 +246,21 @@
   EXPECT_GE(delays.size(), 50U);
 }
 
+// Guards against the appends of all agents at the same moment, 6 s after they
+// lost their scheduler, and again every 6 s.
+TEST_F(RegistrationTest, IsRepeatedByAgentsAtDifferentTimes) {
+  constexpr int kAgents = 240;
+  std::set<Millis> delays;
+  for (std::uint64_t n = 0; n < kAgents; ++n) {
+    delays.insert(AgentRegistrationDelay(0, n * 0x9e3779b97f4a7c15));
+  }
+  EXPECT_GE(delays.size(), kAgents * 9U / 10);
+  EXPECT_GE(*delays.begin(), kMinAgentRegistration);
+  EXPECT_GT(*delays.rbegin() - *delays.begin(), kMinAgentRegistration / 2);
+  EXPECT_EQ(AgentRegistrationDelay(1, 0), 2 * kMinAgentRegistration);
+  EXPECT_EQ(AgentRegistrationDelay(100, 0), kMaxAgentRegistration);
+  EXPECT_EQ(AgentRegistrationDelay(100, 12'345), kMaxAgentRegistration);
+}
+
 }  // namespace
 }  // namespace shallotlug::joblog
--- a/packages/joblog/src/registration.cc
+++ b/packages/joblog/src/registration.cc
@@ -1,5 +1,6 @@
 #include "shallotlug/joblog/registration.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace shallotlug::joblog {
@@ -7,6 +8,13 @@
 namespace {
 
 constexpr Millis kRenewAfter = kRegistrationLifetime / 5;
+constexpr int kMaxDoublings = 4;
+
+// A uniform choice from 0 to `most`.
+Millis RandomPart(Millis most, std::uint64_t random) {
+  const auto steps = static_cast<std::uint64_t>(most.count()) + 1;
+  return Millis(static_cast<std::int64_t>(random % steps));
+}
 
 }  // namespace
 
@@ -23,8 +31,13 @@
 
 Millis RegistrationCheckDelay(std::uint64_t random) {
   const Millis half = kLongestRegistrationCheck / 2;
-  const auto steps = static_cast<std::uint64_t>(half.count()) + 1;
-  return half + Millis(static_cast<std::int64_t>(random % steps));
+  return half + RandomPart(half, random);
+}
+
+Millis AgentRegistrationDelay(int repetitions, std::uint64_t random) {
+  const Millis base =
+      kMinAgentRegistration * (1 << std::min(repetitions, kMaxDoublings));
+  return std::min(base + RandomPart(base, random), kMaxAgentRegistration);
 }
 
 }  // namespace shallotlug::joblog
--- a/packages/service/src/job_agent.cc
+++ b/packages/service/src/job_agent.cc
@@ -18,6 +18,7 @@
 #include "shallotlug/base/histograms.h"
 #include "shallotlug/base/logging.h"
 #include "shallotlug/executor/executor.h"
+#include "shallotlug/joblog/registration.h"
 #include "shallotlug/net/http_server.h"
 #include "shallotlug/net/role_loop.h"
 #include "shallotlug/platform/heartbeat.h"
@@ -45,8 +46,6 @@
 constexpr Millis kUnacknowledgedEndsDelay{100};
 constexpr Millis kTickInterval{100};
 constexpr Millis kRegistrationDeadline{60'000};
-// Without a scheduler call for this long the agent registers its address again.
-constexpr Millis kReregisterAfter{6'000};
 constexpr Millis kMaxSyncWait{5'000};
 constexpr std::size_t kMaxSyncBodyBytes = 16 << 20;
 
@@ -119,6 +118,8 @@
 
   void Register() {
     registered_at_ = ReadClock();
+    registration_delay_ =
+        joblog::AgentRegistrationDelay(registrations_++, net::DrawNumber());
     workload::AgentAddress address;
     address.agent = AgentName(settings_.name);
     address.address = settings_.scheduler_listen;
@@ -173,6 +174,11 @@
     }
     const TimePoint now = ReadClock();
     last_sync_at_ = now;
+    if (registrations_ != 0) {
+      registrations_ = 0;
+      registration_delay_ =
+          joblog::AgentRegistrationDelay(0, net::DrawNumber());
+    }
     const bool accepted = executor_.OnSync(*sync, now);
     if (!accepted || sync->wait <= Millis{0} ||
         executor_.Version() != sync->known_version) {
@@ -293,7 +299,7 @@
         return;
       }
       const TimePoint now = ReadClock();
-      if (now - std::max(last_sync_at_, registered_at_) > kReregisterAfter) {
+      if (now - std::max(last_sync_at_, registered_at_) > registration_delay_) {
         Register();
       }
       Step();
@@ -342,6 +348,8 @@
   net::MetricsServer metrics_;
   TimePoint last_sync_at_{};
   TimePoint registered_at_{};
+  int registrations_ = 0;  ///< Since the last call of a scheduler.
+  Millis registration_delay_{0};
 };
 
 }  // namespace
