Elect a scheduler also while a slow store is written to

Cause: a claim was appended on condition that the log still ended where the claimant had read it.

Change: after two claims that failed only because other records were appended, with no record of a scheduler among them, the claim has no condition. The store takes one claim for each epoch, because a second one does not follow its sequence number (PROTOCOL, log-append). Such a claimant begins its term when it has read the log up to its claim, and yields if a higher claim follows by then.

RoleTest.ClaimsWithoutAConditionWhileOthersAppend fails on the former code.

Ruled out: dropping the condition altogether, since a living scheduler whose append is delayed by the store would be deposed by the first claim.

--- a/packages/joblog/include/shallotlug/joblog/authority.h
+++ b/packages/joblog/include/shallotlug/joblog/authority.h
@@ -8,9 +8,12 @@
 #include "shallotlug/workload/ledger.h"
 #include "shallotlug/workload/record.h"
 
-/// Leader election among the entries: one of them is the scheduler. The order
-/// of the log decides: a claim is a conditional append, which succeeds only if
-/// nothing was appended since the claimant read the end of the log.
+/// Leader election among the entries: one of them is the scheduler. A claim is
+/// an append under a new epoch, of which the store takes only the first:
+/// another one for the same epoch does not follow its sequence number. The
+/// first tries have the condition that nothing was appended since the claimant
+/// read the end of the log, so that a scheduler that lives is not deposed. A
+/// claimant is the scheduler once it has read the log up to its claim.
 namespace shallotlug::joblog {
 
 /// @brief The producer name of all schedulers. The store fences by name, so all
--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -23,6 +23,10 @@
 // Shortens the nonce, from which sequence numbers count up, so that they do not
 // overflow.
 constexpr int kNonceShift = 16;
+// Claims on condition that nothing was appended since the log was read. A
+// scheduler that lives is recognized by its records then. After these the claim
+// has no condition: while the store is slow, others append all the time.
+constexpr int kConditionalClaims = 2;
 
 /// @brief Term of this entry as the scheduler, under one epoch.
 struct Term {
@@ -42,6 +46,14 @@
   SchedulerClaim claim;
   std::uint64_t at = 0;  ///< Expected end of the log.
   TimePoint heard_at{};  ///< Last record of a scheduler before it.
+  /// It was appended, but what precedes it was not all read.
+  bool appended = false;
+};
+
+/// @brief Claims that failed because others had appended unrelated records.
+struct MovedClaims {
+  int count = 0;
+  TimePoint heard_at{};  ///< Last record of a scheduler before them.
 };
 
 }  // namespace
@@ -59,6 +71,7 @@
   std::uint64_t lowest_epoch = 1;  ///< Raised when the store fences a claim.
   std::optional<std::uint64_t> claim_at;  ///< A claim is due at this offset.
   std::optional<PendingClaim> claiming;
+  MovedClaims moved_claims;
   std::uint64_t read_to = 0;  ///< Offset up to which the log was read.
   std::optional<Term> term;
   std::vector<workload::RawRecord> batch;  ///< Of the append in flight.
@@ -77,6 +90,7 @@
   std::optional<RoleAppend> AppendClaim(std::uint64_t nonce, TimePoint now);
   RoleAppend Send(TimePoint now);
   void OnClaimAppended(const AppendResult& result, Now now);
+  void LoseClaim(const PendingClaim& pending, const std::string& detail);
   void OnBatchAppended(const AppendResult& result, Now now);
 };
 
@@ -137,12 +151,20 @@
     return;
   }
   if (it.claiming && it.ledger.claim.nonce == it.claiming->claim.nonce) {
-    // The claim was appended although its append got no answer.
+    // The claim was appended after records that had not been read, or its
+    // append got no answer.
     const SchedulerClaim claim = it.claiming->claim;
     it.claiming.reset();
     it.BeginTerm(claim, now);
     return;
   }
+  if (it.claiming && it.claiming->appended) {
+    if (it.ledger.claim.epoch < it.claiming->claim.epoch) {
+      return;
+    }
+    it.LoseClaim(*it.claiming, "higher_claim");
+    it.claiming.reset();
+  }
   const EntryName& name = it.options.entry;
   const joblog::Claimant self{name, joblog::ClaimDelay(it.ledger, name) +
                                         joblog::ClaimTurn(it.ledger, name)};
@@ -206,9 +228,14 @@
                         std::to_string((now - authority.heard_at).count())}}});
   RoleAppend append;
   append.records = {workload::Encode(pending.claim)};
-  append.options.at = pending.at;
-  // Two entries may claim the same epoch. With equal sequence numbers the
-  // store would treat the second claim as a duplicate of the first.
+  const bool conditional = moved_claims.count < kConditionalClaims ||
+                           moved_claims.heard_at != authority.heard_at;
+  if (conditional) {
+    append.options.at = pending.at;
+  }
+  // Two entries may claim the same epoch. The store takes only the first: the
+  // second does not follow its sequence number. With equal numbers the second
+  // would be a duplicate of the first.
   append.options.producer = {joblog::kSchedulerProducer, pending.claim.epoch,
                              pending.claim.nonce};
   append.options.timeout = response_timer.Timeout();
@@ -247,6 +274,11 @@
     // Reading the log shows whether a claim with unknown outcome was appended.
     return;
   }
+  if (result.status == AppendStatus::kDone &&
+      result.first_offset > claiming->at) {
+    claiming->appended = true;
+    return;
+  }
   const PendingClaim pending = *std::exchange(claiming, std::nullopt);
   if (result.status == AppendStatus::kDone &&
       result.first_offset == pending.at) {
@@ -255,13 +287,14 @@
     BeginTerm(pending.claim, now);
     return;
   }
-  log.push_back({LogLevel::kInfo,
-                 "scheduler_claim_lost",
-                 {{"epoch", std::to_string(pending.claim.epoch)},
-                  {"detail", result.detail}}});
+  LoseClaim(pending, result.detail);
   if (result.status == AppendStatus::kFenced) {
     lowest_epoch = pending.claim.epoch + 1;
   }
+  if (result.status == AppendStatus::kMoved) {
+    const bool more = moved_claims.heard_at == pending.heard_at;
+    moved_claims = {more ? moved_claims.count + 1 : 1, pending.heard_at};
+  }
   // Claim again at once if only unrelated records were appended meanwhile and
   // all of them have been read.
   if (result.status == AppendStatus::kMoved && result.end_offset == read_to &&
@@ -270,6 +303,14 @@
   }
 }
 
+void Role::Impl::LoseClaim(const PendingClaim& pending,
+                           const std::string& detail) {
+  log.push_back(
+      {LogLevel::kInfo,
+       "scheduler_claim_lost",
+       {{"epoch", std::to_string(pending.claim.epoch)}, {"detail", detail}}});
+}
+
 void Role::Impl::BeginTerm(const SchedulerClaim& claim, Now now) {
   options.epoch = claim.epoch;
   term.emplace(Scheduler(options, ledger, now));
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -45,6 +45,27 @@
     return result;
   }
 
+  static joblog::AppendResult Appended(std::uint64_t offset) {
+    joblog::AppendResult result;
+    result.status = joblog::AppendStatus::kDone;
+    result.first_offset = offset;
+    result.end_offset = offset + 1;
+    return result;
+  }
+
+  // Others append before each of this entry's claims arrives.
+  std::optional<RoleAppend> LoseConditionalClaims() {
+    std::optional<RoleAppend> claim = role.NextAppend(kNonce, now);
+    for (int n = 0; n < 9 && claim && claim->options.at; ++n) {
+      Read({unrelated});
+      role.OnAppended(Moved(), now);
+      claim = role.NextAppend(kNonce, now);
+    }
+    return claim;
+  }
+
+  const workload::RawRecord unrelated = workload::Encode(
+      workload::AgentAddress{AgentName("a"), "127.0.0.1:1", Incarnation{1}});
   Now now{TimePoint(Millis(100'000)), workload::WallTime(Millis(100'000))};
   workload::Ledger ledger;
   workload::Policy policy;
@@ -79,5 +100,51 @@
   EXPECT_FALSE(role.NextAppend(kNonce, now));
 }
 
+// Guards against entries that cannot elect a scheduler while a slow store is
+// written to: in each round other records came before the claim. The election
+// took 3.5 s on a store with answers of 240 ms.
+TEST_F(RoleTest, ClaimsWithoutAConditionWhileOthersAppend) {
+  const auto claim = LoseConditionalClaims();
+  ASSERT_TRUE(claim);
+  EXPECT_FALSE(claim->options.at);
+  // Two records came before it that were not read when it was sent.
+  role.OnAppended(Appended(end + 2), now);
+  EXPECT_EQ(role.Epoch(), 0U);
+  Read({unrelated});
+  EXPECT_EQ(role.Epoch(), 0U);
+  EXPECT_FALSE(role.NextAppend(kNonce + 1, now));
+  Read({unrelated, claim->records.front()});
+  EXPECT_EQ(role.Epoch(), 1U);
+}
+
+// Guards against two schedulers: a higher claim was appended before the records
+// up to the own one were read.
+TEST_F(RoleTest, YieldsToAHigherClaimAfterItsOwn) {
+  const auto claim = LoseConditionalClaims();
+  ASSERT_TRUE(claim);
+  role.OnAppended(Appended(end + 1), now);
+  Read({unrelated, claim->records.front(),
+        workload::Encode(
+            workload::SchedulerClaim{2, EntryName("other"), 3, false})});
+  EXPECT_EQ(role.Epoch(), 0U);
+}
+
+// Guards against a claim without a condition that deposes a scheduler whose
+// records were only late.
+TEST_F(RoleTest, ClaimsWithAConditionAfterARecordOfTheScheduler) {
+  ASSERT_TRUE(LoseConditionalClaims());
+  joblog::AppendResult refused;
+  refused.status = joblog::AppendStatus::kNotDone;
+  role.OnAppended(refused, now);
+  now.local += Millis(20);
+  Read({workload::Encode(
+      workload::SchedulerClaim{1, EntryName("other"), 3, false})});
+  now.local += joblog::kAuthorityTimeout;
+  Read({});
+  const auto claim = role.NextAppend(kNonce, now);
+  ASSERT_TRUE(claim);
+  EXPECT_EQ(claim->options.at, end);
+}
+
 }  // namespace
 }  // namespace shallotlug::scheduler
