--- a/apps/tests/soak/soak.cc
+++ b/apps/tests/soak/soak.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include <absl/flags/flag.h>
@@ -369,6 +370,13 @@
 int main(int argc, char** argv) {
   absl::ParseCommandLine(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
+  const std::string logs = absl::GetFlag(FLAGS_logs);
+  std::error_code ec;
+  if (!logs.empty() && !std::filesystem::create_directories(logs, ec) && ec) {
+    std::fprintf(stderr, "soak: --logs=%s: the folder cannot be made: %s\n",
+                 logs.c_str(), ec.message().c_str());
+    return 2;
+  }
   shallotlug::soak::Soak soak;
   return soak.Run();
 }
