Let the scheduler return after an outage of the store before others claim

The store was away from 18.0 to 22.2 s. Two tasks ended at 18.4 s on a worker that left at 18.6 s; the scheduler knew, and could not record it. At 22.2105 s, 0.3 ms after its first read, another entry claimed, as the silence of the outage counted (4.4 s); the old scheduler was back 95 ms later, deposed. The two ends were lost with it, their agent was gone, and the tasks waited 19.9 s for the longest lease, twice because of a kill of all processes at 34 s.

Change: the silence of the scheduler counts from the first read after a break of more than 1 s, as docs/platform.md says ('has read the log without a break').

RoleTest.LetsTheSchedulerReturnAfterAnOutage fails on the former code.

--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -27,6 +27,8 @@
 // scheduler that lives is recognized by its records then. After these the claim
 // has no condition: while the store is slow, others append all the time.
 constexpr int kConditionalClaims = 2;
+// Longer than a read takes on a slow store.
+constexpr Millis kReadBreak{1'000};
 
 /// @brief Term of this entry as the scheduler, under one epoch.
 struct Term {
@@ -73,6 +75,7 @@
   std::optional<PendingClaim> claiming;
   MovedClaims moved_claims;
   std::uint64_t read_to = 0;  ///< Offset up to which the log was read.
+  TimePoint page_at{};        ///< When the store last answered a read.
   std::optional<Term> term;
   std::vector<workload::RawRecord> batch;  ///< Of the append in flight.
   bool append_running = false;             ///< An append is in flight.
@@ -147,6 +150,11 @@
     it.authority.heard_at = now.local;
     it.authority.claim = it.ledger.claim;
   }
+  // The scheduler could not append either while the store was away. What it
+  // knows of ended runs would be lost with its role.
+  if (now.local - std::exchange(it.page_at, now.local) > kReadBreak) {
+    it.authority.heard_at = now.local;
+  }
   if (it.term || it.append_running) {
     return;
   }
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -129,6 +129,25 @@
   EXPECT_EQ(role.Epoch(), 0U);
 }
 
+// Guards against a claim in the moment in which the store is back: the living
+// scheduler had no time to record the ends that it knows, and those of a worker
+// that has left meanwhile were lost with its role.
+TEST_F(RoleTest, LetsTheSchedulerReturnAfterAnOutage) {
+  Read({workload::Encode(
+      workload::SchedulerClaim{1, EntryName("other"), 3, false})});
+  now.local += Millis(4'200);
+  Read({});
+  EXPECT_FALSE(role.NextAppend(kNonce, now));
+  constexpr Millis kReadEvery{300};
+  for (Millis passed{0}; passed < joblog::kAuthorityTimeout;
+       passed += kReadEvery) {
+    EXPECT_FALSE(role.NextAppend(kNonce, now));
+    now.local += kReadEvery;
+    Read({});
+  }
+  EXPECT_TRUE(role.NextAppend(kNonce, now));
+}
+
 // Guards against a claim without a condition that deposes a scheduler whose
 // records were only late.
 TEST_F(RoleTest, ClaimsWithAConditionAfterARecordOfTheScheduler) {
