--- a/packages/joblog/src/joblog_test.cc
+++ b/packages/joblog/src/joblog_test.cc
@@ -191,6 +191,7 @@
   EXPECT_NE(turns().begin()->second, first.begin()->second);
 }
 
+// Guards against an election of 12 s where most of 300 entries were lost.
 TEST(ClaimTurnTest, HasALimit) {
   workload::Ledger ledger;
   Millis longest{0};
@@ -211,6 +212,8 @@
   workload::Ledger ledger;
 };
 
+// Guards against an entry that the others cannot reach after it was dropped or
+// has moved.
 TEST_F(RegistrationTest, IsDueWithoutTheOwnAddress) {
   EXPECT_TRUE(RegistrationIsDue(ledger, own));
   workload::EntryAddress former = own;
