--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -27,7 +27,8 @@
 // scheduler that lives is recognized by its records then. After these the claim
 // has no condition: while the store is slow, others append all the time.
 constexpr int kConditionalClaims = 2;
-// Longer than a read takes on a slow store.
+// A longer time between two answered reads counts as an outage of the store.
+// Reads of a slow store take up to 700 ms.
 constexpr Millis kReadBreak{1'000};
 
 /// @brief Term of this entry as the scheduler, under one epoch.
@@ -46,9 +47,10 @@
 /// @brief A claim that is in flight or whose outcome is unknown.
 struct PendingClaim {
   SchedulerClaim claim;
-  std::uint64_t at = 0;  ///< Expected end of the log.
+  std::uint64_t at = 0;  ///< End of the log when the claim was sent.
   TimePoint heard_at{};  ///< Last record of a scheduler before it.
-  /// It was appended, but what precedes it was not all read.
+  /// The store has taken it behind records that were not read when it was sent;
+  /// the term begins when the log was read up to it.
   bool appended = false;
 };
 
@@ -75,7 +77,7 @@
   std::optional<PendingClaim> claiming;
   MovedClaims moved_claims;
   std::uint64_t read_to = 0;  ///< Offset up to which the log was read.
-  TimePoint page_at{};        ///< When the store last answered a read.
+  TimePoint answered_at{};    ///< When the store last answered a read.
   std::optional<Term> term;
   std::vector<workload::RawRecord> batch;  ///< Of the append in flight.
   bool append_running = false;             ///< An append is in flight.
@@ -93,7 +95,7 @@
   std::optional<RoleAppend> AppendClaim(std::uint64_t nonce, TimePoint now);
   RoleAppend Send(TimePoint now);
   void OnClaimAppended(const AppendResult& result, Now now);
-  void LoseClaim(const PendingClaim& pending, const std::string& detail);
+  void LogLostClaim(const PendingClaim& pending, const std::string& detail);
   void OnBatchAppended(const AppendResult& result, Now now);
 };
 
@@ -152,7 +154,7 @@
   }
   // The scheduler could not append either while the store was away. What it
   // knows of ended runs would be lost with its role.
-  if (now.local - std::exchange(it.page_at, now.local) > kReadBreak) {
+  if (now.local - std::exchange(it.answered_at, now.local) > kReadBreak) {
     it.authority.heard_at = now.local;
   }
   if (it.term || it.append_running) {
@@ -170,7 +172,7 @@
     if (it.ledger.claim.epoch < it.claiming->claim.epoch) {
       return;
     }
-    it.LoseClaim(*it.claiming, "higher_claim");
+    it.LogLostClaim(*it.claiming, "higher_claim");
     it.claiming.reset();
   }
   const EntryName& name = it.options.entry;
@@ -295,7 +297,7 @@
     BeginTerm(pending.claim, now);
     return;
   }
-  LoseClaim(pending, result.detail);
+  LogLostClaim(pending, result.detail);
   if (result.status == AppendStatus::kFenced) {
     lowest_epoch = pending.claim.epoch + 1;
   }
@@ -311,8 +313,8 @@
   }
 }
 
-void Role::Impl::LoseClaim(const PendingClaim& pending,
-                           const std::string& detail) {
+void Role::Impl::LogLostClaim(const PendingClaim& pending,
+                              const std::string& detail) {
   log.push_back(
       {LogLevel::kInfo,
        "scheduler_claim_lost",
