Log why urgent jobs wait, when they begin, and how late the scheduler's steps are

The logs did not tell the hypotheses of the reclaim incident apart: whether the scheduler was slow, did not know the job, did not count it as guaranteed, or waited for preempted runs. No decision changes.

--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -182,6 +182,7 @@
     return;
   }
   run.stop_requested = true;
+  run.stop_requested_at = now;
   state.news.insert(run.on.agent);
   Log(state, "stop_wanted",
       {{"job", task.job.value},
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -9,6 +9,7 @@
 #include "reserve.h"
 #include "units.h"
 #include "victims.h"
+#include "waits.h"
 
 namespace shallotlug::scheduler {
 
@@ -235,7 +236,8 @@
 }
 
 /// @brief Preempts runs for a unit that does not fit.
-void Preempt(Placement& placement,
+/// @return Whether runs were found whose stop makes room for it.
+bool Preempt(Placement& placement,
              const Unit& unit,
              const std::vector<Candidate>& candidates,
              const Demand& demand) {
@@ -246,12 +248,13 @@
       state, placement.fleet, unit, candidates, demand, spread, now.local);
   if (!preemption) {
     state.preemption_failed_at[unit.key] = now.local;
-    return;
+    return false;
   }
   for (const TaskRef& it : preemption->victims) {
     RunRow& run = *state.runs.Find(it);
     if (!run.stop_requested) {
       run.stop_requested = true;
+      run.stop_requested_at = now.local;
       state.news.insert(run.on.agent);
       Log(state, "run_preempted",
           {{"job", it.job.value},
@@ -271,6 +274,7 @@
   reservation.made_at = now.local;
   DeductReservation(placement.fleet, reservation);
   state.reservations[unit.key] = std::move(reservation);
+  return true;
 }
 
 /// @brief Takes the resources of one task from a candidate.
@@ -321,7 +325,9 @@
   return true;
 }
 
-void PlaceUnit(Placement& placement, const Unit& unit) {
+/// @brief Places the unit, or makes room for it.
+/// @return Why it waits, if not all of its tasks were placed.
+std::optional<WaitReason> PlaceUnit(Placement& placement, const Unit& unit) {
   State& state = placement.state;
   const Demand demand = DemandOf(state, unit);
   const bool may_preempt = !state.reservations.contains(unit.key) &&
@@ -333,18 +339,21 @@
       candidates = Candidates(placement, unit, false);
     }
     if (may_fit && PlaceTasks(placement, unit, demand, candidates)) {
-      return;
+      return std::nullopt;
     }
     if (may_preempt) {
       ExcludeReservedWorkers(state, unit, candidates, placement.now);
-      Preempt(placement, unit, candidates, demand);
-      return;
+      return Preempt(placement, unit, candidates, demand)
+                 ? WaitReason::kStopsPending
+                 : WaitReason::kNothingToPreempt;
     }
   }
   const auto reservation = state.reservations.find(unit.key);
-  if (reservation != state.reservations.end()) {
-    DeductReservation(placement.fleet, reservation->second);
+  if (reservation == state.reservations.end()) {
+    return WaitReason::kNothingToPreempt;
   }
+  DeductReservation(placement.fleet, reservation->second);
+  return WaitReason::kStopsPending;
 }
 
 void DropStaleReservations(State& state, TimePoint now) {
@@ -369,7 +378,7 @@
   state.placement_outdated = false;
   state.placed_at = now.local;
   DropStaleReservations(state, now.local);
-  UpdateGuaranteed(state, policy);
+  UpdateGuaranteed(state, policy, now);
   const std::vector<Unit> units = CollectUnits(state, now);
   MeasureUrgentDemand(state, units, now.local);
   if (units.empty()) {
@@ -377,7 +386,10 @@
   }
   Placement placement{state, MakeFleet(state, policy, now.local), now};
   for (const Unit& it : units) {
-    PlaceUnit(placement, it);
+    const std::optional<WaitReason> reason = PlaceUnit(placement, it);
+    if (reason) {
+      LogUrgentWait(state, it, *reason, now);
+    }
   }
 }
 
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "state.h"
+#include "waits.h"
 
 namespace shallotlug::scheduler {
 
@@ -164,7 +165,8 @@
   }
 }
 
-void ApplyRunReport(RunRow& row,
+void ApplyRunReport(State& state,
+                    RunRow& row,
                     const protocol::RunReport& report,
                     TimePoint now) {
   if (report.phase == protocol::RunPhase::kStarting) {
@@ -175,6 +177,7 @@
     row.state = RunState::kRunning;
     row.running_since = now;
     row.advanced_at = now;
+    LogIfBegun(state, report.active.run.task, now);
   }
   if (report.active.percent > row.percent) {
     row.advanced_at = now;
@@ -215,7 +218,7 @@
       continue;
     }
     reported.insert(run);
-    ApplyRunReport(*row, it, now);
+    ApplyRunReport(state, *row, it, now);
     ApplyCheckpoint(state, it, *row);
   }
   if (had_orphans && agent.orphans.empty()) {
--- a/packages/scheduler/src/run_table.h
+++ b/packages/scheduler/src/run_table.h
@@ -29,6 +29,7 @@
   bool urgent = false;  ///< Of a queue with priority 0.
   RunState state = RunState::kPlanned;
   bool stop_requested = false;
+  TimePoint stop_requested_at{};
   TimePoint order_sent{};
   bool ordered_before = false;
   TimePoint stop_sent{};
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -109,10 +109,13 @@
     }
     OccurrenceRow row = MakeRow(job, n);
     row.cancelled = entry.cancelled;
+    row.known_at = now.local;
+    row.known_after = now.wall - row.due;
     const auto recorded = entry.occurrences.find(n);
     if (recorded != entry.occurrences.end() &&
         Matches(*job, recorded->second)) {
       row.progress = recorded->second;
+      row.begun = workload::HasStarted(row.progress);
       RestoreRuns(key, row, now);
     }
     if (row.progress.outcome == Outcome::kOpen) {
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -37,6 +37,11 @@
   workload::WallTime due{};
   bool cancelled = false;
   TimePoint final_at{};  ///< When its outcome was decided or replayed.
+  TimePoint known_at{};  ///< When this scheduler heard of it.
+  /// From its due time to `known_at`, by the clocks of two processes.
+  Millis known_after{0};
+  TimePoint wait_logged_at{};  ///< When the reason of its wait was last logged.
+  bool begun = false;  ///< All tasks of one of its steps have run at once.
   // Derived when the occurrence or the policy changes.
   workload::Terms terms;  ///< In force.
   /// Time from `due` to the end of the time that earns full credit.
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -44,6 +44,11 @@
   /// @brief The agent reports on, but its worker does not answer it any more.
   void Silence(const std::string& agent) { agents_.at(agent).silent = true; }
 
+  /// @brief From now on the worker answers, but its runs do not stop.
+  void HoldStops(const std::string& agent) {
+    agents_.at(agent).holds_stops = true;
+  }
+
   /// @brief Sets the progress of the worker's tasks.
   void Advance(const std::string& agent, int percent) {
     agents_.at(agent).percent = percent;
@@ -79,6 +84,7 @@
     std::uint64_t version = 1;
     int percent = 0;
     bool silent = false;
+    bool holds_stops = false;
     std::string checkpoint;
   };
 
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -118,11 +118,12 @@
 void TestScheduler::Call(const std::string& name, Agent& agent) {
   // What was to be stopped has ended by now.
   std::erase_if(agent.runs, [&](const auto& it) {
-    if (it.second) {
+    const bool stopped = it.second && !agent.holds_stops;
+    if (stopped) {
       agent.ends.push_back(
           {agent.next_end++, it.first, workload::EndReason::kStopped, "saved"});
     }
-    return it.second;
+    return stopped;
   });
   const protocol::SyncRequest request =
       scheduler_.MakeSync(AgentName(name), Millis{0}, now_);
--- a/packages/scheduler/src/units.cc
+++ b/packages/scheduler/src/units.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
+
+#include "waits.h"
 
 namespace shallotlug::scheduler {
 
@@ -77,7 +80,7 @@
          terms.target;
 }
 
-void UpdateGuaranteed(State& state, const workload::Policy& policy) {
+void UpdateGuaranteed(State& state, const workload::Policy& policy, Now now) {
   if (!state.guarantees_outdated) {
     return;
   }
@@ -94,12 +97,16 @@
   for (const workload::Customer& it : policy.customers) {
     left[it.name] = it.guaranteed_accelerators;
   }
-  state.guaranteed.clear();
+  const std::set<OccurrenceKey> former = std::exchange(state.guaranteed, {});
   for (const auto& [due, key] : urgent) {
-    const workload::Job& job = *state.occurrences.at(key).job;
-    std::int64_t& room = left[job.customer];
-    const std::int64_t need = LargestStep(job);
-    if (need <= room) {
+    const OccurrenceRow& row = state.occurrences.at(key);
+    std::int64_t& room = left[row.job->customer];
+    const std::int64_t need = LargestStep(*row.job);
+    const bool within = need <= room;
+    if (within != former.contains(key)) {
+      LogGuarantee(state, key, row, {within, need, room}, now);
+    }
+    if (within) {
       room -= need;
       state.guaranteed.insert(key);
     }
--- a/packages/scheduler/src/units.h
+++ b/packages/scheduler/src/units.h
@@ -31,7 +31,7 @@
 
 /// @brief Derives which open urgent occurrences are covered by their customers'
 /// guarantees, unless that is up to date; the oldest are counted first.
-void UpdateGuaranteed(State& state, const workload::Policy& policy);
+void UpdateGuaranteed(State& state, const workload::Policy& policy, Now now);
 
 /// @brief Worker capacity that a task occupies.
 workload::Resources NeedOf(const workload::Step& step);
--- a/packages/service/src/scheduler_host.cc
+++ b/packages/service/src/scheduler_host.cc
@@ -6,12 +6,16 @@
 #include <boost/asio/post.hpp>
 
 #include "clocks.h"
+#include "shallotlug/base/logging.h"
 
 namespace shallotlug::service {
 
 namespace {
 
 constexpr Millis kStepInterval{100};
+// A step that begins this late shows that the machine is too slow, or that one
+// step takes too long.
+constexpr Millis kLoggedStepDelay{200};
 // An agent that has not answered for longer counts as lost in the metrics.
 constexpr Millis kAgentHeardWithin{2'500};
 // Leases are shorter than the workers' limit to allow for clock drift.
@@ -92,14 +96,26 @@
 
 void SchedulerHost::StartTimer() {
   timer_.expires_after(kStepInterval);
-  timer_.async_wait([this](const boost::system::error_code& ec) {
+  timer_.async_wait([this, due = net::ReadClock() + kStepInterval](
+                        const boost::system::error_code& ec) {
     if (!ec && role_.Active() != nullptr) {
+      RecordStepDelay(net::ReadClock() - due);
       Step();
       StartTimer();
     }
   });
 }
 
+void SchedulerHost::RecordStepDelay(Millis delay) {
+  histograms_.Observe("shallotlug_scheduler_delay_seconds", {}, delay);
+  if (delay >= kLoggedStepDelay) {
+    WriteLog({LogLevel::kWarning,
+              "scheduler_delayed",
+              {{"epoch", std::to_string(role_.Epoch())},
+               {"late_ms", std::to_string(delay.count())}}});
+  }
+}
+
 void SchedulerHost::UpdateLinks() {
   const std::uint64_t epoch = role_.Epoch();
   if (epoch != links_epoch_) {
--- a/packages/service/src/scheduler_host.h
+++ b/packages/service/src/scheduler_host.h
@@ -50,6 +50,7 @@
  private:
   void Step();
   void StartTimer();
+  void RecordStepDelay(Millis delay);
   void UpdateLinks();
   /// @brief Opens the links to new agents, and to those with a new address.
   void ReplaceLinks(const std::vector<workload::AgentAddress>& agents);
