Bound the pages of a log reader that does not get them in time

Cause: one timeout (0.3 to 1.2 s) covers the whole answer to a read, and an answer holds up to 1 MB of all that was appended. A page that misses it is discarded and asked for again, larger.

A read without an answer now halves the next page, from 256 KiB down to 32; full pages raise the limit again.

FollowerTest.CatchesUpWhereTheWholeBacklogTimesOut fails with the former limit (the reader never loads); RaisesThePageLimitWhilePagesAreFull guards the way back.

--- a/packages/joblog/include/shallotlug/joblog/follower.h
+++ b/packages/joblog/include/shallotlug/joblog/follower.h
@@ -16,6 +16,7 @@
   Kind kind = Kind::kNewest;
   std::string after_key;   ///< Of kNewest.
   std::uint64_t from = 0;  ///< Of kRead.
+  int max_kilobytes = 0;   ///< Of kRead: limit of the page.
 };
 
 /// @brief Reads a keyed topic: first the newest record of each key, then the
@@ -23,6 +24,11 @@
 ///
 /// The pages of newest records are not a snapshot, so the follower continues at
 /// the end offset of the first page; records may be delivered twice.
+///
+/// A read without an answer halves the next page, and a full page raises the
+/// limit by a quarter: a page that does not arrive within the timeout on a slow
+/// machine or link would otherwise be read again, and larger, while the log
+/// grows.
 class Follower {
  public:
   using OnRecord = std::function<void(const StoredRecord&)>;
@@ -51,6 +57,7 @@
   bool first_page_ = true;
   std::string after_key_;
   std::uint64_t next_offset_ = 0;
+  int page_kilobytes_;
   bool loaded_ = false;
   TimePoint current_at_{};
   std::uint64_t restarts_ = 0;
--- a/packages/joblog/include/shallotlug/joblog/log_calls.h
+++ b/packages/joblog/include/shallotlug/joblog/log_calls.h
@@ -49,6 +49,14 @@
   workload::RawRecord record;
 };
 
+/// @brief A read of the records from an offset on.
+struct ReadOptions {
+  std::uint64_t from = 0;
+  int max_kilobytes = 1'024;  ///< Limit of the page.
+  Millis wait{0};             ///< For a record, if the log ends at `from`.
+  Millis timeout{1'000};      ///< On top of `wait`.
+};
+
 enum class ReadStatus {
   kDone,
   kTrimmed,  ///< The requested records were removed.
--- a/packages/joblog/src/follower.cc
+++ b/packages/joblog/src/follower.cc
@@ -1,16 +1,29 @@
 #include "shallotlug/joblog/follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace shallotlug::joblog {
 
-Follower::Follower(OnRecord on_record) : on_record_(std::move(on_record)) {}
+namespace {
+
+constexpr int kInitialPageKilobytes = 256;
+constexpr int kMinPageKilobytes = 32;
+// Limit of the store.
+constexpr int kMaxPageKilobytes = 1'024;
+
+}  // namespace
+
+Follower::Follower(OnRecord on_record)
+    : on_record_(std::move(on_record)),
+      page_kilobytes_(kInitialPageKilobytes) {}
 
 FollowCall Follower::Next() const {
   FollowCall call;
   call.kind = paging_ ? FollowCall::Kind::kNewest : FollowCall::Kind::kRead;
   call.after_key = after_key_;
   call.from = next_offset_;
+  call.max_kilobytes = page_kilobytes_;
   return call;
 }
 
@@ -41,6 +54,7 @@
     return;
   }
   if (result.status != ReadStatus::kDone) {
+    page_kilobytes_ = std::max(page_kilobytes_ / 2, kMinPageKilobytes);
     return;
   }
   malformed_ += result.malformed;
@@ -51,6 +65,9 @@
   if (next_offset_ >= result.end_offset) {
     loaded_ = true;
     current_at_ = now;
+  } else {
+    page_kilobytes_ =
+        std::min(page_kilobytes_ + page_kilobytes_ / 4, kMaxPageKilobytes);
   }
 }
 
--- a/packages/joblog/src/joblog_test.cc
+++ b/packages/joblog/src/joblog_test.cc
@@ -28,6 +28,12 @@
     return {offset, {key, "{}"}};
   }
 
+  static NewestResult DonePage() {
+    NewestResult page;
+    page.status = ReadStatus::kDone;
+    return page;
+  }
+
   std::vector<std::string> keys;
   Follower follower;
 };
@@ -77,6 +83,50 @@
   EXPECT_EQ(follower.Next().kind, FollowCall::Kind::kNewest);
 }
 
+// Guards against a reader on a slow machine or link whose page times out and is
+// asked for again, larger each time, while the log grows.
+TEST_F(FollowerTest, CatchesUpWhereTheWholeBacklogTimesOut) {
+  constexpr std::uint64_t kRecordKilobytes = 4;
+  constexpr std::uint64_t kKilobytesWithinTimeout = 150;
+  constexpr std::uint64_t kAppendedPerRead = 10;
+  follower.OnNewest(DonePage(), kNow);
+  std::uint64_t end = 500;
+  for (int n = 0; n < 60 && !follower.Loaded(); ++n) {
+    const FollowCall call = follower.Next();
+    const std::uint64_t count = std::min(
+        end - call.from,
+        static_cast<std::uint64_t>(call.max_kilobytes) / kRecordKilobytes);
+    ReadResult page;
+    page.next_offset = call.from;
+    if (count * kRecordKilobytes <= kKilobytesWithinTimeout) {
+      page.status = ReadStatus::kDone;
+      page.next_offset += count;
+      page.end_offset = end;
+    }
+    follower.OnRead(page, kNow);
+    end += kAppendedPerRead;
+  }
+  EXPECT_TRUE(follower.Loaded());
+}
+
+// Guards against pages that stay small after an outage of the store.
+TEST_F(FollowerTest, RaisesThePageLimitWhilePagesAreFull) {
+  follower.OnNewest(DonePage(), kNow);
+  for (int n = 0; n < 10; ++n) {
+    follower.OnRead(ReadResult{}, kNow);
+  }
+  const int smallest = follower.Next().max_kilobytes;
+  EXPECT_GT(smallest, 0);
+  ReadResult page;
+  page.status = ReadStatus::kDone;
+  page.end_offset = 1'000;
+  for (int n = 0; n < 20; ++n) {
+    page.next_offset += 10;
+    follower.OnRead(page, kNow);
+  }
+  EXPECT_GT(follower.Next().max_kilobytes, 16 * smallest);
+}
+
 class ShouldClaimTest : public testing::Test {
  protected:
   AuthorityView View(Millis silence, bool resigned = false) const {
--- a/packages/service/src/follow_loop.cc
+++ b/packages/service/src/follow_loop.cc
@@ -49,7 +49,7 @@
   // recovery is seen at once.
   const Millis wait =
       store_unavailable_ || !refreshing_.empty() ? Millis(0) : options_.wait;
-  client_.Read(options_.topic, call.from, wait, timeout,
+  client_.Read(options_.topic, {call.from, call.max_kilobytes, wait, timeout},
                [this, wait, began](const joblog::ReadResult& result) {
                  RecordLatency(result.status, wait, began);
                  follower_.OnRead(result, ReadClock());
