Let weak entries claim the scheduler's role after all strong ones

Weak entries waited 0.5 s longer, but their turns, up to 1 s, were drawn without regard to strength, so that a weak entry with an early turn could still claim before a strong one with a late turn (first weak claim after 500 ms, last strong one after 1,000 ms, with 15 strong entries of 55). The order of turns now begins with the strong ones.

ClaimTurnTest.PutsWeakEntriesBehindAllStrongOnes fails without the change: 1000ms vs 500ms in epoch 0.

--- a/packages/joblog/include/shallotlug/joblog/authority.h
+++ b/packages/joblog/include/shallotlug/joblog/authority.h
@@ -49,13 +49,17 @@
   Millis delay{0};  ///< Added to the time after which it claims.
 };
 
-/// @brief kWeakClaimDelay for an entry if another registered one has
-/// considerably more processor time, else 0.
+/// @brief Whether another registered entry has considerably more processor
+/// time.
+bool IsWeakerThanAnother(const workload::Ledger& ledger, const EntryName& self);
+
+/// @brief kWeakClaimDelay for an entry that is weaker than another, else 0.
 Millis ClaimDelay(const workload::Ledger& ledger, const EntryName& self);
 
 /// @brief Delay by which an entry lets other registered entries claim first:
 /// kClaimTurn for each that comes before it in the order of this election, at
-/// most kMaxClaimTurns. The newest scheduler, which is silent, has no turn.
+/// most kMaxClaimTurns. Weak entries come last. The newest scheduler, which is
+/// silent, has no turn.
 Millis ClaimTurn(const workload::Ledger& ledger, const EntryName& self);
 
 /// @brief Whether an entry that is not the scheduler should claim now.
--- a/packages/joblog/src/authority.cc
+++ b/packages/joblog/src/authority.cc
@@ -1,6 +1,7 @@
 #include "shallotlug/joblog/authority.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -22,26 +23,41 @@
   return XXH64(name.value.data(), name.value.size(), epoch);
 }
 
+std::int64_t GreatestStrength(const workload::Ledger& ledger) {
+  std::int64_t greatest = 0;
+  for (const auto& [name, entry] : ledger.entries) {
+    greatest = std::max(greatest, entry.cpu_millis);
+  }
+  return greatest;
+}
+
+bool IsWeak(std::int64_t cpu_millis, std::int64_t greatest) {
+  return cpu_millis * 100 < greatest * kEqualStrengthPercent;
+}
+
 }  // namespace
 
-Millis ClaimDelay(const workload::Ledger& ledger, const EntryName& self) {
+bool IsWeakerThanAnother(const workload::Ledger& ledger,
+                         const EntryName& self) {
   const auto own = ledger.entries.find(self);
-  const std::int64_t strength =
-      own == ledger.entries.end() ? 0 : own->second.cpu_millis;
-  const bool weaker = std::any_of(
-      ledger.entries.begin(), ledger.entries.end(), [&](const auto& it) {
-        return strength * 100 < it.second.cpu_millis * kEqualStrengthPercent;
-      });
-  return weaker ? kWeakClaimDelay : Millis{0};
+  return IsWeak(own == ledger.entries.end() ? 0 : own->second.cpu_millis,
+                GreatestStrength(ledger));
+}
+
+Millis ClaimDelay(const workload::Ledger& ledger, const EntryName& self) {
+  return IsWeakerThanAnother(ledger, self) ? kWeakClaimDelay : Millis{0};
 }
 
 Millis ClaimTurn(const workload::Ledger& ledger, const EntryName& self) {
   const std::uint64_t epoch = ledger.claim.epoch;
-  const std::uint64_t own = OrderOf(self, epoch);
+  const std::int64_t greatest = GreatestStrength(ledger);
+  const auto own =
+      std::make_pair(IsWeakerThanAnother(ledger, self), OrderOf(self, epoch));
   const auto before = std::count_if(
       ledger.entries.begin(), ledger.entries.end(), [&](const auto& it) {
         return it.first != self && it.first != ledger.claim.entry &&
-               OrderOf(it.first, epoch) < own;
+               std::make_pair(IsWeak(it.second.cpu_millis, greatest),
+                              OrderOf(it.first, epoch)) < own;
       });
   return std::min(kClaimTurn * before, kMaxClaimTurns);
 }
--- a/packages/joblog/src/joblog_test.cc
+++ b/packages/joblog/src/joblog_test.cc
@@ -241,6 +241,29 @@
   EXPECT_NE(turns().begin()->second, first.begin()->second);
 }
 
+// Guards against a scheduler on a weak machine that had an early turn, while
+// the strong entries had late ones: its urgent jobs waited for 7 s.
+TEST(ClaimTurnTest, PutsWeakEntriesBehindAllStrongOnes) {
+  workload::Ledger ledger;
+  for (int n = 0; n < 55; ++n) {
+    const EntryName entry("entry" + std::to_string(n));
+    ledger.entries[entry] = {entry, "127.0.0.1:1", {}, n < 15 ? 500 : 120};
+  }
+  for (ledger.claim.epoch = 0; ledger.claim.epoch < 200; ++ledger.claim.epoch) {
+    Millis last_strong{0};
+    Millis first_weak = Millis::max();
+    for (const auto& [name, entry] : ledger.entries) {
+      const Millis at = ClaimDelay(ledger, name) + ClaimTurn(ledger, name);
+      if (entry.cpu_millis == 500) {
+        last_strong = std::max(last_strong, at);
+      } else {
+        first_weak = std::min(first_weak, at);
+      }
+    }
+    ASSERT_LT(last_strong, first_weak) << "epoch " << ledger.claim.epoch;
+  }
+}
+
 // Guards against an election of 12 s where most of 300 entries were lost.
 TEST(ClaimTurnTest, HasALimit) {
   workload::Ledger ledger;
