Hand the scheduler's role over when it falls behind the log, and place nothing meanwhile

A scheduler that can append but has not read the log to its end for 1 s holds placement and resigns in favour of a stronger entry, after 3 s of an equal one, at most once in 30 s. Time without successful appends does not count, so that an outage of the store changes nothing.

LogLagTest.HandsOverToAStrongerEntry and GuaranteeTest.PlacesNothingWhilePlacementIsHeld fail without it.

--- a/packages/scheduler/include/shallotlug/scheduler/scheduler.h
+++ b/packages/scheduler/include/shallotlug/scheduler/scheduler.h
@@ -62,6 +62,10 @@
   std::vector<workload::RawRecord> Plan(const workload::Policy& policy,
                                         Now now);
 
+  /// @brief While held, plans place no tasks and preempt no runs. The placement
+  /// of a job whose cancelling was not read yet would break a promise.
+  void HoldPlacement(bool held);
+
   /// @brief Called when the records of the last plan are durable.
   void Commit();
 
--- a/packages/scheduler/src/guarantee_test.cc
+++ b/packages/scheduler/src/guarantee_test.cc
@@ -70,6 +70,21 @@
   EXPECT_TRUE(scheduler.Running("saves").empty());
 }
 
+// Guards against starts of jobs whose cancelling the scheduler has not read
+// yet, because it is behind the log.
+TEST_F(GuaranteeTest, PlacesNothingWhilePlacementIsHeld) {
+  scheduler.Submit(scheduler.Job("batch", "batch", "zenith", 16, 1));
+  scheduler.Run(2);
+  scheduler.Get().HoldPlacement(true);
+  scheduler.Submit(scheduler.Job("live", "live", "acme", 1, 8));
+  scheduler.Run(4);
+  EXPECT_TRUE(scheduler.Running("live").empty());
+  EXPECT_EQ(scheduler.Running("batch").size(), 2U);
+  scheduler.Get().HoldPlacement(false);
+  scheduler.Run(4);
+  EXPECT_EQ(scheduler.Running("live").size(), 1U);
+}
+
 // A restarted gang has no start deadline, and being spread over racks costs it
 // several times as much time as waiting for a place in one rack.
 TEST_F(GuaranteeTest, RestartsAFailedGangInOneRack) {
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -371,8 +371,9 @@
 }  // namespace
 
 void PlaceUnits(State& state, const workload::Policy& policy, Now now) {
-  if (!state.placement_outdated &&
-      now.local - state.placed_at < kPlacementInterval) {
+  if (state.placement_held ||
+      (!state.placement_outdated &&
+       now.local - state.placed_at < kPlacementInterval)) {
     return;
   }
   state.placement_outdated = false;
--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -18,6 +18,15 @@
 // A scheduler that hears less than half of its agents for this long resigns.
 constexpr Millis kAgentsLostAfter{1'500};
 constexpr Millis kAgentHeardWithin{2'500};
+// A scheduler that can append but has not read the log to its end for this long
+// places nothing, and hands its role over to a stronger entry: it knows neither
+// the newest jobs nor the newest cancels.
+constexpr Millis kMaxLogLag{1'000};
+// After this time it hands over to an equal entry, too.
+constexpr Millis kMaxLogLagOfStrongest{3'000};
+// The entries that should take over may be lost, so that an overloaded one
+// claims again. It keeps the role for this time.
+constexpr Millis kHandoverInterval{30'000};
 // Time for a new scheduler to contact its agents before it may resign.
 constexpr Millis kAgentContactGrace{3'000};
 // Shortens the nonce, from which sequence numbers count up, so that they do not
@@ -40,6 +49,8 @@
   std::uint64_t sequence = 0;  ///< Of the next append.
   TimePoint began{};
   TimePoint appended_at{};
+  /// Start of the latest sequence of appends that all succeeded.
+  TimePoint appending_since{};
   bool resigning = false;
   std::optional<TimePoint> agents_lost_since;
 };
@@ -78,12 +89,16 @@
   MovedClaims moved_claims;
   std::uint64_t read_to = 0;  ///< Offset up to which the log was read.
   TimePoint answered_at{};    ///< When the store last answered a read.
+  TimePoint current_at{};     ///< When the log was last read to its end.
+  /// When the newest resignation was read or made.
+  std::optional<TimePoint> resigned_at;
   std::optional<Term> term;
   std::vector<workload::RawRecord> batch;  ///< Of the append in flight.
   bool append_running = false;             ///< An append is in flight.
   std::uint64_t running_epoch = 0;  ///< Of the term it belongs to; 0: a claim.
   bool retry_batch = false;  ///< Resend the batch with the same sequence.
   TimePoint retry_at{};
+  bool append_failed = false;  ///< The latest append of this term.
   joblog::ResponseTimer response_timer;
   TimePoint sent_at{};  ///< Of the append in flight.
   bool retiring = false;
@@ -92,6 +107,7 @@
   void BeginTerm(const SchedulerClaim& claim, Now now);
   void StepDown(const std::string& reason, TimePoint now);
   void CheckAgents(Now now);
+  void CheckLogLag(Now now);
   std::optional<RoleAppend> AppendClaim(std::uint64_t nonce, TimePoint now);
   RoleAppend Send(TimePoint now);
   void OnClaimAppended(const AppendResult& result, Now now);
@@ -113,6 +129,9 @@
   if (workload::IsSchedulersRecord(key)) {
     it.authority.heard_at = now.local;
     it.authority.claim = it.ledger.claim;
+    if (it.ledger.claim.resigned) {
+      it.resigned_at = now.local;
+    }
   }
   if (!it.term) {
     return;
@@ -144,6 +163,7 @@
   Impl& it = *impl_;
   it.claim_at.reset();
   it.read_to = follower.NextOffset();
+  it.current_at = follower.CurrentAt();
   if (!follower.Loaded() || it.retiring) {
     return;
   }
@@ -197,6 +217,7 @@
     return it.Send(now.local);
   }
   it.CheckAgents(now);
+  it.CheckLogLag(now);
   Term& term = *it.term;
   if (term.resigning) {
     SchedulerClaim claim = it.ledger.claim;
@@ -328,8 +349,10 @@
   term->sequence = claim.nonce + 1;
   term->began = now.local;
   term->appended_at = now.local;
+  term->appending_since = now.local;
   term->resigning = retiring;
   retry_batch = false;
+  append_failed = false;
   batch.clear();
 }
 
@@ -367,6 +390,26 @@
   }
 }
 
+void Role::Impl::CheckLogLag(Now now) {
+  // While the store is away, reads fail as appends do.
+  const Millis lag = now.local - std::max(current_at, term->appending_since);
+  term->scheduler.HoldPlacement(lag > kMaxLogLag);
+  const Millis limit = joblog::IsWeakerThanAnother(ledger, options.entry)
+                           ? kMaxLogLag
+                           : kMaxLogLagOfStrongest;
+  if (lag <= limit || term->resigning || ledger.entries.size() < 2 ||
+      (resigned_at && now.local - *resigned_at < kHandoverInterval)) {
+    return;
+  }
+  log.push_back({LogLevel::kWarning,
+                 "scheduler_resigns",
+                 {{"reason", "log_lag"},
+                  {"lag_ms", std::to_string(lag.count())},
+                  {"epoch", std::to_string(term->epoch)}}});
+  resigned_at = now.local;
+  term->resigning = true;
+}
+
 void Role::Impl::OnBatchAppended(const AppendResult& result, Now now) {
   if (result.status == AppendStatus::kFenced ||
       result.status == AppendStatus::kOutOfSequence ||
@@ -382,9 +425,13 @@
                     {"detail", result.detail}}});
     retry_batch = true;
     retry_at = now.local + kAppendRetry;
+    append_failed = true;
     return;
   }
   retry_batch = false;
+  if (std::exchange(append_failed, false)) {
+    term->appending_since = now.local;
+  }
   ++term->sequence;
   term->appended_at = now.local;
   std::uint64_t offset = result.first_offset;
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -148,6 +148,100 @@
   EXPECT_TRUE(role.NextAppend(kNonce, now));
 }
 
+class LogLagTest : public RoleTest {
+ protected:
+  LogLagTest() {
+    Register("self", 120);
+    const auto claim = role.NextAppend(kNonce, now);
+    role.OnAppended(Appended(claim->options.at.value()), now);
+    ++end;
+  }
+
+  void Register(const std::string& name, std::int64_t cpu_millis) {
+    ledger.entries[EntryName(name)] = {
+        EntryName(name), "127.0.0.1:1", {}, cpu_millis};
+  }
+
+  /// @brief Appends succeed for this time, but no read is answered.
+  /// @return Whether the entry has resigned.
+  bool FallBehind(Millis time) {
+    bool resigned = false;
+    for (Millis passed{0}; passed < time; passed += Millis(100)) {
+      now.local += Millis(100);
+      now.wall += Millis(100);
+      const auto append = role.NextAppend(kNonce, now);
+      if (append) {
+        const auto record = workload::Decode(append->records.front().key,
+                                             append->records.front().value);
+        const auto* claim = std::get_if<workload::SchedulerClaim>(&*record);
+        resigned = resigned || (claim != nullptr && claim->resigned);
+        role.OnAppended(Appended(end++), now);
+      }
+    }
+    return resigned;
+  }
+};
+
+// Guards against urgent jobs that wait for seconds, because the scheduler's
+// machine is too weak to read of them in time while stronger ones are there.
+TEST_F(LogLagTest, HandsOverToAStrongerEntry) {
+  Register("strong", 500);
+  EXPECT_TRUE(FallBehind(Millis(1'300)));
+  EXPECT_EQ(role.Epoch(), 0U);
+}
+
+TEST_F(LogLagTest, KeepsTheRoleWithoutAStrongerEntry) {
+  Register("peer", 130);
+  EXPECT_FALSE(FallBehind(Millis(2'000)));
+  EXPECT_EQ(role.Epoch(), 1U);
+}
+
+// Guards against a scheduler that can append but no longer read, and places
+// nothing until it is restarted.
+TEST_F(LogLagTest, HandsOverToAnEqualEntryInTheEnd) {
+  Register("peer", 130);
+  EXPECT_TRUE(FallBehind(Millis(3'500)));
+}
+
+TEST_F(LogLagTest, KeepsTheRoleAlone) {
+  EXPECT_FALSE(FallBehind(Millis(5'000)));
+}
+
+// Guards against a change of the scheduler after each outage of the store, when
+// an append is answered before the first read.
+TEST_F(LogLagTest, DoesNotCountAnOutageOfTheStore) {
+  Register("strong", 500);
+  for (Millis passed{0}; passed < Millis(5'000); passed += Millis(100)) {
+    now.local += Millis(100);
+    if (role.NextAppend(kNonce, now)) {
+      joblog::AppendResult refused;
+      refused.status = joblog::AppendStatus::kNotDone;
+      role.OnAppended(refused, now);
+    }
+  }
+  EXPECT_FALSE(FallBehind(Millis(800)));
+  EXPECT_EQ(role.Epoch(), 1U);
+}
+
+// Guards against a role that goes back and forth between weak entries while the
+// strong ones are lost.
+TEST_F(LogLagTest, KeepsTheRoleAfterAnotherHasHandedItOver) {
+  Register("strong", 500);
+  ASSERT_TRUE(FallBehind(Millis(1'300)));
+  Read({workload::Encode(
+      workload::SchedulerClaim{2, EntryName("other"), 3, true})});
+  for (Millis passed{0}; passed < Millis(5'000); passed += Millis(300)) {
+    now.local += Millis(300);
+    Read({});
+  }
+  const auto claim = role.NextAppend(kNonce + 100'000, now);
+  ASSERT_TRUE(claim);
+  role.OnAppended(Appended(claim->options.at.value()), now);
+  ++end;
+  ASSERT_EQ(role.Epoch(), 3U);
+  EXPECT_FALSE(FallBehind(Millis(5'000)));
+}
+
 // Guards against a claim without a condition that deposes a scheduler whose
 // records were only late.
 TEST_F(RoleTest, ClaimsWithAConditionAfterARecordOfTheScheduler) {
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -217,6 +217,16 @@
   return records;
 }
 
+void Scheduler::HoldPlacement(bool held) {
+  State& state = impl_->state;
+  if (std::exchange(state.placement_held, held) == held) {
+    return;
+  }
+  state.placement_outdated = true;
+  Log(state, held ? "placement_held" : "placement_resumed",
+      {{"epoch", std::to_string(state.options.epoch)}});
+}
+
 void Scheduler::Commit() {
   State& state = impl_->state;
   for (const TaskRef& it : std::exchange(impl_->batch_runs, {})) {
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -124,6 +124,7 @@
   bool guarantees_outdated = true;
   std::int64_t policy_version = -1;  ///< Of the derived terms.
   int lowest_priority = 0;           ///< The highest number of all queues.
+  bool placement_held = false;
   /// A unit may fit since the last placement.
   bool placement_outdated = true;
   TimePoint placed_at{};
