--- a/packages/scheduler/src/guarantee_test.cc
+++ b/packages/scheduler/src/guarantee_test.cc
@@ -70,6 +70,32 @@
   EXPECT_TRUE(scheduler.Running("saves").empty());
 }
 
+// Guards against an urgent job that waits for its reservation to time out,
+// after a more urgent job has taken the room that was freed for it.
+TEST_F(GuaranteeTest, PreemptsAgainWhenItsRoomWasTaken) {
+  scheduler.Submit(scheduler.Job("batch", "batch", "zenith", 16, 1));
+  scheduler.Run(2);
+  scheduler.Submit(scheduler.Job("live", "live", "acme", 1, 8));
+  scheduler.Run(1);
+  workload::Job sooner = scheduler.Job("sooner", "live", "zenith", 1, 8);
+  sooner.steps[0].estimate = Millis(100);
+  scheduler.Submit(sooner);
+  scheduler.Run(4);
+  EXPECT_EQ(scheduler.Running("sooner").size(), 1U);
+  EXPECT_EQ(scheduler.Running("live").size(), 1U);
+}
+
+// Guards against an urgent job that waits for runs that do not stop, although
+// others can be preempted.
+TEST_F(GuaranteeTest, PreemptsOtherRunsWhenStopsHang) {
+  scheduler.Submit(scheduler.Job("batch", "batch", "zenith", 16, 1));
+  scheduler.Run(2);
+  scheduler.HoldStops("a1");
+  scheduler.Submit(scheduler.Job("live", "live", "acme", 1, 8));
+  scheduler.Run(25);
+  EXPECT_EQ(scheduler.Running("live").count("a2"), 1U);
+}
+
 // Guards against starts of jobs whose cancelling the scheduler has not read
 // yet, because it is behind the log.
 TEST_F(GuaranteeTest, PlacesNothingWhilePlacementIsHeld) {
