Preempt again at once when a more urgent unit has taken the freed room

A reservation holds up the search only while runs are being stopped on its workers. It is kept if the search finds nothing, so that less urgent units do not take what has become free.

--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -235,6 +235,21 @@
          now.local - failed->second >= kPreemptionRetry;
 }
 
+/// @brief Whether runs are being stopped on the workers reserved for the unit.
+bool AwaitsStops(const State& state, const Unit& unit) {
+  const auto reservation = state.reservations.find(unit.key);
+  if (reservation == state.reservations.end()) {
+    return false;
+  }
+  const std::vector<AgentName>& workers = reservation->second.workers;
+  return std::any_of(workers.begin(), workers.end(), [&](const AgentName& it) {
+    const auto& runs = state.runs.On(it).rows;
+    return std::any_of(runs.begin(), runs.end(), [](const auto& run) {
+      return run.second->stop_requested;
+    });
+  });
+}
+
 /// @brief Preempts runs for a unit that does not fit.
 /// @return Whether runs were found whose stop makes room for it.
 bool Preempt(Placement& placement,
@@ -330,8 +345,9 @@
 std::optional<WaitReason> PlaceUnit(Placement& placement, const Unit& unit) {
   State& state = placement.state;
   const Demand demand = DemandOf(state, unit);
-  const bool may_preempt = !state.reservations.contains(unit.key) &&
-                           PreemptionIsDue(state, unit, placement.now);
+  // A more urgent unit may have taken the room that was freed for this one.
+  const bool may_preempt =
+      !AwaitsStops(state, unit) && PreemptionIsDue(state, unit, placement.now);
   const bool may_fit = MayFit(placement.fleet, unit, demand);
   if (may_fit || may_preempt) {
     std::vector<Candidate> candidates = Candidates(placement, unit, true);
@@ -343,9 +359,9 @@
     }
     if (may_preempt) {
       ExcludeReservedWorkers(state, unit, candidates, placement.now);
-      return Preempt(placement, unit, candidates, demand)
-                 ? WaitReason::kStopsPending
-                 : WaitReason::kNothingToPreempt;
+      if (Preempt(placement, unit, candidates, demand)) {
+        return WaitReason::kStopsPending;
+      }
     }
   }
   const auto reservation = state.reservations.find(unit.key);
