Do not wait for preempted runs that hang

A reservation and the room of a stopping run are now counted on for the stop time of the workers and 0.6 s.

--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -22,8 +22,6 @@
 // Without a change, units are placed at this interval: waits end and workers
 // are no longer avoided as time passes.
 constexpr Millis kPlacementInterval{50};
-// A reservation is dropped if its resources are not free by then.
-constexpr Millis kReservationTimeout{2'000};
 // After a search for runs to preempt has failed, the unit is searched for again
 // only after this time, as a search looks at all runs.
 constexpr Millis kPreemptionRetry{100};
@@ -374,7 +372,7 @@
 
 void DropStaleReservations(State& state, TimePoint now) {
   std::erase_if(state.reservations, [&](const auto& it) {
-    return now - it.second.made_at > kReservationTimeout ||
+    return now - it.second.made_at > StopLimit(state.options) ||
            !state.open.contains(it.first.occurrence);
   });
   const auto is_final = [&](const auto& it) {
--- a/packages/scheduler/src/victims.cc
+++ b/packages/scheduler/src/victims.cc
@@ -25,6 +25,9 @@
 // A preempted group has to be placed and restored again, for which it loses
 // about this time on all of its workers, also where the room is not needed.
 constexpr double kRestartSeconds = 1.0;
+// Time for a stop order and the report of the end, in addition to the time that
+// the worker may take.
+constexpr Millis kStopReportTime{600};
 // Added to the cost of urgent runs beyond their guarantee, so that runs of
 // lower priority are preempted first.
 constexpr double kUrgentVictimPenalty = 1'000'000.0;
@@ -339,10 +342,14 @@
   return preemption.cost > work * kBatchCostShare;
 }
 
-std::vector<Victim> StoppingRuns(const State& state, const Fleet& fleet) {
+// The room of a run that does not stop in time is not counted on.
+std::vector<Victim> StoppingRuns(const State& state,
+                                 const Fleet& fleet,
+                                 TimePoint now) {
   std::vector<Victim> stopping;
   for (const auto& [task, run] : state.runs.All()) {
-    if (run.stop_requested) {
+    if (run.stop_requested &&
+        now - run.stop_requested_at <= StopLimit(state.options)) {
       stopping.push_back({&task, FindWorker(fleet, run.on.agent), run.need});
     }
   }
@@ -351,6 +358,10 @@
 
 }  // namespace
 
+Millis StopLimit(const SchedulerOptions& options) {
+  return options.stop_timeout + kStopReportTime;
+}
+
 std::optional<PreemptionPlan> FindPreemption(
     const State& state,
     const Fleet& fleet,
@@ -363,7 +374,7 @@
   if (groups.empty()) {
     return std::nullopt;
   }
-  const std::vector<Victim> stopping = StoppingRuns(state, fleet);
+  const std::vector<Victim> stopping = StoppingRuns(state, fleet, now);
   std::optional<PreemptionPlan> best;
   const auto consider = [&](const std::vector<Candidate>& among) {
     std::optional<PreemptionPlan> it =
--- a/packages/scheduler/src/victims.h
+++ b/packages/scheduler/src/victims.h
@@ -19,6 +19,10 @@
   double cost = 0;       ///< In core-seconds; includes the restart.
 };
 
+/// @brief Time within which a preempted run ends and its end is reported,
+/// unless its worker or agent hangs.
+Millis StopLimit(const SchedulerOptions& options);
+
 /// @brief Finds runs of lower priority to preempt at a low loss of work.
 /// Returns nullopt if no such set makes room, or if a unit that is not
 /// guaranteed would cause the loss of too much work for its own.
