Report and record the workers that end under a task

The agent now reports the runs that were, or may have been, on a worker that ended without notice: whether shortly after their start, and whether no other job was on the worker. Announced departures are none. The scheduler counts each once for a run, in the progress record, so that the count survives it. No decision changes yet.

--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -4,6 +4,8 @@
 #include <map>
 #include <utility>
 
+#include "crashes.h"
+
 namespace shallotlug::executor {
 
 using protocol::RefusalReason;
@@ -67,6 +69,8 @@
   bool ambiguous = false;
   /// Listed by the current life of the worker.
   bool listed = false;
+  /// When the worker confirmed the start to this process of the agent.
+  std::optional<TimePoint> started_at;
   /// The run is refused once a look with this or a higher number shows that it
   /// is not on the worker.
   std::optional<std::uint64_t> refuse_from_look;
@@ -75,6 +79,12 @@
   std::uint64_t first_look_after_start = 0;
 };
 
+/// @brief Whether the run is on the worker, or a start of it was sent.
+bool MayBePresent(const TrackedRun& run) {
+  return run.listed || run.started_at || run.ambiguous || run.call_pending ||
+         run.phase == RunPhase::kRunning;
+}
+
 }  // namespace
 
 struct Executor::Impl {
@@ -98,6 +108,11 @@
   std::map<RunRef, TrackedRun> runs;
   std::vector<workload::RunEnd> ends;
   std::vector<workload::RunEnd> former_ends;  ///< Of earlier lives.
+  /// When the current life last answered or sent a heartbeat.
+  TimePoint heard_at{};
+  /// Runs of the current life whose lease has expired while it was silent.
+  std::vector<PresentRun> lapsed_runs;
+  std::map<RunRef, protocol::CrashReport> crashes;  ///< Of earlier lives.
   std::map<RunRef, RefusalReason> refusals;
   std::uint64_t noted_ends = 0;
   std::uint64_t confirmed_noted_ends = 0;  ///< Answered by the worker.
@@ -113,6 +128,7 @@
   void Log(std::string event, const RunRef& run, std::vector<Label> fields);
   void Refuse(const RunRef& run, RefusalReason reason);
   void StartNewLife(const char* cause, TimePoint now);
+  void RecordCrash();
   void AcceptStart(const StartOrder& order,
                    const workload::WorkerLife& life,
                    TimePoint now);
@@ -156,6 +172,10 @@
                  {{"how", cause},
                   {"worker", facts ? facts->life.id : ""},
                   {"born", std::to_string(reported_born)}}});
+  if (facts && !facts->draining && !departed) {
+    RecordCrash();
+  }
+  lapsed_runs.clear();
   std::vector<RunRef> over;
   for (auto& [ref, run] : runs) {
     if ((!run.listed && run.attempts > 0) || run.ambiguous) {
@@ -183,6 +203,22 @@
   MarkChanged();
 }
 
+void Executor::Impl::RecordCrash() {
+  std::vector<PresentRun> present = lapsed_runs;
+  for (const auto& [ref, run] : runs) {
+    if (MayBePresent(run)) {
+      present.push_back({ref, run.started_at, run.listed});
+    }
+  }
+  for (const protocol::CrashReport& it : ReportCrash(present, heard_at)) {
+    if (crashes.try_emplace(it.run, it).second) {
+      Log("worker_crashed_under", it.run,
+          {{"early", it.early ? "true" : "false"},
+           {"alone", it.alone ? "true" : "false"}});
+    }
+  }
+}
+
 bool Executor::Impl::HasEnded(const RunRef& run) const {
   const auto matches = [&](const auto& it) { return it.run == run; };
   return std::any_of(ends.begin(), ends.end(), matches) ||
@@ -280,6 +316,9 @@
   std::vector<RunRef> over;
   for (const auto& [ref, run] : runs) {
     over.push_back(ref);
+    if (MayBePresent(run)) {
+      lapsed_runs.push_back({ref, run.started_at, run.listed});
+    }
   }
   for (const RunRef& it : over) {
     Refuse(it, RefusalReason::kLapsed);
@@ -382,6 +421,7 @@
     it.StartNewLife("heartbeat", now);
   }
   it.heartbeat_sequence = sequence;
+  it.heard_at = now;
   it.facts = facts;
   it.departed = false;
   if (new_life && it.reported_born != facts.life.born) {
@@ -428,6 +468,7 @@
   }
   for (const RunRef& ref : request.settled) {
     it.refusals.erase(ref);
+    it.crashes.erase(ref);
     std::erase_if(it.former_ends,
                   [&](const workload::RunEnd& end) { return end.run == ref; });
   }
@@ -485,6 +526,9 @@
   for (const auto& [ref, reason] : it.refusals) {
     reply.refusals.push_back({ref, reason});
   }
+  for (const auto& [ref, crash] : it.crashes) {
+    reply.crashes.push_back(crash);
+  }
   return reply;
 }
 
@@ -570,6 +614,8 @@
   }
   run.ambiguous |= result.status == OrderStatus::kNoAnswer;
   if (result.status == OrderStatus::kDone) {
+    it.heard_at = now;
+    run.started_at = now;
     run.phase = RunPhase::kRunning;
     run.first_look_after_start = it.next_look;
     it.MarkChanged();
@@ -669,6 +715,8 @@
     // The worker is identified by its next heartbeat.
     return;
   }
+  it.heard_at = now;
+  it.lapsed_runs.clear();
   if (!it.lists_read || it.silent) {
     it.lists_read = true;
     it.silent = false;
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -115,6 +115,107 @@
   EXPECT_EQ(reply.refusals[0].reason, RefusalReason::kDraining);
 }
 
+class CrashTest : public ExecutorTest {
+ protected:
+  static RunRef Run(const std::string& job, int index = 0) {
+    return {{JobId(job), 0, 0, index}, 1};
+  }
+
+  void Start(const RunRef& run) {
+    SyncRequest request;
+    request.starts.push_back({run, "work", "", false});
+    Sync(request);
+    subject.TakeActions(now);
+    subject.OnStartResult(run, {OrderStatus::kDone, {}, ""}, now);
+  }
+
+  void List(const std::vector<RunRef>& active) {
+    Answer(subject.WatchCall(now), View(active));
+  }
+
+  /// @brief The worker starts again under its id.
+  void Restart() {
+    facts.life.born += 1'000;
+    sequence = 0;
+    subject.OnHeartbeat(facts, ++sequence, now);
+  }
+};
+
+// Guards against a crash that the scheduler cannot tell from a start that never
+// reached the worker.
+TEST_F(CrashTest, ReportsTheRunsOfACrashedWorker) {
+  Connect();
+  Start(Run("old"));
+  for (int n = 0; n < 5; ++n) {
+    Wait(Millis(900));
+    List({Run("old")});
+  }
+  Start(Run("new"));
+  Wait(Millis(3'400));
+  Restart();
+  EXPECT_THAT(Reply().crashes,
+              testing::UnorderedElementsAre(
+                  protocol::CrashReport{Run("old"), false, false},
+                  protocol::CrashReport{Run("new"), true, false}));
+}
+
+TEST_F(CrashTest, TellsWhenOnlyOneJobWasOnTheWorker) {
+  Connect();
+  Start(Run("job", 0));
+  Start(Run("job", 1));
+  Wait(Millis(3'400));
+  Restart();
+  EXPECT_THAT(Reply().crashes,
+              testing::UnorderedElementsAre(
+                  protocol::CrashReport{Run("job", 0), true, true},
+                  protocol::CrashReport{Run("job", 1), true, true}));
+}
+
+// Guards against a crash that is forgotten because the worker was away for
+// longer than its lease.
+TEST_F(CrashTest, ReportsRunsWhoseLeaseExpiredBeforeTheWorkerReturned) {
+  Connect();
+  Start(Run("job"));
+  WorkerView no_answer;
+  Wait(Millis(3'000));
+  Answer(subject.WatchCall(now), no_answer);
+  Wait(Millis(6'000));
+  subject.TakeActions(now);
+  ASSERT_THAT(Reply().refusals, SizeIs(1));
+  EXPECT_THAT(Reply().crashes, IsEmpty());
+  Restart();
+  EXPECT_THAT(Reply().crashes, SizeIs(1));
+}
+
+// Guards against healthy tasks that are blamed for workers that are taken away
+// or cut off.
+TEST_F(CrashTest, ReportsNoCrashOfAWorkerThatLeavesOrReturns) {
+  Connect();
+  Start(Run("job"));
+  facts.draining = true;
+  subject.OnHeartbeat(facts, ++sequence, now);
+  facts.draining = false;
+  Restart();
+  EXPECT_THAT(Reply().crashes, IsEmpty());
+  List({});
+  SyncRequest request;
+  request.starts.push_back({{Run("job").task, 2}, "work", "", false});
+  Sync(request);
+  subject.OnDeparture(facts.life.id, now);
+  Restart();
+  EXPECT_THAT(Reply().crashes, IsEmpty());
+}
+
+TEST_F(CrashTest, ForgetsASettledCrash) {
+  Connect();
+  Start(Run("job"));
+  Restart();
+  ASSERT_THAT(Reply().crashes, SizeIs(1));
+  SyncRequest request;
+  request.settled = {Run("job")};
+  EXPECT_THAT(Sync(request).crashes, IsEmpty());
+}
+
 // An unanswered start may take effect seconds later, so the run is refused only
 // after its stop was answered.
 TEST_F(ExecutorTest, StopsAnUnansweredStartBeforeRefusing) {
--- a/packages/protocol/include/shallotlug/protocol/sync.h
+++ b/packages/protocol/include/shallotlug/protocol/sync.h
@@ -41,7 +41,7 @@
   std::vector<workload::RunRef> stops;
   /// Ends up to this number are recorded; the worker may forget them.
   std::uint64_t noted_ends = 0;
-  /// Refusals, and ends of former lives, that are recorded.
+  /// Refusals, ends of former lives and crashes that are recorded.
   std::vector<workload::RunRef> settled;
   /// The reply waits until the agent knows something newer than this.
   std::uint64_t known_version = 0;
@@ -86,6 +86,18 @@
   bool operator==(const Refusal&) const = default;
 };
 
+/// @brief A run that was, or may have been, on its worker when the worker ended
+/// without notice.
+struct CrashReport {
+  workload::RunRef run;
+  /// The worker was last heard shortly after the start of the run.
+  bool early = false;
+  /// No run of another job was on the worker.
+  bool alone = false;
+
+  bool operator==(const CrashReport&) const = default;
+};
+
 enum class WorkerState {
   kUnknown,  ///< Nothing was heard of it yet.
   kPresent,
@@ -108,6 +120,8 @@
   std::vector<Refusal> refusals;
   /// Ends that former lives of the worker listed and that are not settled.
   std::vector<workload::RunEnd> former_ends;
+  /// Crashes of former lives of the worker that are not settled.
+  std::vector<CrashReport> crashes;
 
   bool operator==(const SyncReply&) const = default;
 };
--- a/packages/protocol/src/sync.capnp
+++ b/packages/protocol/src/sync.capnp
@@ -60,6 +60,12 @@
   reason @1 :UInt8;
 }
 
+struct CrashReport {
+  run @0 :RunName;
+  early @1 :Bool;
+  alone @2 :Bool;
+}
+
 struct WorkerReport {
   id @0 :Text;
   born @1 :Int64;
@@ -87,4 +93,5 @@
   refusals @9 :List(RefusalReport);
   accepted @10 :Bool;
   formerEnds @11 :List(EndReport);
+  crashes @12 :List(CrashReport);
 }
--- a/packages/protocol/src/sync.capnp.h
+++ b/packages/protocol/src/sync.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(8ed477876e80612f);
 CAPNP_DECLARE_SCHEMA(99f3ce4c04fb40d4);
 CAPNP_DECLARE_SCHEMA(b8a1ffdc8d896163);
+CAPNP_DECLARE_SCHEMA(bdaa195dfb11bb47);
 CAPNP_DECLARE_SCHEMA(f150c3600209c0d4);
 CAPNP_DECLARE_SCHEMA(b333a21beae983cf);
 
@@ -121,6 +122,21 @@
   };
 };
 
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bdaa195dfb11bb47, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct WorkerReport {
   WorkerReport() = delete;
 
@@ -144,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b333a21beae983cf, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(b333a21beae983cf, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -813,6 +829,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRun() const;
+  inline  ::shallotlug::wire::RunName::Reader getRun() const;
+
+  inline bool getEarly() const;
+
+  inline bool getAlone() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRun();
+  inline  ::shallotlug::wire::RunName::Builder getRun();
+  inline void setRun( ::shallotlug::wire::RunName::Reader value);
+  inline  ::shallotlug::wire::RunName::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::shallotlug::wire::RunName>&& value);
+  inline ::capnp::Orphan< ::shallotlug::wire::RunName> disownRun();
+
+  inline bool getEarly();
+  inline void setEarly(bool value);
+
+  inline bool getAlone();
+  inline void setAlone(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::shallotlug::wire::RunName::Pipeline getRun();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class WorkerReport::Reader {
 public:
   typedef WorkerReport Reads;
@@ -1012,6 +1120,9 @@
   inline bool hasFormerEnds() const;
   inline  ::capnp::List< ::shallotlug::wire::EndReport,  ::capnp::Kind::STRUCT>::Reader getFormerEnds() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1100,6 +1211,13 @@
   inline void adoptFormerEnds(::capnp::Orphan< ::capnp::List< ::shallotlug::wire::EndReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::shallotlug::wire::EndReport,  ::capnp::Kind::STRUCT>> disownFormerEnds();
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1877,6 +1995,73 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashReport::Reader::hasRun() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasRun() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::shallotlug::wire::RunName::Reader CrashReport::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::RunName>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::shallotlug::wire::RunName::Builder CrashReport::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::RunName>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::shallotlug::wire::RunName::Pipeline CrashReport::Pipeline::getRun() {
+  return  ::shallotlug::wire::RunName::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void CrashReport::Builder::setRun( ::shallotlug::wire::RunName::Reader value) {
+  ::capnp::_::PointerHelpers< ::shallotlug::wire::RunName>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::shallotlug::wire::RunName::Builder CrashReport::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::RunName>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::adoptRun(
+    ::capnp::Orphan< ::shallotlug::wire::RunName>&& value) {
+  ::capnp::_::PointerHelpers< ::shallotlug::wire::RunName>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::shallotlug::wire::RunName> CrashReport::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::RunName>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::getEarly() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getEarly() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setEarly(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashReport::Reader::getAlone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool CrashReport::Builder::getAlone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setAlone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkerReport::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2428,6 +2613,40 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader SyncReply::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::setCrashes( ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Builder SyncReply::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void SyncReply::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>> SyncReply::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/src/sync_codec.cc
+++ b/packages/protocol/src/sync_codec.cc
@@ -173,6 +173,10 @@
         {Read(refusal.getRun()),
          ToEnum(refusal.getReason(), RefusalReason::kLapsed)});
   }
+  for (const auto crash : from.getCrashes()) {
+    it.crashes.push_back(
+        {Read(crash.getRun()), crash.getEarly(), crash.getAlone()});
+  }
   return it;
 }
 
@@ -245,6 +249,12 @@
     Write(refusals[n].initRun(), reply.refusals[n].run);
     refusals[n].setReason(static_cast<std::uint8_t>(reply.refusals[n].reason));
   }
+  auto crashes = to.initCrashes(Size(reply.crashes));
+  for (unsigned n = 0; n < reply.crashes.size(); ++n) {
+    Write(crashes[n].initRun(), reply.crashes[n].run);
+    crashes[n].setEarly(reply.crashes[n].early);
+    crashes[n].setAlone(reply.crashes[n].alone);
+  }
   return ToBytes(message);
 }
 
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -146,6 +146,38 @@
   }
 }
 
+// A crash is counted once for each run, also when it is reported again to
+// another scheduler.
+void ApplyCrash(State& state,
+                AgentRow& agent,
+                const protocol::CrashReport& crash) {
+  agent.settled.push_back(crash.run);
+  state.news.insert(agent.address.agent);
+  const TaskRef& task = crash.run.task;
+  OccurrenceRow* row = FindOccurrence(state, task);
+  if (row == nullptr || row->progress.outcome != workload::Outcome::kOpen) {
+    return;
+  }
+  TaskProgress& progress = ProgressOf(*row, task);
+  auto& crashes = progress.crashes;
+  const bool counted =
+      std::any_of(crashes.begin(), crashes.end(),
+                  [&](const auto& it) { return it.run == crash.run.run; });
+  if (counted || progress.phase == TaskPhase::kDone) {
+    return;
+  }
+  crashes.push_back({crash.run.run, crash.early, crash.alone});
+  MarkUnrecorded(state, KeyOf(task));
+  Log(state, "crash_counted",
+      {{"job", task.job.value},
+       {"task", workload::ToString(task)},
+       {"run", std::to_string(crash.run.run)},
+       {"agent", agent.address.agent.value},
+       {"early", crash.early ? "true" : "false"},
+       {"alone", crash.alone ? "true" : "false"},
+       {"crashes", std::to_string(crashes.size())}});
+}
+
 void ApplyRefusal(State& state,
                   AgentRow& agent,
                   const protocol::Refusal& refusal,
@@ -406,6 +438,9 @@
     agent.settled.push_back(it.run);
     state.news.insert(name);
   }
+  for (const protocol::CrashReport& it : reply.crashes) {
+    ApplyCrash(state, agent, it);
+  }
   ApplyWorkerFacts(state, agent, reply, now);
   if (reply.worker_state == protocol::WorkerState::kUnknown) {
     return;
--- a/packages/workload/include/shallotlug/workload/progress.h
+++ b/packages/workload/include/shallotlug/workload/progress.h
@@ -24,6 +24,15 @@
   bool operator==(const Placement&) const = default;
 };
 
+/// @brief A worker that ended without notice under a run of the task.
+struct WorkerCrash {
+  int run = 0;
+  bool early = false;  ///< Shortly after the start of the run.
+  bool alone = false;  ///< No run of another job was on the worker.
+
+  bool operator==(const WorkerCrash&) const = default;
+};
+
 /// @brief Durable state of one task.
 struct TaskProgress {
   TaskPhase phase = TaskPhase::kWaiting;
@@ -34,6 +43,7 @@
   int failed_run = 0;
   Placement on;  ///< While assigned.
   std::string checkpoint;
+  std::vector<WorkerCrash> crashes;  ///< One for each run at most.
 
   bool operator==(const TaskProgress&) const = default;
 };
--- a/packages/workload/src/ledger_test.cc
+++ b/packages/workload/src/ledger_test.cc
@@ -37,8 +37,8 @@
 OccurrenceProgress ProgressWith(const Job& job, int number, Outcome outcome) {
   OccurrenceProgress it{job.id, number, MakeProgress(job)};
   it.progress.outcome = outcome;
-  it.progress.steps[0][1] = {TaskPhase::kAssigned,        3,      1, 1,
-                             {AgentName("a"), {"w", 55}}, "saved"};
+  it.progress.steps[0][1] = {TaskPhase::kAssigned,        3,       1, 1,
+                             {AgentName("a"), {"w", 55}}, "saved", {}};
   return it;
 }
 
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -134,9 +134,33 @@
   json::array rows_;
 };
 
+constexpr int kEarlyCrashBit = 1;
+constexpr int kAloneCrashBit = 2;
+
+json::array EncodeCrashes(const std::vector<WorkerCrash>& crashes) {
+  json::array rows;
+  for (const WorkerCrash& it : crashes) {
+    rows.emplace_back(json::array{it.run, (it.early ? kEarlyCrashBit : 0) |
+                                              (it.alone ? kAloneCrashBit : 0)});
+  }
+  return rows;
+}
+
+std::vector<WorkerCrash> DecodeCrashes(const json::array& rows) {
+  std::vector<WorkerCrash> crashes;
+  for (const json::value& it : rows) {
+    const json::array& row = it.as_array();
+    const int bits = row.at(1).to_number<int>();
+    crashes.push_back({row.at(0).to_number<int>(), (bits & kEarlyCrashBit) != 0,
+                       (bits & kAloneCrashBit) != 0});
+  }
+  return crashes;
+}
+
 // One row for consecutive tasks in the same state: [step, first, count, phase,
-// run, failures, failed run, worker, checkpoint]. Tasks in their initial state
-// are omitted, and so is an empty checkpoint.
+// run, failures, failed run, worker, checkpoint, crashes]. Tasks in their
+// initial state are omitted, and so are crashes and an empty checkpoint at the
+// end of a row. A crash is the number of its run and two bits.
 json::array EncodeTasks(const Progress& progress, WorkerList& workers) {
   json::array rows;
   for (std::size_t step = 0; step < progress.steps.size(); ++step) {
@@ -152,9 +176,12 @@
         json::array row{
             step,   first,       end - first,   static_cast<int>(it.phase),
             it.run, it.failures, it.failed_run, workers.Add(it)};
-        if (!it.checkpoint.empty()) {
+        if (!it.checkpoint.empty() || !it.crashes.empty()) {
           row.emplace_back(it.checkpoint);
         }
+        if (!it.crashes.empty()) {
+          row.emplace_back(EncodeCrashes(it.crashes));
+        }
         rows.emplace_back(std::move(row));
       }
       first = end;
@@ -172,6 +199,9 @@
   if (row.size() > 8) {
     task.checkpoint = row.at(8).as_string();
   }
+  if (row.size() > 9) {
+    task.crashes = DecodeCrashes(row.at(9).as_array());
+  }
   if (task.phase == TaskPhase::kAssigned) {
     const json::array& worker =
         workers.at(row.at(7).to_number<std::size_t>()).as_array();
--- a/packages/workload/src/record_test.cc
+++ b/packages/workload/src/record_test.cc
@@ -43,6 +43,9 @@
   tasks[6].checkpoint = "00000bb87a21d94b";
   tasks[7].failures = 2;
   tasks[7].failed_run = 3;
+  tasks[8].crashes = {{1, true, false}, {2, true, true}, {4, false, true}};
+  tasks[9].checkpoint = "0000000000000001";
+  tasks[9].crashes = {{3, false, false}};
   tasks[11] = {};
   EXPECT_EQ(Decoded(Encode(record)), record.progress);
 }
