Try tasks that crash their workers alone, and give them up

Cause: the end of a worker's life made its tasks wait again and counted for nothing.

A task under which a worker has crashed shortly after its start, or two at any time, is placed on a worker without other jobs that it has not crashed yet, which takes no others for 3 s. Its job fails after two such crashes alone and three in all, or after four of any kind; the platform allows five starts. Crashes are settled with the agent once they are recorded. Ruled out: giving up by the count of two that the platform allows, as healthy tasks meet two crashes on flapping workers.

--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "state.h"
+#include "suspects.h"
 #include "units.h"
 
 namespace shallotlug::scheduler {
@@ -37,6 +38,15 @@
   return false;
 }
 
+bool HasTaskGivenUp(const OccurrenceRow& row) {
+  const auto& steps = row.progress.steps;
+  return std::any_of(steps.begin(), steps.end(), [](const auto& tasks) {
+    return std::any_of(tasks.begin(), tasks.end(), [](const auto& it) {
+      return it.phase != TaskPhase::kDone && IsGivenUp(it);
+    });
+  });
+}
+
 Outcome OutcomeOf(const OccurrenceRow& row, int max_attempts) {
   if (AllDone(row)) {
     return Outcome::kCompleted;
@@ -44,7 +54,9 @@
   if (row.cancelled) {
     return Outcome::kCancelled;
   }
-  return AttemptsUsedUp(row, max_attempts) ? Outcome::kFailed : Outcome::kOpen;
+  return AttemptsUsedUp(row, max_attempts) || HasTaskGivenUp(row)
+             ? Outcome::kFailed
+             : Outcome::kOpen;
 }
 
 const char* Name(Outcome outcome) {
@@ -304,7 +316,8 @@
   Log(state, "occurrence_final",
       {{"job", key.job.value},
        {"occurrence", std::to_string(key.number)},
-       {"outcome", Name(row.progress.outcome)}});
+       {"outcome", Name(row.progress.outcome)},
+       {"crashes_workers", HasTaskGivenUp(row) ? "true" : "false"}});
 }
 
 }  // namespace
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -7,6 +7,7 @@
 #include "fleet.h"
 #include "placement.h"
 #include "reserve.h"
+#include "suspects.h"
 #include "units.h"
 #include "victims.h"
 #include "waits.h"
@@ -77,6 +78,7 @@
   for (std::size_t n = 0; n < placement.fleet.size(); ++n) {
     const FleetWorker& worker = placement.fleet[n];
     if (!IsEligible(worker, unit) ||
+        IsClosedTo(placement.state, *worker.name, unit) ||
         (skip_failed && HasFailedOn(placement.state, unit, *worker.name))) {
       continue;
     }
@@ -212,6 +214,10 @@
   state.reservations.erase(unit.key);
   state.reserve_wait_since.erase(unit.key);
   state.preemption_failed_at.erase(unit.key);
+  state.isolation_wait_since.erase(unit.key);
+  if (unit.suspect) {
+    CloseWorkers(state, placement.fleet, unit, workers, placement.now.local);
+  }
 }
 
 void DeductReservation(Fleet& fleet, const Reservation& reservation) {
@@ -312,6 +318,21 @@
   return Fit(placement.state, unit, candidates, demand, placement.now);
 }
 
+/// @brief Places a suspect on workers without other jobs.
+bool PlaceAlone(Placement& placement,
+                const Unit& unit,
+                const Demand& demand,
+                const std::vector<Candidate>& all) {
+  const std::vector<Candidate> candidates = WorkersWithoutOthers(
+      placement.state, placement.fleet, unit, all, placement.now);
+  const std::vector<int> workers =
+      Fit(placement.state, unit, candidates, demand, placement.now);
+  if (!workers.empty()) {
+    Assign(placement, unit, unit.tasks, workers);
+  }
+  return !workers.empty();
+}
+
 /// @brief Places a gang, or as many tasks of a step as fit.
 /// @return Whether all tasks were placed.
 bool PlaceTasks(Placement& placement,
@@ -352,6 +373,15 @@
     if (candidates.empty()) {
       candidates = Candidates(placement, unit, false);
     }
+    if (unit.suspect) {
+      if (PlaceAlone(placement, unit, demand, candidates)) {
+        return std::nullopt;
+      }
+      if (WaitsToBeAlone(state, placement.fleet, unit, candidates, demand,
+                         placement.now.local)) {
+        return WaitReason::kNotAlone;
+      }
+    }
     if (may_fit && PlaceTasks(placement, unit, demand, candidates)) {
       return std::nullopt;
     }
@@ -393,6 +423,7 @@
   state.placement_outdated = false;
   state.placed_at = now.local;
   DropStaleReservations(state, now.local);
+  DropOldIsolations(state, now.local);
   UpdateGuaranteed(state, policy, now);
   const std::vector<Unit> units = CollectUnits(state, now);
   MeasureUrgentDemand(state, units, now.local);
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -148,11 +148,9 @@
 
 // A crash is counted once for each run, also when it is reported again to
 // another scheduler.
-void ApplyCrash(State& state,
-                AgentRow& agent,
+void CountCrash(State& state,
+                const AgentRow& agent,
                 const protocol::CrashReport& crash) {
-  agent.settled.push_back(crash.run);
-  state.news.insert(agent.address.agent);
   const TaskRef& task = crash.run.task;
   OccurrenceRow* row = FindOccurrence(state, task);
   if (row == nullptr || row->progress.outcome != workload::Outcome::kOpen) {
@@ -167,6 +165,7 @@
     return;
   }
   crashes.push_back({crash.run.run, crash.early, crash.alone});
+  state.failed_on[task].insert(agent.address.agent);
   MarkUnrecorded(state, KeyOf(task));
   Log(state, "crash_counted",
       {{"job", task.job.value},
@@ -178,6 +177,25 @@
        {"crashes", std::to_string(crashes.size())}});
 }
 
+void ApplyCrash(State& state,
+                AgentRow& agent,
+                const protocol::CrashReport& crash) {
+  agent.counted_crashes.insert(crash.run);
+  state.crashed.insert(agent.address.agent);
+  CountCrash(state, agent, crash);
+}
+
+// An agent that has started again does not know how a former life of its worker
+// ended. A suspect is then taken to be the cause.
+void CountUnreportedCrash(State& state,
+                          const AgentRow& agent,
+                          const RunRef& run) {
+  OccurrenceRow* row = FindOccurrence(state, run.task);
+  if (row != nullptr && !ProgressOf(*row, run.task).crashes.empty()) {
+    CountCrash(state, agent, {run, false, false});
+  }
+}
+
 void ApplyRefusal(State& state,
                   AgentRow& agent,
                   const protocol::Refusal& refusal,
@@ -293,10 +311,12 @@
 
 // Runs of a former worker life have ended, except those that the agent still
 // reports: their start may still reach the new life, and the agent refuses them
-// once they have been stopped there.
+// once they have been stopped there. `announced`: the former life said that it
+// would leave.
 void AbandonRunsOfFormerLife(State& state,
                              const AgentRow& agent,
                              const SyncReply& reply,
+                             bool announced,
                              const char* why,
                              TimePoint now) {
   for (const TaskRef& it : RunsOn(state, agent.address.agent)) {
@@ -305,10 +325,15 @@
         reply.runs.begin(), reply.runs.end(), [&](const auto& report) {
           return report.active.run == RunRef{it, run.run};
         });
-    if (!listed && (run.on.worker != reply.worker.life ||
-                    reply.worker_state == protocol::WorkerState::kGone)) {
-      AbandonRun(state, it, why, now);
+    const bool former = run.on.worker != reply.worker.life;
+    const bool gone = reply.worker_state == protocol::WorkerState::kGone;
+    if (listed || (!former && !gone)) {
+      continue;
+    }
+    if (!gone && !announced) {
+      CountUnreportedCrash(state, agent, {it, run.run});
     }
+    AbandonRun(state, it, why, now);
   }
 }
 
@@ -343,6 +368,7 @@
       reply.worker != agent.worker) {
     state.placement_outdated = true;
   }
+  const bool announced = agent.worker.draining;
   agent.worker_state = reply.worker_state;
   agent.worker = reply.worker;
   agent.rack =
@@ -350,9 +376,10 @@
           .try_emplace(reply.worker.rack, static_cast<int>(state.racks.size()))
           .first->second;
   if (reply.worker_state == protocol::WorkerState::kPresent) {
-    AbandonRunsOfFormerLife(state, agent, reply, "worker_restarted", now);
+    AbandonRunsOfFormerLife(state, agent, reply, announced, "worker_restarted",
+                            now);
   } else if (reply.worker_state == protocol::WorkerState::kGone) {
-    AbandonRunsOfFormerLife(state, agent, reply, "worker_gone", now);
+    AbandonRunsOfFormerLife(state, agent, reply, announced, "worker_gone", now);
   }
 }
 
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -68,6 +68,8 @@
   /// Last run ends that the batch in flight records.
   std::map<AgentName, BatchEnds> batch_ends;
   std::vector<TaskRef> batch_runs;
+  /// Crashes that the batch in flight records.
+  std::map<AgentName, std::set<workload::RunRef>> batch_crashes;
   TimePoint swept_at{};  ///< When all agents were last checked for news.
 
   void RestoreRuns(const OccurrenceKey& key, const OccurrenceRow& row, Now now);
@@ -190,6 +192,7 @@
   PlaceUnits(state, policy, now);
   impl_->batch_ends.clear();
   impl_->batch_runs.clear();
+  impl_->batch_crashes.clear();
   std::vector<workload::RawRecord> records;
   if (CleanupIsDue(state, now.local)) {
     records = DropOldJobs(state, now.local);
@@ -207,6 +210,13 @@
       }
     }
   }
+  for (const AgentName& it : std::exchange(state.crashed, {})) {
+    const auto agent = state.agents.find(it);
+    if (agent != state.agents.end()) {
+      impl_->batch_crashes[it] =
+          std::exchange(agent->second.counted_crashes, {});
+    }
+  }
   for (const AgentName& it : std::exchange(state.unnoted, {})) {
     const auto agent = state.agents.find(it);
     if (agent != state.agents.end()) {
@@ -236,6 +246,14 @@
       state.news.insert(run->on.agent);
     }
   }
+  for (const auto& [name, runs] : std::exchange(impl_->batch_crashes, {})) {
+    const auto agent = state.agents.find(name);
+    if (agent != state.agents.end()) {
+      agent->second.settled.insert(agent->second.settled.end(), runs.begin(),
+                                   runs.end());
+      state.news.insert(name);
+    }
+  }
   for (const auto& [name, ends] : std::exchange(impl_->batch_ends, {})) {
     const auto agent = state.agents.find(name);
     // A worker that has restarted since then numbers its ends from 1 again.
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -69,6 +69,8 @@
   std::uint64_t noted_sent = 0;
   TimePoint noted_at{};  ///< When `noted_ends` last passed `noted_sent`.
   std::vector<workload::RunRef> settled;  ///< Refusals to acknowledge.
+  /// Reported crashes that no batch contains yet.
+  std::set<workload::RunRef> counted_crashes;
   /// Reported runs whose task is unknown, or whose run number or agent is not
   /// the one in `runs`.
   std::vector<workload::RunRef> orphans;
@@ -96,6 +98,14 @@
   auto operator<=>(const UnitKey&) const = default;
 };
 
+/// @brief A worker on which one job is tried without others.
+struct Isolation {
+  JobId job;
+  TimePoint until{};
+  bool occupied =
+      false;  ///< The job is there; else it waits for others to end.
+};
+
 /// @brief Demand of urgent work, running or waiting, in accelerators.
 struct UrgentDemand {
   std::int64_t running = 0;
@@ -133,10 +143,14 @@
   std::set<AgentName> news;
   /// Agents with ends that the batch in flight does not record yet.
   std::set<AgentName> unnoted;
+  std::set<AgentName> crashed;  ///< Agents with counted crashes.
   std::map<UnitKey, Reservation> reservations;
   /// Batch units kept off the reserved workers of a pool that is not busy, and
   /// since when.
   std::map<UnitKey, TimePoint> reserve_wait_since;
+  std::map<AgentName, Isolation> isolations;
+  /// Suspects that wait for a worker without other jobs, and since when.
+  std::map<UnitKey, TimePoint> isolation_wait_since;
   /// When no runs were found that make room for an urgent unit.
   std::map<UnitKey, TimePoint> preemption_failed_at;
   UrgentDemand urgent;
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -2,6 +2,7 @@
 #define SHALLOTLUG_SCHEDULER_SRC_TEST_SCHEDULER_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,14 @@
   /// @brief Runs `rounds` rounds of 50 ms: plan, commit and agent calls.
   void Run(int rounds = 1);
 
+  /// @brief Calls all agents without a plan.
+  void CallAgents();
+
+  /// @brief Number of crashes that the agent still reports.
+  std::size_t UnsettledCrashes(const std::string& agent) const {
+    return agents_.at(agent).crashes.size();
+  }
+
   /// @brief Makes the worker drain, with its tasks at `percent`.
   void Drain(const std::string& agent, Millis remaining, int percent);
 
@@ -49,6 +58,24 @@
     agents_.at(agent).holds_stops = true;
   }
 
+  /// @brief The worker ends without notice and starts again under its id.
+  /// @param early Its runs had just been started.
+  void Crash(const std::string& agent, bool early);
+
+  /// @brief From now on each start of the task crashes its worker.
+  void MakeDeadly(const workload::TaskRef& task) { deadly_.insert(task); }
+
+  /// @brief From now on no agent knows of the crashes of its worker.
+  void LoseCrashReports() { crash_reports_lost_ = true; }
+
+  /// @brief Agents to which a start of the task was sent, in order.
+  const std::vector<std::string>& Starts(const workload::TaskRef& task) {
+    return starts_[task];
+  }
+
+  /// @brief Runs of other jobs that ended when a task crashed their worker.
+  int LostToOthers() const { return lost_to_others_; }
+
   /// @brief Sets the progress of the worker's tasks.
   void Advance(const std::string& agent, int percent) {
     agents_.at(agent).percent = percent;
@@ -80,6 +107,7 @@
     workload::WorkerFacts facts;
     std::map<workload::RunRef, bool> runs;  ///< Value: stop requested.
     std::vector<workload::RunEnd> ends;
+    std::vector<protocol::CrashReport> crashes;
     std::uint64_t next_end = 1;
     std::uint64_t version = 1;
     int percent = 0;
@@ -98,6 +126,10 @@
   std::map<std::string, Agent> agents_;
   std::map<std::string, std::string> log_;
   std::map<JobId, workload::JobEntry> submitted_;
+  std::set<workload::TaskRef> deadly_;
+  std::map<workload::TaskRef, std::vector<std::string>> starts_;
+  int lost_to_others_ = 0;
+  bool crash_reports_lost_ = false;
   bool acknowledgements_lost_ = false;
   int records_ = 0;
 };
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -112,6 +112,7 @@
     reply.runs.push_back(report);
   }
   reply.ends = agent.ends;
+  reply.crashes = agent.crashes;
   return reply;
 }
 
@@ -127,8 +128,19 @@
   });
   const protocol::SyncRequest request =
       scheduler_.MakeSync(AgentName(name), Millis{0}, now_);
+  for (const workload::RunRef& it : request.settled) {
+    std::erase_if(agent.crashes,
+                  [&](const auto& crash) { return crash.run == it; });
+  }
+  bool crashes = false;
   for (const protocol::StartOrder& it : request.starts) {
-    agent.runs.try_emplace(it.run, false);
+    if (agent.runs.try_emplace(it.run, false).second) {
+      starts_[it.run.task].push_back(name);
+      crashes = crashes || deadly_.contains(it.run.task);
+    }
+  }
+  if (crashes) {
+    Crash(name, true);
   }
   for (const workload::RunRef& it : request.stops) {
     const auto run = agent.runs.find(it);
@@ -143,22 +155,45 @@
   scheduler_.OnReply(AgentName(name), ReplyOf(name, agent), now_);
 }
 
+void TestScheduler::Crash(const std::string& name, bool early) {
+  Agent& agent = agents_.at(name);
+  std::set<JobId> jobs;
+  for (const auto& [run, stopping] : agent.runs) {
+    jobs.insert(run.task.job);
+  }
+  for (const auto& [run, stopping] : agent.runs) {
+    if (!crash_reports_lost_) {
+      agent.crashes.push_back({run, early, jobs.size() == 1});
+    }
+    if (!deadly_.contains(run.task)) {
+      ++lost_to_others_;
+    }
+  }
+  agent.runs.clear();
+  agent.ends.clear();
+  agent.next_end = 1;
+  ++agent.facts.life.born;
+  ++agent.version;
+}
+
+void TestScheduler::CallAgents() {
+  for (auto& [name, agent] : agents_) {
+    Call(name, agent);
+  }
+}
+
 void TestScheduler::Run(int rounds) {
   for (int n = 0; n < rounds; ++n) {
     now_.local += kRound;
     now_.wall += kRound;
-    for (auto& [name, agent] : agents_) {
-      Call(name, agent);
-    }
+    CallAgents();
     for (const workload::RawRecord& it : scheduler_.Plan(policy_, now_)) {
       log_[it.key] = it.value;
       ++records_;
     }
     scheduler_.Commit();
     scheduler_.ConfirmAuthority(now_);
-    for (auto& [name, agent] : agents_) {
-      Call(name, agent);
-    }
+    CallAgents();
   }
 }
 
--- a/packages/scheduler/src/units.cc
+++ b/packages/scheduler/src/units.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "suspects.h"
 #include "waits.h"
 
 namespace shallotlug::scheduler {
@@ -39,6 +40,10 @@
   return largest;
 }
 
+bool HasCrashes(OccurrenceRow& row, const workload::TaskRef& task) {
+  return !ProgressOf(row, task).crashes.empty();
+}
+
 // Tasks that have failed are kept apart, as each avoids other workers.
 void AddUnits(const State& state,
               const Unit& base,
@@ -47,16 +52,23 @@
   Unit unit = base;
   unit.step = &StepOf(*base.row, waiting.step);
   unit.key.step = waiting.step;
-  if (unit.step->gang || state.failed_on.empty()) {
+  const auto is_suspect = [&](int it) {
+    return IsSuspect(ProgressOf(*unit.row, TaskOf(unit, it)));
+  };
+  if (unit.step->gang) {
     unit.tasks = waiting.tasks;
+    unit.suspect =
+        std::any_of(unit.tasks.begin(), unit.tasks.end(), is_suspect);
     units.push_back(std::move(unit));
     return;
   }
   Unit single = unit;
   for (const int it : waiting.tasks) {
-    if (state.failed_on.contains(TaskOf(unit, it))) {
+    if (state.failed_on.contains(TaskOf(unit, it)) ||
+        HasCrashes(*unit.row, TaskOf(unit, it))) {
       single.key.index = it;
       single.tasks = {it};
+      single.suspect = is_suspect(it);
       units.push_back(single);
     } else {
       unit.tasks.push_back(it);
--- a/packages/scheduler/src/units.h
+++ b/packages/scheduler/src/units.h
@@ -16,6 +16,7 @@
   const workload::Step* step = nullptr;
   std::vector<int> tasks;          ///< Indices within the step.
   bool guaranteed = false;         ///< Within its customer's guarantee.
+  bool suspect = false;            ///< A worker may have crashed because of it.
   workload::WallTime objective{};  ///< Latest end that earns full credit.
   workload::WallTime zero_credit_after{};
 
@@ -38,7 +39,7 @@
 
 /// @brief Collects the units that are due, in order of guarantee, priority,
 /// whether they can still earn credit, and earliest objective. A task that has
-/// failed before is a unit of its own.
+/// failed before or under which a worker has crashed is a unit of its own.
 std::vector<Unit> CollectUnits(State& state, Now now);
 
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/waits.cc
+++ b/packages/scheduler/src/waits.cc
@@ -15,6 +15,8 @@
       return "stops_pending";
     case WaitReason::kNothingToPreempt:
       return "nothing_to_preempt";
+    case WaitReason::kNotAlone:
+      return "not_alone";
   }
   return "unknown";
 }
