--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -397,7 +397,8 @@
     return WaitReason::kNothingToPreempt;
   }
   DeductReservation(placement.fleet, reservation->second);
-  return WaitReason::kStopsPending;
+  return AwaitsStops(state, unit) ? WaitReason::kStopsPending
+                                  : WaitReason::kNothingToPreempt;
 }
 
 void DropStaleReservations(State& state, TimePoint now) {
