Place nothing on a worker whose capacity has shrunk below its use

PlacementTest.PlacesNothingOnAnOverfullWorker and OutcomesTest.PlacesOnlyWhatAShrunkenWorkerHolds fail without it. CountsStoppingRunsOnAShrunkenWorker held before and guards what is being stopped.

--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -142,6 +142,38 @@
 
 // Guards against jobs that stay on a worker whose agent reports but whose tasks
 // make no progress, and against new runs that are placed there.
+// Guards against starts on a worker that does not guard its capacity, after it
+// has shrunk below what runs there.
+TEST_F(OutcomesTest, PlacesOnlyWhatAShrunkenWorkerHolds) {
+  scheduler.Submit(scheduler.Job("first", "batch", "acme", 4, 1));
+  scheduler.Run(2);
+  scheduler.SetCapacity("a1", {64'000, 64'000, 2});
+  scheduler.Run(1);
+  scheduler.Submit(scheduler.Job("gpu", "batch", "acme", 1, 1));
+  scheduler.Submit(scheduler.Job("cpu", "batch", "acme", 1, 0));
+  scheduler.Run(40);
+  EXPECT_TRUE(scheduler.Running("gpu").empty());
+  EXPECT_TRUE(scheduler.Running("cpu").empty());
+  scheduler.AddWorker("a2", "r1", {64'000, 64'000, 0});
+  scheduler.Run(4);
+  EXPECT_EQ(scheduler.Running("cpu").count("a2"), 1U);
+  scheduler.SetCapacity("a1", kEight);
+  scheduler.Run(4);
+  EXPECT_EQ(scheduler.Running("gpu").count("a1"), 1U);
+}
+
+// Guards against room that is counted before the runs that hold it have ended.
+TEST_F(OutcomesTest, CountsStoppingRunsOnAShrunkenWorker) {
+  scheduler.Submit(scheduler.Job("first", "batch", "acme", 4, 1));
+  scheduler.Run(2);
+  scheduler.SetCapacity("a1", {64'000, 64'000, 4});
+  scheduler.HoldStops("a1");
+  scheduler.Get().CancelJob(JobId("first"));
+  scheduler.Submit(scheduler.Job("next", "batch", "acme", 1, 1));
+  scheduler.Run(40);
+  EXPECT_TRUE(scheduler.Running("next").empty());
+}
+
 TEST_F(OutcomesTest, MigratesJobsWithoutProgress) {
   scheduler.Submit(scheduler.Job("stuck", "batch", "acme", 1, 4));
   scheduler.Run(2);
--- a/packages/scheduler/src/placement.cc
+++ b/packages/scheduler/src/placement.cc
@@ -15,11 +15,13 @@
 
 namespace {
 
+// The room is negative after the capacity of a worker has shrunk. It takes
+// nothing then, not even a task that needs nothing of this resource.
 std::int64_t FitCount(std::int64_t room, std::int64_t need) {
-  if (need <= 0) {
-    return std::numeric_limits<std::int64_t>::max();
+  if (room < 0) {
+    return 0;
   }
-  return room <= 0 ? 0 : room / need;
+  return need <= 0 ? std::numeric_limits<std::int64_t>::max() : room / need;
 }
 
 }  // namespace
--- a/packages/scheduler/src/placement_test.cc
+++ b/packages/scheduler/src/placement_test.cc
@@ -39,6 +39,14 @@
   EXPECT_THAT(FitInto(all, MakeDemand(3, 1)), IsEmpty());
 }
 
+// Guards against a start on a worker whose capacity has shrunk below its use,
+// by a task that needs nothing of the resource that it lacks.
+TEST(PlacementTest, PlacesNothingOnAnOverfullWorker) {
+  const std::vector<Candidate> all = {MakeCandidate(0, 1, -2)};
+  EXPECT_EQ(Slots(all[0].free, {1'000, 1'000, 0}, 8), 0);
+  EXPECT_THAT(FitInto(all, MakeDemand(1, 0)), IsEmpty());
+}
+
 TEST(PlacementTest, PrefersTheRackOfTheData) {
   const std::vector<Candidate> all = {MakeCandidate(0, 1, 1),
                                       MakeCandidate(1, 2, 8)};
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -40,6 +40,12 @@
     return agents_.at(agent).crashes.size();
   }
 
+  /// @brief The worker's reports state this capacity from now on.
+  void SetCapacity(const std::string& agent,
+                   const workload::Resources& capacity) {
+    agents_.at(agent).facts.capacity = capacity;
+  }
+
   /// @brief Makes the worker drain, with its tasks at `percent`.
   void Drain(const std::string& agent, Millis remaining, int percent);
 
