Skip odd records and heartbeats of other writers

Deep nesting was rejected already (limit of the JSON parser).

What is skipped is counted and logged with its key or reason. IsAddress() moves from settings to base.

--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -322,7 +322,8 @@
   agent.registered = true;
   workload::AgentAddress address;
   address.agent = AgentName(agent.machine);
-  address.address = agent.machine;
+  // The simulation finds agents by their names.
+  address.address = "127.0.0.1:1";
   address.incarnation = Incarnation{agent.life};
   const auto result =
       store.Append(agent.machine, {workload::Encode(address)}, {});
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -148,6 +148,28 @@
   EXPECT_TRUE(role.NextAppend(kNonce, now));
 }
 
+// Guards against an odd record of another writer among the workers' or the
+// jobs' that ends the scheduler, and each of its successors.
+TEST_F(RoleTest, KeepsTheRoleAfterOddRecords) {
+  const auto claim = role.NextAppend(kNonce, now);
+  role.OnAppended(Appended(claim->options.at.value()), now);
+  ++end;
+  const std::string job =
+      R"({"queue":"q","customer":"c","pool":"p","slack":1,"payload":"","steps":)";
+  Read({{"j/00000000000000a1", job + R"([{"count":-1}]})"},
+        {"j/00000000000000a2", job + R"([{"count":1000000000000}]})"},
+        {"j/00000000000000a3", job + R"([{"count":1,"after":[7]}]})"},
+        {"j/00000000000000a4", job + R"([{"count":1}],"repeats":2000000000})"},
+        {"n/a", R"({"address":"10.0.0.1:99999"})"},
+        {"e/a", R"({"address":"10.0.0.1:70","cpu":9000000000000000000})"},
+        {"a", R"({"epoch":9223372036854775807,"entry":"x"})"}});
+  now.local += Millis(100);
+  role.NextAppend(kNonce, now);
+  EXPECT_EQ(role.Epoch(), 1U);
+  EXPECT_TRUE(role.Active()->Agents().empty());
+  EXPECT_TRUE(ledger.jobs.empty());
+}
+
 class LogLagTest : public RoleTest {
  protected:
   LogLagTest() {
--- a/packages/service/src/job_agent.cc
+++ b/packages/service/src/job_agent.cc
@@ -138,6 +138,11 @@
     platform::HeartbeatCall call = platform::DecodeHeartbeat(request);
     if (const auto* fault = std::get_if<platform::HeartbeatFault>(&call)) {
       counters_.AddTo("shallotlug_heartbeats_malformed_total");
+      if (std::exchange(heartbeat_fault_, fault->message) != fault->message) {
+        WriteLog({LogLevel::kWarning,
+                  "heartbeat_rejected",
+                  {{"target", request.target}, {"reason", fault->message}}});
+      }
       heartbeat_server_->Reply(exchange, platform::HeartbeatReply(*fault));
       return;
     }
@@ -348,7 +353,8 @@
   net::MetricsServer metrics_;
   TimePoint last_sync_at_{};
   TimePoint registered_at_{};
-  int registrations_ = 0;  ///< Since the last call of a scheduler.
+  int registrations_ = 0;        ///< Since the last call of a scheduler.
+  std::string heartbeat_fault_;  ///< Reason of the newest rejection.
   Millis registration_delay_{0};
 };
 
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -48,6 +48,8 @@
 // Time limit for answering open calls during a shutdown.
 constexpr Millis kShutdownTimeout{3'500};
 constexpr Millis kShutdownPoll{20};
+// Keys of malformed records that are logged, each once.
+constexpr std::size_t kMaxLoggedKeys = 100;
 
 HttpResponse ReadinessResponse(bool ready) {
   HttpResponse response;
@@ -211,6 +213,14 @@
         Apply(ledger_, stored.record.key, stored.record.value, stored.offset);
     if (applied == workload::Applied::kMalformed) {
       counters_.AddTo("shallotlug_log_records_skipped_total");
+      if (skipped_keys_.size() < kMaxLoggedKeys &&
+          skipped_keys_.insert(stored.record.key).second) {
+        WriteLog({LogLevel::kWarning,
+                  "record_skipped",
+                  {{"key", stored.record.key},
+                   {"offset", std::to_string(stored.offset)},
+                   {"reason", "malformed, or a number is out of range"}}});
+      }
       return;
     }
     if (applied == workload::Applied::kYes) {
@@ -336,6 +346,7 @@
   workload::Ledger ledger_;
   workload::Policy policy_;
   std::uint64_t operator_restarts_ = 0;  ///< Of the operator topic's follower.
+  std::set<std::string> skipped_keys_;   ///< Of malformed job records.
   /// Evacuations that were not read again since the last restart.
   std::set<std::string> outdated_evacuations_;
   RecordQueue records_;
--- a/packages/settings/src/fields.h
+++ b/packages/settings/src/fields.h
@@ -12,8 +12,6 @@
 /// Readers of the settings fields that several programs share.
 namespace shallotlug::settings::detail {
 
-bool IsAddress(std::string_view text);
-
 void ReadName(ObjectReader& reader, std::string_view key, std::string& to);
 void ReadAddress(ObjectReader& reader, std::string_view key, std::string& to);
 void ReadSecret(ObjectReader& reader, std::string_view key, std::string& to);
--- a/packages/settings/src/settings.cc
+++ b/packages/settings/src/settings.cc
@@ -1,6 +1,7 @@
 #include "shallotlug/settings/settings.h"
 
 #include "fields.h"
+#include "shallotlug/base/address.h"
 
 namespace shallotlug::settings {
 
@@ -40,7 +41,7 @@
                  "must name at least one address, usually the load balancer's");
   }
   for (const std::string& seed : to) {
-    if (!detail::IsAddress(seed)) {
+    if (!IsAddress(seed)) {
       reader.Fault("entry_seeds", "\"" + seed +
                                       "\" is not an address such as "
                                       "\"127.0.0.1:7001\"");
--- a/packages/workload/include/shallotlug/workload/job.h
+++ b/packages/workload/include/shallotlug/workload/job.h
@@ -16,6 +16,14 @@
 /// @brief Wall-clock time, as used by callers and in durable records.
 using WallTime = std::chrono::sys_time<Millis>;
 
+/// @brief Limits of what a job may state. A record that exceeds them is odd,
+/// and would use up the memory of each process that reads it.
+inline constexpr std::int64_t kMaxTasksPerJob = 100'000;
+inline constexpr std::int64_t kMaxOccurrences = 10'000;
+/// @brief Of resources, times in ms and numbers without a limit of their own;
+/// sums and multiples of it fit into 64 bits.
+inline constexpr std::int64_t kMaxAmount = std::int64_t{1} << 50;
+
 /// @brief A set of identical tasks of a job.
 struct Step {
   int count = 1;
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -8,6 +8,8 @@
 
 #include <boost/json.hpp>
 
+#include "shallotlug/base/address.h"
+
 namespace shallotlug::workload {
 
 namespace json = boost::json;
@@ -20,8 +22,10 @@
 constexpr std::string_view kAgentPrefix = "n/";
 constexpr std::string_view kEntryPrefix = "e/";
 constexpr std::string_view kClaimKey = "a";
-// Upper bound of the step and task counts in a record.
-constexpr std::int64_t kMaxTasks = 100'000;
+constexpr std::int64_t kMaxPriority = 1'000;
+// Of runs, failures and attempts of one task.
+constexpr std::int64_t kMaxRuns = 1'000'000'000;
+constexpr double kMaxSlackFactor = 1e6;
 
 json::object EncodeStep(const Step& it) {
   json::object to{{"count", it.count},
@@ -56,6 +60,33 @@
   return it == nullptr ? 0 : it->to_number<std::int64_t>();
 }
 
+std::int64_t Checked(std::int64_t n, std::int64_t min, std::int64_t max) {
+  if (n < min || n > max) {
+    throw std::out_of_range("number out of range");
+  }
+  return n;
+}
+
+/// @brief A number from 0 to `max`; 0 if there is none.
+std::int64_t GetAmount(const json::object& from,
+                       std::string_view key,
+                       std::int64_t max = kMaxAmount) {
+  return Checked(GetInt(from, key), 0, max);
+}
+
+/// @brief A number from 0 to `max` at this place of a row.
+int GetCell(const json::array& row, std::size_t n, std::int64_t max) {
+  return static_cast<int>(Checked(row.at(n).to_number<std::int64_t>(), 0, max));
+}
+
+std::string GetAddress(const json::object& from) {
+  std::string address(from.at("address").as_string());
+  if (!IsAddress(address)) {
+    throw std::invalid_argument("malformed address");
+  }
+  return address;
+}
+
 bool GetBool(const json::object& from, std::string_view key) {
   const auto* it = from.if_contains(key);
   return it != nullptr && it->as_bool();
@@ -66,48 +97,68 @@
   return it == nullptr ? "" : std::string(it->as_string());
 }
 
-Step DecodeStep(const json::object& from) {
+Step DecodeStep(const json::object& from, int position) {
   Step to;
-  to.count = static_cast<int>(GetInt(from, "count"));
-  to.need = {GetInt(from, "cpu"), GetInt(from, "memory"),
-             GetInt(from, "accelerators")};
-  to.estimate = Millis(GetInt(from, "estimate"));
+  to.count =
+      static_cast<int>(Checked(GetInt(from, "count"), 1, kMaxTasksPerJob));
+  to.need = {GetAmount(from, "cpu"), GetAmount(from, "memory"),
+             GetAmount(from, "accelerators")};
+  to.estimate = Millis(GetAmount(from, "estimate"));
   if (const auto* it = from.if_contains("after")) {
     to.depends_on = json::value_to<std::vector<int>>(*it);
   }
+  for (const int it : to.depends_on) {
+    Checked(it, 0, position - 1);
+  }
   to.saves_checkpoints = GetBool(from, "saves");
   to.gang = GetBool(from, "gang");
   to.same_rack = GetBool(from, "same_rack");
   to.required_label = GetString(from, "label");
   to.data_rack = GetString(from, "data_rack");
-  to.per_worker_limit = static_cast<int>(GetInt(from, "per_worker"));
+  to.per_worker_limit =
+      static_cast<int>(GetAmount(from, "per_worker", kMaxTasksPerJob));
   to.speculative = GetBool(from, "speculative");
   to.lasting = GetBool(from, "lasting");
   to.image = GetString(from, "image");
-  to.tail_latency_target = Millis(GetInt(from, "tail_target"));
+  to.tail_latency_target = Millis(GetAmount(from, "tail_target"));
   to.uses_spare_cpu = GetBool(from, "spare_cpu");
-  to.absence_limit = static_cast<int>(GetInt(from, "absences"));
+  to.absence_limit =
+      static_cast<int>(GetAmount(from, "absences", kMaxTasksPerJob));
   return to;
 }
 
+Terms DecodeTerms(const json::object& from) {
+  Terms terms;
+  terms.pool = GetString(from, "pool");
+  terms.priority = static_cast<int>(GetAmount(from, "priority", kMaxPriority));
+  terms.max_attempts = static_cast<int>(GetAmount(from, "attempts", kMaxRuns));
+  terms.slack_factor = from.at("slack").to_number<double>();
+  if (!(terms.slack_factor >= 0 && terms.slack_factor <= kMaxSlackFactor)) {
+    throw std::out_of_range("slack out of range");
+  }
+  terms.target = Millis(GetAmount(from, "target"));
+  return terms;
+}
+
 JobAccepted DecodeJob(std::string id, const json::object& from) {
   Job job;
   job.id = JobId(std::move(id));
   job.queue = GetString(from, "queue");
   job.customer = CustomerName(GetString(from, "customer"));
-  job.terms.pool = GetString(from, "pool");
-  job.terms.priority = static_cast<int>(GetInt(from, "priority"));
-  job.terms.max_attempts = static_cast<int>(GetInt(from, "attempts"));
-  job.terms.slack_factor = from.at("slack").to_number<double>();
-  job.terms.target = Millis(GetInt(from, "target"));
+  job.terms = DecodeTerms(from);
   job.payload = GetString(from, "payload");
+  std::int64_t tasks = 0;
   for (const json::value& it : from.at("steps").as_array()) {
-    job.steps.push_back(DecodeStep(it.as_object()));
+    job.steps.push_back(
+        DecodeStep(it.as_object(), static_cast<int>(job.steps.size())));
+    tasks += job.steps.back().count;
   }
-  job.recurrence.count = static_cast<int>(GetInt(from, "repeats"));
-  job.recurrence.first = WallTime(Millis(GetInt(from, "first")));
-  job.recurrence.interval = Millis(GetInt(from, "interval"));
-  job.accepted_at = WallTime(Millis(GetInt(from, "accepted")));
+  Checked(tasks, 1, kMaxTasksPerJob);
+  job.recurrence.count =
+      static_cast<int>(GetAmount(from, "repeats", kMaxOccurrences));
+  job.recurrence.first = WallTime(Millis(GetAmount(from, "first")));
+  job.recurrence.interval = Millis(GetAmount(from, "interval"));
+  job.accepted_at = WallTime(Millis(GetAmount(from, "accepted")));
   return {std::move(job)};
 }
 
@@ -150,8 +201,8 @@
   std::vector<WorkerCrash> crashes;
   for (const json::value& it : rows) {
     const json::array& row = it.as_array();
-    const int bits = row.at(1).to_number<int>();
-    crashes.push_back({row.at(0).to_number<int>(), (bits & kEarlyCrashBit) != 0,
+    const int bits = GetCell(row, 1, kEarlyCrashBit | kAloneCrashBit);
+    crashes.push_back({GetCell(row, 0, kMaxRuns), (bits & kEarlyCrashBit) != 0,
                        (bits & kAloneCrashBit) != 0});
   }
   return crashes;
@@ -192,10 +243,11 @@
 
 TaskProgress DecodeTask(const json::array& row, const json::array& workers) {
   TaskProgress task;
-  task.phase = static_cast<TaskPhase>(row.at(3).to_number<int>());
-  task.run = row.at(4).to_number<int>();
-  task.failures = row.at(5).to_number<int>();
-  task.failed_run = row.at(6).to_number<int>();
+  task.phase = static_cast<TaskPhase>(
+      GetCell(row, 3, static_cast<int>(TaskPhase::kDone)));
+  task.run = GetCell(row, 4, kMaxRuns);
+  task.failures = GetCell(row, 5, kMaxRuns);
+  task.failed_run = GetCell(row, 6, kMaxRuns);
   if (row.size() > 8) {
     task.checkpoint = row.at(8).as_string();
   }
@@ -214,12 +266,12 @@
 
 Progress DecodeProgress(const json::object& from) {
   Progress progress;
-  progress.outcome = static_cast<Outcome>(GetInt(from, "outcome"));
+  progress.outcome = static_cast<Outcome>(
+      GetAmount(from, "outcome", static_cast<int>(Outcome::kCancelled)));
+  std::int64_t left = kMaxTasksPerJob;
   for (const json::value& it : from.at("counts").as_array()) {
-    const auto n = it.to_number<std::int64_t>();
-    if (n < 0 || n > kMaxTasks) {
-      throw std::out_of_range("task count out of range");
-    }
+    const auto n = Checked(it.to_number<std::int64_t>(), 0, left);
+    left -= n;
     progress.steps.emplace_back(static_cast<std::size_t>(n));
   }
   const json::array& workers = from.at("workers").as_array();
@@ -264,16 +316,16 @@
   }
   if (key.starts_with(kAgentPrefix)) {
     return AgentAddress{
-        AgentName(key.substr(kAgentPrefix.size())), GetString(from, "address"),
+        AgentName(key.substr(kAgentPrefix.size())), GetAddress(from),
         Incarnation{static_cast<std::uint64_t>(GetInt(from, "incarnation"))}};
   }
   if (key.starts_with(kEntryPrefix)) {
     return EntryAddress{
-        EntryName(key.substr(kEntryPrefix.size())), GetString(from, "address"),
-        WallTime(Millis(GetInt(from, "stated"))), GetInt(from, "cpu")};
+        EntryName(key.substr(kEntryPrefix.size())), GetAddress(from),
+        WallTime(Millis(GetAmount(from, "stated"))), GetAmount(from, "cpu")};
   }
   if (key == kClaimKey) {
-    return SchedulerClaim{static_cast<std::uint64_t>(GetInt(from, "epoch")),
+    return SchedulerClaim{static_cast<std::uint64_t>(GetAmount(from, "epoch")),
                           EntryName(GetString(from, "entry")),
                           static_cast<std::uint64_t>(GetInt(from, "nonce")),
                           GetBool(from, "resigned")};
--- a/packages/workload/src/record_test.cc
+++ b/packages/workload/src/record_test.cc
@@ -64,5 +64,74 @@
   }
 }
 
+std::string Job(const std::string& step, const std::string& more = "") {
+  return R"({"queue":"q","customer":"c","pool":"p","slack":1.5,"payload":"",)" +
+         more + R"("steps":[)" + step + "]}";
+}
+
+std::string Nested(int depth) {
+  const auto n = static_cast<std::size_t>(depth);
+  return R"({"address":)" + std::string(n, '[') + std::string(n, ']') + "}";
+}
+
+// Guards against an odd record of another writer that ends every process that
+// reads it, or each that places what it names.
+TEST(RecordTest, RejectsRecordsWithNumbersOutOfRange) {
+  ASSERT_TRUE(Decode("j/1", Job(R"({"count":2,"cpu":1})")));
+  for (const char* step :
+       {R"({"count":-1})", R"({"count":0})", R"({"count":4294967297})",
+        R"({"count":1000000000000})", R"({"count":1e400})",
+        R"({"count":1,"cpu":-1})", R"({"count":1,"accelerators":9e18})",
+        R"({"count":1,"estimate":9223372036854775807})",
+        R"({"count":1,"after":[0]})", R"({"count":1,"after":[-1]})",
+        R"({"count":1,"per_worker":-1})", ""}) {
+    EXPECT_FALSE(Decode("j/1", Job(step))) << step;
+  }
+  for (const char* more :
+       {R"("repeats":2000000000,)", R"("repeats":-1,)",
+        R"("first":9223372036854775807,)", R"("interval":9223372036854775807,)",
+        R"("priority":-1,)", R"("accepted":-9223372036854775807,)"}) {
+    EXPECT_FALSE(Decode("j/1", Job(R"({"count":1})", more))) << more;
+  }
+}
+
+TEST(RecordTest, RejectsClaimsAndAddressesWithNumbersOutOfRange) {
+  EXPECT_TRUE(Decode("a", R"({"epoch":7,"entry":"e","nonce":5})"));
+  EXPECT_FALSE(Decode("a", R"({"epoch":9223372036854775807,"entry":"e"})"));
+  EXPECT_FALSE(Decode("a", R"({"epoch":-1,"entry":"e"})"));
+  EXPECT_TRUE(Decode("e/1", R"({"address":"10.0.0.1:70","cpu":500})"));
+  EXPECT_FALSE(
+      Decode("e/1", R"({"address":"10.0.0.1:70","cpu":9000000000000000000})"));
+  EXPECT_FALSE(
+      Decode("e/1", R"({"address":"10.0.0.1:70","stated":-9000000000000000})"));
+  for (const char* address :
+       {"10.0.0.1:99999", "10.0.0.1:-1", "10.0.0.1:", "10.0.0.1", "", ":70"}) {
+    const std::string value = R"({"address":")" + std::string(address) + "\"}";
+    EXPECT_FALSE(Decode("n/1", value)) << address;
+    EXPECT_FALSE(Decode("e/1", value)) << address;
+  }
+}
+
+TEST(RecordTest, RejectsDeeplyNestedRecords) {
+  for (const char* key : {"n/1", "e/1", "j/1", "p/1/0", "a"}) {
+    EXPECT_FALSE(Decode(key, Nested(200'000))) << key;
+  }
+}
+
+TEST(ProgressRecordTest, RejectsUnknownPhasesAndOutcomes) {
+  const std::string key = Encode(RunningGang(1, 1)).key;
+  const auto decode = [&](const std::string& row, int outcome) {
+    return Decode(key, R"({"outcome":)" + std::to_string(outcome) +
+                           R"(,"counts":[1],"workers":[],"tasks":[)" + row +
+                           "]}");
+  };
+  ASSERT_TRUE(decode("[0,0,1,2,1,0,0,-1]", 0));
+  EXPECT_FALSE(decode("[0,0,1,9,1,0,0,-1]", 0));
+  EXPECT_FALSE(decode("[0,0,1,2,-1,0,0,-1]", 0));
+  EXPECT_FALSE(decode("[0,0,1,2,1,-1,0,-1]", 0));
+  EXPECT_FALSE(decode("[0,0,1,2,1,0,0,-1]", 17));
+  EXPECT_FALSE(decode("[0,0,1,2,2147483647,0,0,-1]", 0));
+}
+
 }  // namespace
 }  // namespace shallotlug::workload
