--- /dev/null
+++ b/packages/executor/src/impl.h
@@ -0,0 +1,105 @@
+#ifndef SHALLOTLUG_EXECUTOR_SRC_IMPL_H_
+#define SHALLOTLUG_EXECUTOR_SRC_IMPL_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "crashes.h"
+#include "shallotlug/executor/executor.h"
+
+/// State of the executor. Its functions stand with their concept: orders.cc,
+/// views.cc and lives.cc.
+namespace shallotlug::executor {
+
+/// @brief A run that is or may be on the worker.
+struct TrackedRun {
+  protocol::RunPhase phase = protocol::RunPhase::kStarting;
+  protocol::StartOrder order;  ///< Only while starting.
+  workload::ActiveRun active;
+  int attempts = 0;
+  TimePoint next_call{};
+  bool call_pending = false;
+  /// An earlier start was not answered and may still take effect.
+  bool ambiguous = false;
+  /// Listed by the current life of the worker.
+  bool listed = false;
+  /// When the worker confirmed the start to this process of the agent.
+  std::optional<TimePoint> started_at;
+  /// The run is refused once a look with this or a higher number shows that it
+  /// is not on the worker.
+  std::optional<std::uint64_t> refuse_from_look;
+  protocol::RefusalReason reason = protocol::RefusalReason::kStopped;
+  /// Number of the first look sent after the worker confirmed the start.
+  std::uint64_t first_look_after_start = 0;
+};
+
+/// @brief Whether the run is on the worker, or a start of it was sent.
+bool MayBePresent(const TrackedRun& run);
+
+struct Executor::Impl {
+  ExecutorOptions options;
+  std::uint64_t epoch = 0;
+  TimePoint lease_until{};
+
+  std::optional<workload::WorkerFacts> facts;
+  std::uint64_t heartbeat_sequence = 0;
+  bool lists_read = false;  ///< Lists of the current life.
+  bool departed = false;
+  bool silent = false;
+  std::int64_t reported_born = 0;
+  TimePoint answered_at{};
+  PeerClockSample clock;
+  bool clock_known = false;
+  WorkerTime granted_lease{};
+  /// Upper bound of all leases sent to the worker.
+  TimePoint granted_until{};
+
+  std::map<workload::RunRef, TrackedRun> runs;
+  std::vector<workload::RunEnd> ends;
+  std::vector<workload::RunEnd> former_ends;  ///< Of earlier lives.
+  /// When the current life last answered or sent a heartbeat.
+  TimePoint heard_at{};
+  /// Runs of the current life whose lease has expired while it was silent.
+  std::vector<PresentRun> lapsed_runs;
+  std::map<workload::RunRef, protocol::CrashReport>
+      crashes;  ///< Of earlier lives.
+  std::map<workload::RunRef, protocol::RefusalReason> refusals;
+  std::uint64_t noted_ends = 0;
+  std::uint64_t confirmed_noted_ends = 0;  ///< Answered by the worker.
+
+  std::uint64_t version = 1;
+  std::uint64_t next_look = 1;
+  /// `noted_ends` of each look that is not answered yet, by look number.
+  std::map<std::uint64_t, std::uint64_t> pending_looks;
+  std::uint64_t immediate_look = 0;  ///< Look up to this number at once.
+  std::vector<LogLine> log;
+
+  void MarkChanged() { ++version; }
+  void Log(std::string event,
+           const workload::RunRef& run,
+           std::vector<Label> fields);
+  void Refuse(const workload::RunRef& run, protocol::RefusalReason reason);
+  void StartNewLife(const char* cause, TimePoint now);
+  void RecordCrash();
+  void AcceptStart(const protocol::StartOrder& order,
+                   const workload::WorkerLife& life,
+                   TimePoint now);
+  void BeginStop(const workload::RunRef& run,
+                 protocol::RefusalReason reason,
+                 TimePoint now);
+  void RefuseOnceAbsent(TrackedRun& run, protocol::RefusalReason reason);
+  bool HasEnded(const workload::RunRef& run) const;
+  std::optional<WorkerTime> SafeWorkerLease() const;
+  std::optional<WorkerTime> GrantLease();
+  void ExpireSilentWorker(TimePoint now);
+  WorkerQuery MakeQuery(Millis wait);
+  void ApplyActiveRuns(const std::vector<workload::ActiveRun>& active,
+                       std::uint64_t number);
+  void ApplyEnds(const std::vector<workload::RunEnd>& list);
+};
+
+}  // namespace shallotlug::executor
+
+#endif  // SHALLOTLUG_EXECUTOR_SRC_IMPL_H_
--- /dev/null
+++ b/packages/executor/src/views.cc
@@ -0,0 +1,168 @@
+#include <algorithm>
+#include <utility>
+
+#include "impl.h"
+
+namespace shallotlug::executor {
+
+using protocol::RefusalReason;
+using protocol::RunPhase;
+using workload::RunRef;
+
+namespace {
+
+// A worker that has not answered for longer is reported as silent.
+constexpr Millis kMaxWorkerSilence{2'500};
+constexpr Millis kWatchWait{1'000};
+constexpr Millis kIdleWatchWait{2'000};
+// The worker's lease is renewed when it can be extended by more than this.
+constexpr Millis kLeaseRenewalThreshold{700};
+
+}  // namespace
+
+WorkerQuery Executor::Impl::MakeQuery(Millis wait) {
+  WorkerQuery look;
+  look.number = next_look++;
+  look.context.worker = facts ? facts->life.id : "";
+  look.context.epoch = epoch;
+  look.context.lease_until = GrantLease();
+  // Sent only until it is confirmed: a delayed call would make a new life with
+  // the same id drop ends that it has just numbered.
+  look.noted_ends = noted_ends > confirmed_noted_ends ? noted_ends : 0;
+  pending_looks[look.number] = look.noted_ends;
+  look.wait = wait;
+  return look;
+}
+
+void Executor::Impl::ApplyActiveRuns(
+    const std::vector<workload::ActiveRun>& active,
+    std::uint64_t number) {
+  std::map<RunRef, const workload::ActiveRun*> present;
+  for (const workload::ActiveRun& it : active) {
+    present[it.run] = &it;
+    const auto [run, added] = runs.try_emplace(it.run);
+    if (added) {
+      run->second.phase = RunPhase::kRunning;
+      Log("run_adopted", it.run, {});
+      MarkChanged();
+    } else if (run->second.phase == RunPhase::kStarting &&
+               !run->second.call_pending) {
+      run->second.phase = RunPhase::kRunning;
+      MarkChanged();
+    }
+    run->second.active = it;
+    run->second.listed = true;
+  }
+  std::vector<std::pair<RunRef, RefusalReason>> refused;
+  std::vector<RunRef> vanished;
+  for (auto& [ref, run] : runs) {
+    if (present.contains(ref)) {
+      continue;
+    }
+    if (run.refuse_from_look && number >= *run.refuse_from_look) {
+      refused.emplace_back(ref, run.reason);
+    } else if (run.phase == RunPhase::kRunning &&
+               number >= run.first_look_after_start) {
+      vanished.push_back(ref);
+    }
+  }
+  for (const auto& [ref, reason] : refused) {
+    Refuse(ref, reason);
+  }
+  for (const RunRef& it : vanished) {
+    runs.erase(it);
+    Log("run_vanished", it, {});
+    MarkChanged();
+  }
+}
+
+void Executor::Impl::ApplyEnds(const std::vector<workload::RunEnd>& list) {
+  for (const workload::RunEnd& it : list) {
+    if (it.number <= noted_ends || HasEnded(it.run)) {
+      continue;
+    }
+    ends.push_back(it);
+    runs.erase(it.run);
+    refusals.erase(it.run);
+    Log("run_ended", it.run,
+        {{"reason", Name(it.reason)}, {"number", std::to_string(it.number)}});
+    MarkChanged();
+  }
+}
+
+WorkerQuery Executor::WatchCall(TimePoint now) {
+  Impl& it = *impl_;
+  if (!it.lists_read) {
+    return it.MakeQuery(Millis{0});
+  }
+  const bool idle = it.runs.empty() || it.lease_until <= now;
+  return it.MakeQuery(idle ? kIdleWatchWait : kWatchWait);
+}
+
+WorkerQuery Executor::LastCall() {
+  return impl_->MakeQuery(Millis{0});
+}
+
+std::optional<WorkerQuery> Executor::QuickCall(TimePoint) {
+  Impl& it = *impl_;
+  const auto lease = it.SafeWorkerLease();
+  const bool renew = lease && !it.runs.empty() &&
+                     *lease - it.granted_lease > kLeaseRenewalThreshold;
+  if (it.immediate_look < it.next_look && !renew) {
+    return std::nullopt;
+  }
+  return it.MakeQuery(Millis{0});
+}
+
+void Executor::OnView(std::uint64_t number,
+                      const WorkerView& view,
+                      TimePoint now) {
+  Impl& it = *impl_;
+  const auto look = it.pending_looks.extract(number);
+  if (view.status != OrderStatus::kDone) {
+    if (!it.silent && it.lists_read &&
+        now - it.answered_at > kMaxWorkerSilence) {
+      it.silent = true;
+      it.log.push_back({LogLevel::kWarning,
+                        "worker_silent",
+                        {{"worker", it.facts ? it.facts->life.id : ""},
+                         {"detail", view.detail}}});
+      it.MarkChanged();
+    }
+    return;
+  }
+  it.answered_at = now;
+  if (view.born != 0 && it.reported_born != 0 &&
+      view.born != it.reported_born) {
+    it.StartNewLife("lists", now);
+    it.reported_born = view.born;
+    return;
+  }
+  it.reported_born = view.born != 0 ? view.born : it.reported_born;
+  if (view.clock) {
+    // A call that waits for an end may be answered after a later call.
+    if (it.clock_known && *view.clock < it.clock.peer) {
+      return;
+    }
+    it.clock = {*view.clock, now};
+    it.clock_known = true;
+  }
+  if (look) {
+    it.confirmed_noted_ends = std::max(it.confirmed_noted_ends, look.mapped());
+  }
+  if (!it.facts || (view.born != 0 && view.born != it.facts->life.born)) {
+    // The worker is identified by its next heartbeat.
+    return;
+  }
+  it.heard_at = now;
+  it.lapsed_runs.clear();
+  if (!it.lists_read || it.silent) {
+    it.lists_read = true;
+    it.silent = false;
+    it.MarkChanged();
+  }
+  it.ApplyEnds(view.ends);
+  it.ApplyActiveRuns(view.active, number);
+}
+
+}  // namespace shallotlug::executor
