--- a/packages/decision/src/live_route.cc
+++ b/packages/decision/src/live_route.cc
@@ -25,7 +25,7 @@
          b.in_flight * std::max(1, a.live_capacity);
 }
 
-std::size_t Draw(std::size_t count, std::uint64_t& random) {
+std::size_t RandomBelow(std::size_t count, std::uint64_t& random) {
   return static_cast<std::size_t>(NextRandom(random) % count);
 }
 
@@ -37,7 +37,7 @@
                                    const Match& match) {
   std::optional<std::size_t> first;
   for (int draw = 0; draw < kMaxDraws; ++draw) {
-    const std::size_t n = Draw(candidates.size(), random);
+    const std::size_t n = RandomBelow(candidates.size(), random);
     if (!match(candidates[n]) || first == n) {
       continue;
     }
--- a/packages/scheduler/src/run_table_test.cc
+++ b/packages/scheduler/src/run_table_test.cc
@@ -16,17 +16,17 @@
   explicit RunTableModel(std::uint32_t seed) : random_(seed) {}
 
   void Step() {
-    const TaskRef task{JobId("job-" + std::to_string(Draw(3))), Draw(2),
-                       Draw(2), Draw(4)};
-    if (Draw(3) == 0) {
+    const TaskRef task{JobId("job-" + std::to_string(RandomBelow(3))),
+                       RandomBelow(2), RandomBelow(2), RandomBelow(4)};
+    if (RandomBelow(3) == 0) {
       table_.Erase(task);
       return;
     }
     RunRow row;
-    row.run = Draw(5);
-    row.on.agent = AgentName("agent-" + std::to_string(Draw(4)));
-    row.need = {Draw(8), Draw(8), Draw(8)};
-    row.urgent = Draw(2) == 0;
+    row.run = RandomBelow(5);
+    row.on.agent = AgentName("agent-" + std::to_string(RandomBelow(4)));
+    row.need = {RandomBelow(8), RandomBelow(8), RandomBelow(8)};
+    row.urgent = RandomBelow(2) == 0;
     table_.Put(task, row);
   }
 
@@ -49,7 +49,7 @@
   }
 
  private:
-  int Draw(int limit) {
+  int RandomBelow(int limit) {
     return static_cast<int>(random_() % static_cast<unsigned>(limit));
   }
 
