--- a/packages/jobharness/src/job_oracle_test.cc
+++ b/packages/jobharness/src/job_oracle_test.cc
@@ -126,5 +126,31 @@
   ExpectBroken("lost");
 }
 
+TEST_F(JobOracleTest, SeesStartsAfterThreeCrashes) {
+  for (int run = 1; run <= 5; ++run) {
+    Start("w", RunOf(0, run));
+    oracle.OnWorkerGone("w");
+  }
+  EXPECT_THAT(oracle.Broken(), IsEmpty());
+  Start("w", RunOf(0, 6));
+  ExpectBroken("started again although it crashes its workers");
+}
+
+TEST_F(JobOracleTest, SeesAFailureWithoutACause) {
+  Start("w", RunOf(0, 1));
+  oracle.OnWorkerGone("w");
+  oracle.OnShown(job.id, "failed", kNow);
+  ExpectBroken("shown as failed without cause");
+}
+
+TEST_F(JobOracleTest, AcceptsAFailureAfterTwoCrashes) {
+  for (int run = 1; run <= 2; ++run) {
+    Start("w", RunOf(0, run));
+    oracle.OnWorkerGone("w");
+  }
+  oracle.OnShown(job.id, "failed", kNow);
+  EXPECT_THAT(oracle.Broken(), IsEmpty());
+}
+
 }  // namespace
 }  // namespace shallotlug::jobharness
