--- a/apps/tests/soak/soak.cc
+++ b/apps/tests/soak/soak.cc
@@ -60,7 +60,7 @@
 class Soak {
  public:
   Soak() : random_(absl::GetFlag(FLAGS_seed)), fleet_(oracle_) {
-    oracle_.AllowLoneMembers();
+    oracle_.AllowIncompleteGangs();
     WriteConfiguration(1);
     std::vector<std::string> callers;
     for (int n = 0; n < absl::GetFlag(FLAGS_entries); ++n) {
@@ -337,8 +337,8 @@
   int Report() {
     oracle_.Finish();
     std::vector<std::string> findings = callers_->Findings();
-    findings.insert(findings.end(), oracle_.Broken().begin(),
-                    oracle_.Broken().end());
+    findings.insert(findings.end(), oracle_.Violations().begin(),
+                    oracle_.Violations().end());
     for (const std::string& it : findings) {
       std::printf("broken: %s\n", it.c_str());
     }
--- a/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
+++ b/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
@@ -38,7 +38,7 @@
   /// @brief Whether the worker has crashed and has not started again yet.
   bool IsDown(const std::string& machine) const;
 
-  /// @brief What the worker of a machine says in its heartbeats.
+  /// @brief The state that the worker of a machine reports in its heartbeats.
   workload::WorkerFacts Facts(const std::string& machine) const;
   std::uint64_t NextSequence(const std::string& machine);
 
@@ -55,10 +55,10 @@
                             std::uint64_t noted_ends,
                             TimePoint now);
 
-  /// @brief Work goes on, leases lapse, stops take effect.
+  /// @brief Advances the tasks, expires leases and carries out stops.
   void Advance(TimePoint now);
 
-  /// @brief Steps that are gangs; the rest of a job is known to callers only.
+  /// @brief Declares a step of a job as a gang of this size.
   void AddGang(const JobId& job, int step, int size);
 
  private:
--- a/packages/jobharness/include/shallotlug/jobharness/job_oracle.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_oracle.h
@@ -9,12 +9,13 @@
 
 namespace shallotlug::jobharness {
 
-/// @brief Judges what the stand-ins have seen by the promises that are made to
-/// callers. It knows nothing of the system's state.
+/// @brief Checks the events that the stand-ins have observed against the
+/// promises made to callers, without access to the state of the system.
 class JobOracle {
  public:
-  /// @brief With faults, a gang's member may wait alone for the others.
-  void AllowLoneMembers() { lone_members_allowed_ = true; }
+  /// @brief Members of a gang may time out waiting for the others, as with
+  /// faults.
+  void AllowIncompleteGangs() { incomplete_gangs_allowed_ = true; }
 
   /// @brief A caller's submission was answered with success.
   void OnAccepted(const workload::Job& job);
@@ -29,22 +30,21 @@
                  const workload::RunRef& run,
                  const std::string& payload,
                  TimePoint now);
-  /// @param up Whether the worker still exists.
   void OnEnded(const std::string& worker,
                const workload::RunRef& run,
                workload::EndReason reason);
   /// @brief The worker has crashed; nothing of it runs.
-  void OnWorkerGone(const std::string& worker);
-  /// @brief The worker was told that this end is recorded.
+  void OnWorkerCrashed(const std::string& worker);
+  /// @brief The worker was told that this end is durable.
   void OnNoted(const workload::RunRef& run, workload::EndReason reason);
   void OnCapacity(const std::string& worker, const workload::Resources& free);
   /// @brief A caller was told a state.
   void OnShown(const JobId& job, const std::string& state, TimePoint now);
 
-  /// @brief Checks that every job has come to its end.
+  /// @brief Checks that every accepted job has a final state.
   void Finish();
 
-  const std::vector<std::string>& Broken() const { return broken_; }
+  const std::vector<std::string>& Violations() const { return violations_; }
   /// @brief Starts that were seen.
   int Starts() const { return starts_; }
 
@@ -68,15 +68,15 @@
     std::string shown;
   };
 
-  void Break(const std::string& rule, const workload::TaskRef& task);
+  void AddViolation(const std::string& rule, const workload::TaskRef& task);
   bool MayFail(const JobState& job) const;
   void CheckOrder(const JobState& job, const workload::TaskRef& task);
   bool StepDone(const JobState& job, int occurrence, int step) const;
 
   std::map<JobId, JobState> jobs_;
   std::map<workload::TaskRef, Task> tasks_;
-  std::vector<std::string> broken_;
-  bool lone_members_allowed_ = false;
+  std::vector<std::string> violations_;
+  bool incomplete_gangs_allowed_ = false;
   int starts_ = 0;
 };
 
--- a/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
@@ -29,9 +29,9 @@
   bool trace = false;  ///< Prints the processes' log to standard error.
 };
 
-/// @brief Entries and agents on a fake clock, against the stand-ins, in one
-/// thread. The real state machines run; calls between them take a few
-/// milliseconds, drawn from the seed.
+/// @brief Discrete-event simulation of entries and agents against FakeStore and
+/// FakeFleet. The real state machines run in one thread on a simulated clock;
+/// calls between them take a few milliseconds, drawn from the seed.
 class JobSimulation {
  public:
   explicit JobSimulation(const JobSimulationOptions& options);
@@ -39,46 +39,45 @@
   JobSimulation(const JobSimulation&) = delete;
   JobSimulation& operator=(const JobSimulation&) = delete;
 
-  /// @brief Lets time pass.
+  /// @brief Advances the simulated clock.
   void Run(Millis time);
 
-  /// @brief Hands a job in at some entry, and again until it is accepted or
-  /// refused for good.
+  /// @brief Submits a job, and retries until it is accepted.
   void Submit(const workload::Job& job);
   void Cancel(const JobId& job);
 
   void KillEntry(int entry);
   void StartEntry(int entry);
-  /// @brief A frozen entry does nothing; what is sent to it waits.
+  /// @brief A frozen entry does nothing; messages to it are queued.
   void FreezeEntry(int entry, bool frozen);
   void KillAgent(int agent);
   void StartAgent(int agent);
-  /// @brief The agent and the entries do not reach each other.
-  void CutAgent(int agent, bool cut);
-  /// @brief The agent and its worker do not reach each other.
-  void CutWorker(int agent, bool cut);
+  /// @brief Partitions the agent from the entries, or ends that.
+  void PartitionAgent(int agent, bool cut);
+  /// @brief Partitions the agent from its worker, or ends that.
+  void PartitionWorker(int agent, bool cut);
   void RestartWorker(int agent);
-  /// @brief The worker says that it leaves.
+  /// @brief The worker reports that it is draining.
   void DrainWorker(int agent);
-  /// @brief Hands the role over, as at a shutdown.
+  /// @brief The entry resigns from the scheduler role, as at a shutdown.
   void RetireEntry(int entry);
 
   /// @brief The entry that is the scheduler; -1 when there is none.
   int Scheduler() const;
-  /// @brief Changes that answers from workers and store are lost.
+  /// @brief Sets the shares of lost answers from workers and from the store.
   void SetLosses(double orders, double appends);
 
   FakeStore& Store();
   FakeFleet& Fleet();
   JobOracle& Oracle();
-  workload::Policy& Targets();
+  workload::Policy& Policy();
   /// @brief The state of a job as the entry shows it that has read the log
   /// last.
   std::string Shown(const JobId& job) const;
   TimePoint Now() const;
 
-  /// @brief Heals everything, waits, and lets the oracle judge.
-  /// @return What was broken, one rule a line; empty when nothing was.
+  /// @brief Ends all faults, runs for `settle`, and checks the promises.
+  /// @return The violations, one a line; empty if there are none.
   std::string Finish(Millis settle);
 
  private:
--- a/packages/jobharness/src/fake_fleet.cc
+++ b/packages/jobharness/src/fake_fleet.cc
@@ -49,7 +49,7 @@
 }
 
 void FakeFleet::Restart(const std::string& machine, TimePoint now) {
-  oracle_.OnWorkerGone(machine);
+  oracle_.OnWorkerCrashed(machine);
   const FakeWorkerSetup setup = workers_.at(machine).setup;
   Add(machine, setup, now);
 }
@@ -250,7 +250,7 @@
 }
 
 void FakeFleet::Crash(const std::string& machine, TimePoint now) {
-  oracle_.OnWorkerGone(machine);
+  oracle_.OnWorkerCrashed(machine);
   Worker& worker = workers_.at(machine);
   worker.runs.clear();
   worker.ends.clear();
--- a/packages/jobharness/src/job_oracle.cc
+++ b/packages/jobharness/src/job_oracle.cc
@@ -20,8 +20,8 @@
 
 }  // namespace
 
-void JobOracle::Break(const std::string& rule, const TaskRef& task) {
-  broken_.push_back(rule + ": " + workload::ToString(task));
+void JobOracle::AddViolation(const std::string& rule, const TaskRef& task) {
+  violations_.push_back(rule + ": " + workload::ToString(task));
 }
 
 void JobOracle::OnSent(const workload::Job& job) {
@@ -37,7 +37,7 @@
   JobState& state = jobs_[job];
   state.refused = true;
   if (state.started && !state.accepted) {
-    broken_.push_back("refused but run: " + job.value);
+    violations_.push_back("refused but run: " + job.value);
   }
 }
 
@@ -74,7 +74,7 @@
       job.job.steps[static_cast<std::size_t>(task.step)].depends_on;
   for (const int it : needed) {
     if (!StepDone(job, task.occurrence, it)) {
-      Break("started before a step that it depends on was done", task);
+      AddViolation("started before a step that it depends on was done", task);
     }
   }
 }
@@ -86,31 +86,31 @@
   ++starts_;
   const auto job = jobs_.find(run.task.job);
   if (job == jobs_.end() || job->second.job.payload != payload) {
-    Break("started without being asked for", run.task);
+    AddViolation("started without being asked for", run.task);
     return;
   }
   job->second.started = true;
   if (job->second.refused && !job->second.accepted) {
-    Break("refused but run", run.task);
+    AddViolation("refused but run", run.task);
   }
   if (job->second.cancelled && now - job->second.cancelled_at > kCancelBound) {
-    Break("started after its job was cancelled", run.task);
+    AddViolation("started after its job was cancelled", run.task);
   }
   Task& task = tasks_[run.task];
   if (!task.running.empty()) {
-    Break("two runs at the same time", run.task);
+    AddViolation("two runs at the same time", run.task);
   }
   if (task.done_noted) {
-    Break("started again after it was done", run.task);
+    AddViolation("started again after it was done", run.task);
   }
   const workload::Step& step =
       job->second.job.steps[static_cast<std::size_t>(run.task.step)];
   if (!step.lasting && task.failures >= job->second.job.terms.max_attempts) {
-    Break("started after its attempts were used up", run.task);
+    AddViolation("started after its attempts were used up", run.task);
   }
   if (task.crashes >= kCrashLimit &&
       ++task.starts_after_crashes >= kCrashLimit) {
-    Break("started again although it crashes its workers", run.task);
+    AddViolation("started again although it crashes its workers", run.task);
   }
   CheckOrder(job->second, run.task);
   task.running[worker] = run.run;
@@ -125,13 +125,13 @@
     task.done = true;
   } else if (reason == EndReason::kFailed) {
     ++task.failed_ends;
-  } else if (reason == EndReason::kAlone && !lone_members_allowed_ &&
+  } else if (reason == EndReason::kAlone && !incomplete_gangs_allowed_ &&
              !jobs_[run.task.job].cancelled) {
-    Break("a gang's member waited alone", run.task);
+    AddViolation("a gang's member waited alone", run.task);
   }
 }
 
-void JobOracle::OnWorkerGone(const std::string& worker) {
+void JobOracle::OnWorkerCrashed(const std::string& worker) {
   for (auto& [ref, task] : tasks_) {
     task.crashes += task.running.erase(worker) > 0 ? 1 : 0;
   }
@@ -148,7 +148,7 @@
 void JobOracle::OnCapacity(const std::string& worker,
                            const workload::Resources& free) {
   if (free.cpu_millis < 0 || free.memory_mib < 0 || free.accelerators < 0) {
-    broken_.push_back("more than a worker's room: " + worker);
+    violations_.push_back("more than a worker's room: " + worker);
   }
 }
 
@@ -156,14 +156,15 @@
   JobState& known = jobs_[job];
   known.shown = state;
   if (state == "failed" && !MayFail(known)) {
-    broken_.push_back("shown as failed without cause: " + job.value);
+    violations_.push_back("shown as failed without cause: " + job.value);
   }
   if (state != "completed") {
     return;
   }
   for (int n = 0; n < static_cast<int>(known.job.steps.size()); ++n) {
     if (!StepDone(known, 0, n)) {
-      broken_.push_back("shown as completed before all was done: " + job.value);
+      violations_.push_back("shown as completed before all was done: " +
+                            job.value);
       return;
     }
   }
@@ -175,8 +176,8 @@
       continue;
     }
     if (job.shown != "completed" && job.shown != "failed") {
-      broken_.push_back("lost: " + id.value + " is shown as '" + job.shown +
-                        "'");
+      violations_.push_back("lost: " + id.value + " is shown as '" + job.shown +
+                            "'");
     }
   }
 }
--- a/packages/jobharness/src/job_oracle_test.cc
+++ b/packages/jobharness/src/job_oracle_test.cc
@@ -20,7 +20,7 @@
   return {{JobId("j"), 0, step, index}, run};
 }
 
-// Each test breaks one promise on purpose and expects the oracle to say so.
+// Each test violates one promise and expects the oracle to report it.
 class JobOracleTest : public testing::Test {
  protected:
   JobOracleTest() {
@@ -34,8 +34,8 @@
     oracle.OnStarted(worker, run, job.payload, kNow);
   }
 
-  void ExpectBroken(const std::string& rule) {
-    EXPECT_THAT(oracle.Broken(), ElementsAre(HasSubstr(rule)));
+  void ExpectViolation(const std::string& rule) {
+    EXPECT_THAT(oracle.Violations(), ElementsAre(HasSubstr(rule)));
   }
 
   workload::Job job = MakeJob("j", 2, "100");
@@ -48,13 +48,13 @@
   oracle.OnEnded("w1", RunOf(0, 1), EndReason::kDone);
   oracle.OnEnded("w2", RunOf(1, 1), EndReason::kDone);
   Start("w1", RunOf(0, 1, 1));
-  EXPECT_THAT(oracle.Broken(), IsEmpty());
+  EXPECT_THAT(oracle.Violations(), IsEmpty());
 }
 
 TEST_F(JobOracleTest, SeesTwoRunsAtTheSameTime) {
   Start("w1", RunOf(0, 1));
   Start("w2", RunOf(0, 2));
-  ExpectBroken("two runs at the same time");
+  ExpectViolation("two runs at the same time");
 }
 
 TEST_F(JobOracleTest, SeesAStartAfterANotedEnd) {
@@ -62,28 +62,28 @@
   oracle.OnEnded("w1", RunOf(0, 1), EndReason::kDone);
   oracle.OnNoted(RunOf(0, 1), EndReason::kDone);
   Start("w2", RunOf(0, 2));
-  ExpectBroken("started again after it was done");
+  ExpectViolation("started again after it was done");
 }
 
 TEST_F(JobOracleTest, SeesAStepBeforeWhatItDependsOn) {
   Start("w1", RunOf(0, 1, 1));
-  ExpectBroken("before a step that it depends on");
+  ExpectViolation("before a step that it depends on");
 }
 
 TEST_F(JobOracleTest, SeesAnotherPayload) {
   oracle.OnStarted("w1", RunOf(0, 1), "other", kNow);
-  ExpectBroken("without being asked for");
+  ExpectViolation("without being asked for");
 }
 
 TEST_F(JobOracleTest, SeesAnUnknownJob) {
   oracle.OnStarted("w1", {{JobId("k"), 0, 0, 0}, 1}, "100", kNow);
-  ExpectBroken("without being asked for");
+  ExpectViolation("without being asked for");
 }
 
 TEST_F(JobOracleTest, SeesAStartLongAfterTheCancel) {
   oracle.OnCancelled(JobId("j"), kNow - Millis(5'000));
   Start("w1", RunOf(0, 1));
-  ExpectBroken("after its job was cancelled");
+  ExpectViolation("after its job was cancelled");
 }
 
 TEST_F(JobOracleTest, SeesARefusedJobThatRuns) {
@@ -91,7 +91,7 @@
   oracle.OnSent(other);
   oracle.OnRefused(other.id);
   oracle.OnStarted("w1", {{JobId("k"), 0, 0, 0}, 1}, "100", kNow);
-  ExpectBroken("refused but run");
+  ExpectViolation("refused but run");
 }
 
 TEST_F(JobOracleTest, SeesAStartBeyondTheAttempts) {
@@ -101,55 +101,55 @@
     oracle.OnNoted(RunOf(0, run), EndReason::kFailed);
   }
   Start("w1", RunOf(0, 4));
-  ExpectBroken("after its attempts were used up");
+  ExpectViolation("after its attempts were used up");
 }
 
 TEST_F(JobOracleTest, SeesALoneMember) {
   Start("w1", RunOf(0, 1));
   oracle.OnEnded("w1", RunOf(0, 1), EndReason::kAlone);
-  ExpectBroken("waited alone");
+  ExpectViolation("waited alone");
 }
 
 TEST_F(JobOracleTest, SeesAnOverloadedWorker) {
   oracle.OnCapacity("w1", {0, 0, -1});
-  ExpectBroken("more than a worker's room");
+  ExpectViolation("more than a worker's room");
 }
 
 TEST_F(JobOracleTest, SeesAJobCompletedTooSoon) {
   oracle.OnShown(JobId("j"), "completed", kNow);
-  ExpectBroken("before all was done");
+  ExpectViolation("before all was done");
 }
 
 TEST_F(JobOracleTest, SeesALostJob) {
   oracle.OnShown(JobId("j"), "unknown", kNow);
   oracle.Finish();
-  ExpectBroken("lost");
+  ExpectViolation("lost");
 }
 
 TEST_F(JobOracleTest, SeesStartsAfterThreeCrashes) {
   for (int run = 1; run <= 5; ++run) {
     Start("w", RunOf(0, run));
-    oracle.OnWorkerGone("w");
+    oracle.OnWorkerCrashed("w");
   }
-  EXPECT_THAT(oracle.Broken(), IsEmpty());
+  EXPECT_THAT(oracle.Violations(), IsEmpty());
   Start("w", RunOf(0, 6));
-  ExpectBroken("started again although it crashes its workers");
+  ExpectViolation("started again although it crashes its workers");
 }
 
 TEST_F(JobOracleTest, SeesAFailureWithoutACause) {
   Start("w", RunOf(0, 1));
-  oracle.OnWorkerGone("w");
+  oracle.OnWorkerCrashed("w");
   oracle.OnShown(job.id, "failed", kNow);
-  ExpectBroken("shown as failed without cause");
+  ExpectViolation("shown as failed without cause");
 }
 
 TEST_F(JobOracleTest, AcceptsAFailureAfterTwoCrashes) {
   for (int run = 1; run <= 2; ++run) {
     Start("w", RunOf(0, run));
-    oracle.OnWorkerGone("w");
+    oracle.OnWorkerCrashed("w");
   }
   oracle.OnShown(job.id, "failed", kNow);
-  EXPECT_THAT(oracle.Broken(), IsEmpty());
+  EXPECT_THAT(oracle.Violations(), IsEmpty());
 }
 
 }  // namespace
--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -19,9 +19,9 @@
 constexpr Millis kStep{5};
 constexpr Millis kHeartbeat{500};
 constexpr Millis kReadInterval{20};
-constexpr Millis kLookInterval{50};
+constexpr Millis kPollInterval{50};
 constexpr Millis kCallTimeout{700};
-constexpr Millis kLongestHoldUp{15'000};
+constexpr Millis kMaxDeliveryDelay{15'000};
 constexpr Millis kSyncInterval{100};
 constexpr Millis kSubmitRetry{400};
 constexpr int kSubmitAttempts = 60;
@@ -44,11 +44,11 @@
   bool running = false;
   std::uint64_t life = 0;
   bool cut = false;
-  bool worker_cut = false;
+  bool worker_partitioned = false;
   bool draining = false;
   std::optional<executor::Executor> executor;
   TimePoint next_heartbeat{};
-  TimePoint next_look{};
+  TimePoint next_poll{};
   bool registered = false;
 };
 
@@ -102,7 +102,7 @@
   void Read(std::size_t n);
   void StartAppend(std::size_t n);
   void Sync(std::size_t n, const AgentName& name);
-  void HoldUp(const AgentName& name, const protocol::SyncRequest& request);
+  void DeliverLate(const AgentName& name, const protocol::SyncRequest& request);
   void StepAgent(std::size_t n);
   void Register(std::size_t n);
   void SendAction(std::size_t n, const executor::Action& action);
@@ -156,7 +156,7 @@
 template <class Result, class Call, class Answer>
 void JobSimulation::Impl::CallWorker(std::size_t n, Call call, Answer answer) {
   const std::uint64_t life = agents[n].life;
-  if (agents[n].worker_cut || fleet.IsDown(agents[n].machine)) {
+  if (agents[n].worker_partitioned || fleet.IsDown(agents[n].machine)) {
     After(kCallTimeout, [this, n, life, answer] {
       Result result;
       result.status = executor::OrderStatus::kNotReached;
@@ -300,7 +300,7 @@
     AgentSim* agent = FindAgent(name);
     if (agent == nullptr || !agent->running || agent->cut) {
       After(kCallTimeout, release);
-      HoldUp(name, request);
+      DeliverLate(name, request);
       return;
     }
     const bool accepted = agent->executor->OnSync(request, now);
@@ -319,12 +319,12 @@
   });
 }
 
-// What a cut holds up may arrive when it has healed, long after the caller has
-// given up.
-void JobSimulation::Impl::HoldUp(const AgentName& name,
-                                 const protocol::SyncRequest& request) {
+// A request that a partition has delayed may arrive after its end, long after
+// the caller has timed out.
+void JobSimulation::Impl::DeliverLate(const AgentName& name,
+                                      const protocol::SyncRequest& request) {
   const Millis held(std::uniform_int_distribution<std::int64_t>(
-      0, kLongestHoldUp.count())(random));
+      0, kMaxDeliveryDelay.count())(random));
   After(held, [this, name, request] {
     AgentSim* agent = FindAgent(name);
     if (agent != nullptr && agent->running && !agent->cut) {
@@ -351,7 +351,7 @@
   if (!agent.registered) {
     Register(n);
   }
-  if (now >= agent.next_heartbeat && !agent.worker_cut &&
+  if (now >= agent.next_heartbeat && !agent.worker_partitioned &&
       !fleet.IsDown(agent.machine)) {
     agent.next_heartbeat = now + kHeartbeat;
     workload::WorkerFacts facts = fleet.Facts(agent.machine);
@@ -363,8 +363,8 @@
   }
   if (const auto quick = agent.executor->QuickCall(now)) {
     Look(n, *quick);
-  } else if (now >= agent.next_look) {
-    agent.next_look = now + kLookInterval;
+  } else if (now >= agent.next_poll) {
+    agent.next_poll = now + kPollInterval;
     Look(n, agent.executor->WatchCall(now));
   }
   Trace(agent.machine, agent.executor->TakeLog());
@@ -543,12 +543,12 @@
       executor::ExecutorOptions{AgentName(it.machine), Incarnation{it.life}});
 }
 
-void JobSimulation::CutAgent(int agent, bool cut) {
+void JobSimulation::PartitionAgent(int agent, bool cut) {
   impl_->agents[static_cast<std::size_t>(agent)].cut = cut;
 }
 
-void JobSimulation::CutWorker(int agent, bool cut) {
-  impl_->agents[static_cast<std::size_t>(agent)].worker_cut = cut;
+void JobSimulation::PartitionWorker(int agent, bool cut) {
+  impl_->agents[static_cast<std::size_t>(agent)].worker_partitioned = cut;
 }
 
 void JobSimulation::RestartWorker(int agent) {
@@ -591,7 +591,7 @@
   return impl_->oracle;
 }
 
-workload::Policy& JobSimulation::Targets() {
+workload::Policy& JobSimulation::Policy() {
   return impl_->policy;
 }
 
@@ -625,8 +625,8 @@
     StartEntry(n);
   }
   for (int n = 0; n < impl_->options.agents; ++n) {
-    CutAgent(n, false);
-    CutWorker(n, false);
+    PartitionAgent(n, false);
+    PartitionWorker(n, false);
     StartAgent(n);
     impl_->agents[static_cast<std::size_t>(n)].draining = false;
   }
@@ -636,7 +636,7 @@
   }
   impl_->oracle.Finish();
   std::string broken;
-  for (const std::string& it : impl_->oracle.Broken()) {
+  for (const std::string& it : impl_->oracle.Violations()) {
     broken += it + "\n";
   }
   return broken;
--- a/packages/jobharness/src/job_simulation_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -90,7 +90,7 @@
   world.Run(Millis(1'000));
   world.Submit(MakeJob("j1", 12, "4000"));
   world.Run(Millis(500));
-  world.CutWorker(0, true);
+  world.PartitionWorker(0, true);
   world.Run(Millis(20'000));
   EXPECT_EQ(world.Shown(JobId("j1")), "completed");
   EXPECT_EQ(world.Finish(kSettle), "");
@@ -101,7 +101,7 @@
   world.Run(Millis(1'000));
   world.Submit(MakeJob("j1", 12, "4000"));
   world.Run(Millis(500));
-  world.CutAgent(0, true);
+  world.PartitionAgent(0, true);
   world.Run(Millis(20'000));
   EXPECT_EQ(world.Shown(JobId("j1")), "completed");
   EXPECT_EQ(world.Finish(kSettle), "");
@@ -174,7 +174,7 @@
     JobSimulationOptions options;
     options.seed = seed;
     JobSimulation world(options);
-    world.Oracle().AllowLoneMembers();
+    world.Oracle().AllowIncompleteGangs();
     world.Run(Millis(1'000));
     world.Submit(MakeJob("good", 8, "2500"));
     world.Run(Millis(500));
@@ -208,7 +208,7 @@
   options.seed = seed;
   options.trace = trace;
   JobSimulation world(options);
-  world.Oracle().AllowLoneMembers();
+  world.Oracle().AllowIncompleteGangs();
   std::mt19937_64 random(seed * 977);
   const auto draw = [&](int n) {
     return static_cast<int>(random() % static_cast<std::uint64_t>(n));
@@ -262,10 +262,10 @@
         world.StartAgent(agent);
         break;
       case 9:
-        world.CutAgent(agent, draw(2) == 0);
+        world.PartitionAgent(agent, draw(2) == 0);
         break;
       case 10:
-        world.CutWorker(agent, draw(2) == 0);
+        world.PartitionWorker(agent, draw(2) == 0);
         break;
       case 11:
         world.RestartWorker(agent);
@@ -310,7 +310,7 @@
     JobSimulationOptions options;
     options.seed = seed;
     JobSimulation world(options);
-    world.Oracle().AllowLoneMembers();
+    world.Oracle().AllowIncompleteGangs();
     world.Run(Millis(1'000));
     world.Submit(MakeJob("j1", 12, "2000"));
     world.Run(Millis(5 + static_cast<int>(seed)));
@@ -332,16 +332,15 @@
   EXPECT_EQ(world.Oracle().Starts(), 0);
 }
 
-// The story of scenarios/job_without_final_state.scenario, which the attempts
-// of the product's own interface do not pass: a job is submitted, then an entry
-// freezes, the store is away for 2.7 s, one agent is lost for good and another
-// restarts.
+// The faults of scenarios/job_without_final_state.scenario, which the product's
+// own interface does not pass: a job is submitted, then an entry freezes, the
+// store is down for 2.7 s, one agent is lost for good and another restarts.
 TEST(JobSimulationTest, EndsAJobThatWasSubmittedJustBeforeEverythingFailed) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     JobSimulationOptions options;
     options.seed = seed;
     JobSimulation world(options);
-    world.Oracle().AllowLoneMembers();
+    world.Oracle().AllowIncompleteGangs();
     world.Run(Millis(1'000));
     workload::Job job = MakeJob("j2", 4, "3000");
     job.steps[0].gang = true;
@@ -351,7 +350,7 @@
     world.FreezeEntry(frozen, true);
     world.Store().Refuse("*");
     world.KillAgent(0);
-    world.CutWorker(0, true);
+    world.PartitionWorker(0, true);
     world.Run(Millis(400));
     world.KillAgent(1);
     world.StartAgent(1);
