Count only resignations for lag against a further hand-over

A scheduler behind its log kept the role for 30 s after any resignation, also one at a shutdown: during a rolling restart of the strong entries a weak one could have kept it. The claim record says whether lag was the reason.

LogLagTest.HandsOverAfterTheShutdownOfAnother fails without it.

--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -52,6 +52,7 @@
   /// Start of the latest sequence of appends that all succeeded.
   TimePoint appending_since{};
   bool resigning = false;
+  bool behind = false;  ///< It resigns because it is behind the log.
   std::optional<TimePoint> agents_lost_since;
 };
 
@@ -90,8 +91,8 @@
   std::uint64_t read_to = 0;  ///< Offset up to which the log was read.
   TimePoint answered_at{};    ///< When the store last answered a read.
   TimePoint current_at{};     ///< When the log was last read to its end.
-  /// When the newest resignation was read or made.
-  std::optional<TimePoint> resigned_at;
+  /// When a scheduler behind its log has last resigned.
+  std::optional<TimePoint> handed_over_at;
   std::optional<Term> term;
   std::vector<workload::RawRecord> batch;  ///< Of the append in flight.
   bool append_running = false;             ///< An append is in flight.
@@ -129,8 +130,8 @@
   if (workload::IsSchedulersRecord(key)) {
     it.authority.heard_at = now.local;
     it.authority.claim = it.ledger.claim;
-    if (it.ledger.claim.resigned) {
-      it.resigned_at = now.local;
+    if (it.ledger.claim.behind) {
+      it.handed_over_at = now.local;
     }
   }
   if (!it.term) {
@@ -224,6 +225,7 @@
     claim.epoch = term.epoch;
     claim.entry = it.options.entry;
     claim.resigned = true;
+    claim.behind = term.behind;
     it.batch = {workload::Encode(claim)};
     return it.Send(now.local);
   }
@@ -398,7 +400,7 @@
                            ? kMaxLogLag
                            : kMaxLogLagOfStrongest;
   if (lag <= limit || term->resigning || ledger.entries.size() < 2 ||
-      (resigned_at && now.local - *resigned_at < kHandoverInterval)) {
+      (handed_over_at && now.local - *handed_over_at < kHandoverInterval)) {
     return;
   }
   log.push_back({LogLevel::kWarning,
@@ -406,7 +408,8 @@
                  {{"reason", "log_lag"},
                   {"lag_ms", std::to_string(lag.count())},
                   {"epoch", std::to_string(term->epoch)}}});
-  resigned_at = now.local;
+  handed_over_at = now.local;
+  term->behind = true;
   term->resigning = true;
 }
 
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -95,7 +95,7 @@
   ASSERT_TRUE(role.NextAppend(kNonce, now));
   now.local += Millis(20);
   Read({workload::Encode(
-      workload::SchedulerClaim{1, EntryName("other"), 3, false})});
+      workload::SchedulerClaim{1, EntryName("other"), 3, false, false})});
   role.OnAppended(Moved(), now);
   EXPECT_FALSE(role.NextAppend(kNonce, now));
 }
@@ -125,7 +125,7 @@
   role.OnAppended(Appended(end + 1), now);
   Read({unrelated, claim->records.front(),
         workload::Encode(
-            workload::SchedulerClaim{2, EntryName("other"), 3, false})});
+            workload::SchedulerClaim{2, EntryName("other"), 3, false, false})});
   EXPECT_EQ(role.Epoch(), 0U);
 }
 
@@ -134,7 +134,7 @@
 // that has left meanwhile were lost with its role.
 TEST_F(RoleTest, LetsTheSchedulerReturnAfterAnOutage) {
   Read({workload::Encode(
-      workload::SchedulerClaim{1, EntryName("other"), 3, false})});
+      workload::SchedulerClaim{1, EntryName("other"), 3, false, false})});
   now.local += Millis(4'200);
   Read({});
   EXPECT_FALSE(role.NextAppend(kNonce, now));
@@ -184,6 +184,20 @@
         EntryName(name), "127.0.0.1:1", {}, cpu_millis};
   }
 
+  /// @brief Another scheduler resigns, and this entry claims the role.
+  void ClaimAfterAResignation(bool behind) {
+    Read({workload::Encode(
+        workload::SchedulerClaim{2, EntryName("other"), 3, true, behind})});
+    for (Millis passed{0}; passed < Millis(5'000); passed += Millis(300)) {
+      now.local += Millis(300);
+      Read({});
+    }
+    const auto claim = role.NextAppend(kNonce + 100'000, now);
+    ASSERT_TRUE(claim);
+    role.OnAppended(Appended(claim->options.at.value()), now);
+    ++end;
+  }
+
   /// @brief Appends succeed for this time, but no read is answered.
   /// @return Whether the entry has resigned.
   bool FallBehind(Millis time) {
@@ -250,20 +264,22 @@
 TEST_F(LogLagTest, KeepsTheRoleAfterAnotherHasHandedItOver) {
   Register("strong", 500);
   ASSERT_TRUE(FallBehind(Millis(1'300)));
-  Read({workload::Encode(
-      workload::SchedulerClaim{2, EntryName("other"), 3, true})});
-  for (Millis passed{0}; passed < Millis(5'000); passed += Millis(300)) {
-    now.local += Millis(300);
-    Read({});
-  }
-  const auto claim = role.NextAppend(kNonce + 100'000, now);
-  ASSERT_TRUE(claim);
-  role.OnAppended(Appended(claim->options.at.value()), now);
-  ++end;
+  ClaimAfterAResignation(true);
   ASSERT_EQ(role.Epoch(), 3U);
   EXPECT_FALSE(FallBehind(Millis(5'000)));
 }
 
+// Guards against a weak scheduler that keeps the role because a strong one has
+// resigned at its shutdown.
+TEST_F(LogLagTest, HandsOverAfterTheShutdownOfAnother) {
+  Register("strong", 500);
+  Read({workload::Encode(
+      workload::SchedulerClaim{2, EntryName("other"), 3, false, false})});
+  ClaimAfterAResignation(false);
+  ASSERT_EQ(role.Epoch(), 3U);
+  EXPECT_TRUE(FallBehind(Millis(1'300)));
+}
+
 // Guards against a claim without a condition that deposes a scheduler whose
 // records were only late.
 TEST_F(RoleTest, ClaimsWithAConditionAfterARecordOfTheScheduler) {
@@ -273,7 +289,7 @@
   role.OnAppended(refused, now);
   now.local += Millis(20);
   Read({workload::Encode(
-      workload::SchedulerClaim{1, EntryName("other"), 3, false})});
+      workload::SchedulerClaim{1, EntryName("other"), 3, false, false})});
   now.local += joblog::kAuthorityTimeout;
   Read({});
   const auto claim = role.NextAppend(kNonce, now);
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -36,6 +36,7 @@
   EntryName entry;
   std::uint64_t nonce = 0;  ///< Identifies the claimant's own record.
   bool resigned = false;
+  bool behind = false;  ///< It has resigned because it was behind the log.
 };
 
 /// @brief Listening address of an agent.
--- a/packages/workload/src/ledger_test.cc
+++ b/packages/workload/src/ledger_test.cc
@@ -55,6 +55,17 @@
   EXPECT_EQ(decoded.progress, progress.progress);
 }
 
+TEST(RecordTest, DecodesEncodedClaims) {
+  for (const bool behind : {false, true}) {
+    const RawRecord raw =
+        Encode(SchedulerClaim{7, EntryName("e"), 5, true, behind});
+    const auto claim = std::get<SchedulerClaim>(*Decode(raw.key, raw.value));
+    EXPECT_EQ(claim.epoch, 7U);
+    EXPECT_TRUE(claim.resigned);
+    EXPECT_EQ(claim.behind, behind);
+  }
+}
+
 // The topic may contain records of other writers.
 TEST(RecordTest, RejectsUnknownOrMalformedRecords) {
   EXPECT_FALSE(Decode("j/1", "not json"));
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -328,7 +328,7 @@
     return SchedulerClaim{static_cast<std::uint64_t>(GetAmount(from, "epoch")),
                           EntryName(GetString(from, "entry")),
                           static_cast<std::uint64_t>(GetInt(from, "nonce")),
-                          GetBool(from, "resigned")};
+                          GetBool(from, "resigned"), GetBool(from, "behind")};
   }
   throw std::invalid_argument("unknown record key");
 }
@@ -390,12 +390,14 @@
 }
 
 RawRecord Encode(const SchedulerClaim& it) {
-  return {std::string(kClaimKey),
-          json::serialize(
-              json::object{{"epoch", it.epoch},
-                           {"entry", it.entry.value},
-                           {"nonce", static_cast<std::int64_t>(it.nonce)},
-                           {"resigned", it.resigned}})};
+  json::object to{{"epoch", it.epoch},
+                  {"entry", it.entry.value},
+                  {"nonce", static_cast<std::int64_t>(it.nonce)},
+                  {"resigned", it.resigned}};
+  if (it.behind) {
+    to["behind"] = true;
+  }
+  return {std::string(kClaimKey), json::serialize(to)};
 }
 
 RawRecord Encode(const AgentAddress& it) {
