--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "state.h"
+#include "crash_counts.h"
 #include "waits.h"
 
 namespace shallotlug::scheduler {
@@ -49,6 +49,7 @@
   task.phase = TaskPhase::kDone;
   task.on = {};
   task.checkpoint.clear();
+  task.crashes.clear();
 }
 
 /// @brief Whether the end belongs to the newest run of its task, and the task
@@ -146,56 +147,6 @@
   }
 }
 
-// A crash is counted once for each run, also when it is reported again to
-// another scheduler.
-void CountCrash(State& state,
-                const AgentRow& agent,
-                const protocol::CrashReport& crash) {
-  const TaskRef& task = crash.run.task;
-  OccurrenceRow* row = FindOccurrence(state, task);
-  if (row == nullptr || row->progress.outcome != workload::Outcome::kOpen) {
-    return;
-  }
-  TaskProgress& progress = ProgressOf(*row, task);
-  auto& crashes = progress.crashes;
-  const bool counted =
-      std::any_of(crashes.begin(), crashes.end(),
-                  [&](const auto& it) { return it.run == crash.run.run; });
-  if (counted || progress.phase == TaskPhase::kDone) {
-    return;
-  }
-  crashes.push_back({crash.run.run, crash.early, crash.alone});
-  state.failed_on[task].insert(agent.address.agent);
-  MarkUnrecorded(state, KeyOf(task));
-  Log(state, "crash_counted",
-      {{"job", task.job.value},
-       {"task", workload::ToString(task)},
-       {"run", std::to_string(crash.run.run)},
-       {"agent", agent.address.agent.value},
-       {"early", crash.early ? "true" : "false"},
-       {"alone", crash.alone ? "true" : "false"},
-       {"crashes", std::to_string(crashes.size())}});
-}
-
-void ApplyCrash(State& state,
-                AgentRow& agent,
-                const protocol::CrashReport& crash) {
-  agent.counted_crashes.insert(crash.run);
-  state.crashed.insert(agent.address.agent);
-  CountCrash(state, agent, crash);
-}
-
-// An agent that has started again does not know how a former life of its worker
-// ended. A suspect is then taken to be the cause.
-void CountUnreportedCrash(State& state,
-                          const AgentRow& agent,
-                          const RunRef& run) {
-  OccurrenceRow* row = FindOccurrence(state, run.task);
-  if (row != nullptr && !ProgressOf(*row, run.task).crashes.empty()) {
-    CountCrash(state, agent, {run, false, false});
-  }
-}
-
 void ApplyRefusal(State& state,
                   AgentRow& agent,
                   const protocol::Refusal& refusal,
