Log what agents and the scheduler know of a lease when it ends

New: 'lease_lapsed' (age of the last report, state of the worker in it), 'agent_restarted' (step of the agent's clock), 'lease_reading_ahead' (a lease that is counted from a reading in the agent's future), and in 'worker_silent' how long the worker may go on. No decision changes.

--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -33,6 +33,19 @@
   log.push_back({LogLevel::kInfo, std::move(event), std::move(all)});
 }
 
+// A reading that this process has sent is never in its future.
+void Executor::Impl::CheckLeaseReading(const protocol::SyncRequest& request,
+                                       TimePoint now) {
+  const Millis ahead = AsLocalTime(request.lease_from) - now;
+  if (ahead > Millis{0}) {
+    log.push_back({LogLevel::kWarning,
+                   "lease_reading_ahead",
+                   {{"entry", request.entry.value},
+                    {"epoch", std::to_string(request.epoch)},
+                    {"ahead_ms", std::to_string(ahead.count())}}});
+  }
+}
+
 bool Executor::OnSync(const protocol::SyncRequest& request, TimePoint now) {
   Impl& it = *impl_;
   if (request.epoch < it.epoch) {
@@ -48,6 +61,7 @@
     it.immediate_look = it.next_look;
   }
   if (request.lease > Millis{0}) {
+    it.CheckLeaseReading(request, now);
     it.lease_until = std::max(it.lease_until,
                               AsLocalTime(request.lease_from) + request.lease);
   }
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -83,6 +83,7 @@
   void Refuse(const workload::RunRef& run, protocol::RefusalReason reason);
   void StartNewLife(const char* cause, TimePoint now);
   void RecordCrash();
+  void CheckLeaseReading(const protocol::SyncRequest& request, TimePoint now);
   void AcceptStart(const protocol::StartOrder& order,
                    const workload::WorkerLife& life,
                    TimePoint now);
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -18,6 +18,10 @@
 // The worker's lease is renewed when it can be extended by more than this.
 constexpr Millis kLeaseRenewalThreshold{700};
 
+std::string ToString(Millis it) {
+  return std::to_string(it.count());
+}
+
 }  // namespace
 
 WorkerQuery Executor::Impl::MakeQuery(Millis wait) {
@@ -126,6 +130,8 @@
       it.log.push_back({LogLevel::kWarning,
                         "worker_silent",
                         {{"worker", it.facts ? it.facts->life.id : ""},
+                         {"silent_ms", ToString(now - it.answered_at)},
+                         {"lease_left_ms", ToString(it.granted_until - now)},
                          {"detail", view.detail}}});
       it.MarkChanged();
     }
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -334,6 +334,18 @@
   }
 }
 
+void LogAgentRestart(State& state,
+                     const AgentRow& agent,
+                     const SyncReply& reply,
+                     TimePoint now) {
+  const Millis expected = now - agent.heard_at;
+  const Millis step = reply.clock - agent.clock - expected;
+  Log(state, "agent_restarted",
+      {{"agent", agent.address.agent.value},
+       {"silent_ms", std::to_string(expected.count())},
+       {"clock_step_ms", std::to_string(step.count())}});
+}
+
 }  // namespace
 
 void AvoidWorker(State& state,
@@ -380,7 +392,17 @@
     if (now < agent.lease_expiry) {
       continue;
     }
-    for (const TaskRef& it : RunsOn(state, name)) {
+    const std::vector<TaskRef> over = RunsOn(state, name);
+    if (over.empty()) {
+      continue;
+    }
+    Log(state, "lease_lapsed",
+        {{"agent", name.value},
+         {"runs", std::to_string(over.size())},
+         {"worker_state", Name(agent.worker_state)},
+         Age("heard_ms_ago", agent.heard_at, now),
+         Age("lapsed_ms_ago", agent.lease_expiry, now)});
+    for (const TaskRef& it : over) {
       AbandonRun(state, it, "lease_lapsed", now);
     }
   }
@@ -405,6 +427,9 @@
     agent.lease_expiry = LeaseExpiry(state.options, now, state.options.lease);
     state.placement_outdated = true;
   }
+  if (agent.heard && reply.incarnation != agent.incarnation) {
+    LogAgentRestart(state, agent, reply, now);
+  }
   agent.incarnation = reply.incarnation;
   agent.version = reply.version;
   agent.heard = true;
