Show that leases do not end after an agent's clock has begun anew

The simulation gives each agent's machine a clock of its own, which begins anew when the machine loses power (RebootAgent), and its workers shorten long leases, as real ones do. The agent's machine reboots, and 1 s later the agent is cut off from the scheduler, which starts the tasks elsewhere when the lease is over by its count. The former runs go on: two runs at the same time, for all four tasks of the worker, with a clock that is 3,600 s behind.

The lease limit of the stand-in is 5.5 s, the 4 s of the simulated scheduler's leases by its share of 75 %, rounded up.

--- a/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
@@ -52,6 +52,9 @@
   void FreezeEntry(int entry, bool frozen);
   void KillAgent(int agent);
   void StartAgent(int agent);
+  /// @brief The agent's machine loses power and starts again. Its clock, which
+  /// has begun anew, differs by `clock_step` from what it would have shown.
+  void RebootAgent(int agent, Millis clock_step);
   /// @brief Partitions the agent from the entries, or ends that.
   void PartitionAgent(int agent, bool cut);
   /// @brief Partitions the agent from its worker, or ends that.
--- a/packages/jobharness/src/fake_fleet.cc
+++ b/packages/jobharness/src/fake_fleet.cc
@@ -20,6 +20,8 @@
 constexpr Millis kAloneAfter{3'000};
 constexpr Millis kDeadlyAfter{10};
 constexpr Millis kCrashTakes{3'000};
+// A longer lease is shortened to this.
+constexpr Millis kLongestLease{5'500};
 // Every task takes one accelerator; the payload says the rest.
 constexpr workload::Resources kNeed{1'000, 1'000, 1};
 
@@ -80,11 +82,12 @@
 
 void FakeFleet::Extend(Worker& worker,
                        const OrderContext& context,
-                       TimePoint) const {
+                       TimePoint now) const {
   if (context.lease_until) {
+    const TimePoint asked =
+        worker.born + context.lease_until->time_since_epoch();
     worker.lease_until =
-        std::max(worker.lease_until,
-                 worker.born + context.lease_until->time_since_epoch());
+        std::max(worker.lease_until, std::min(asked, now + kLongestLease));
   }
 }
 
--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -26,6 +26,9 @@
 constexpr Millis kSubmitRetry{400};
 constexpr int kSubmitAttempts = 60;
 constexpr int kMaxDelayMs = 6;
+// The machines of the agents have started at different times.
+constexpr Millis kFirstClockOffset{10'000'000};
+constexpr Millis kClockOffsetPerAgent{1'000'000};
 
 struct EntrySim {
   bool running = false;
@@ -46,6 +49,7 @@
   bool cut = false;
   bool worker_partitioned = false;
   bool draining = false;
+  Millis clock_offset{0};  ///< Of its machine's clock to the simulated one.
   std::optional<executor::Executor> executor;
   TimePoint next_heartbeat{};
   TimePoint next_poll{};
@@ -87,6 +91,10 @@
   scheduler::Now BothClocks() const {
     return {now, workload::WallTime(now.time_since_epoch())};
   }
+  /// @brief The time by the clock of the agent's machine.
+  TimePoint AgentClock(std::size_t n) const {
+    return now + agents[n].clock_offset;
+  }
   bool Chance(double share) {
     return std::uniform_real_distribution<>(0, 1)(random) < share;
   }
@@ -109,7 +117,7 @@
   void Look(std::size_t n, const executor::WorkerQuery& look);
   void TrySubmit(const JobId& job, int attempts);
   void TryCancel(const JobId& job, int attempts);
-  AgentSim* FindAgent(const AgentName& name);
+  std::optional<std::size_t> FindAgent(const AgentName& name) const;
   template <class Call, class Answer>
   void CallStore(const std::string& caller, Call call, Answer answer);
   template <class Result, class Call, class Answer>
@@ -124,13 +132,14 @@
   }
 };
 
-AgentSim* JobSimulation::Impl::FindAgent(const AgentName& name) {
-  for (AgentSim& it : agents) {
-    if (it.machine == name.value) {
-      return &it;
+std::optional<std::size_t> JobSimulation::Impl::FindAgent(
+    const AgentName& name) const {
+  for (std::size_t n = 0; n < agents.size(); ++n) {
+    if (agents[n].machine == name.value) {
+      return n;
     }
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 // An append whose answer is lost may have been carried out.
@@ -297,14 +306,16 @@
         entries[n].syncing.erase(name);
       }
     };
-    AgentSim* agent = FindAgent(name);
-    if (agent == nullptr || !agent->running || agent->cut) {
+    const auto called = FindAgent(name);
+    if (!called || !agents[*called].running || agents[*called].cut) {
       After(kCallTimeout, release);
       DeliverLate(name, request);
       return;
     }
-    const bool accepted = agent->executor->OnSync(request, now);
-    const protocol::SyncReply reply = agent->executor->MakeReply(accepted, now);
+    executor::Executor& agent = *agents[*called].executor;
+    const TimePoint local = AgentClock(*called);
+    const bool accepted = agent.OnSync(request, local);
+    const protocol::SyncReply reply = agent.MakeReply(accepted, local);
     After(Delay(), [this, n, name, reply, life, epoch, release] {
       release();
       if (!EntryLives(n, life) || entries[n].role->Epoch() != epoch) {
@@ -326,9 +337,9 @@
   const Millis held(std::uniform_int_distribution<std::int64_t>(
       0, kMaxDeliveryDelay.count())(random));
   After(held, [this, name, request] {
-    AgentSim* agent = FindAgent(name);
-    if (agent != nullptr && agent->running && !agent->cut) {
-      agent->executor->OnSync(request, now);
+    const auto called = FindAgent(name);
+    if (called && agents[*called].running && !agents[*called].cut) {
+      agents[*called].executor->OnSync(request, AgentClock(*called));
     }
   });
 }
@@ -356,16 +367,18 @@
     agent.next_heartbeat = now + kHeartbeat;
     workload::WorkerFacts facts = fleet.Facts(agent.machine);
     facts.draining = agent.draining;
-    agent.executor->OnHeartbeat(facts, fleet.NextSequence(agent.machine), now);
+    agent.executor->OnHeartbeat(facts, fleet.NextSequence(agent.machine),
+                                AgentClock(n));
   }
-  for (const executor::Action& it : agent.executor->TakeActions(now)) {
+  for (const executor::Action& it :
+       agent.executor->TakeActions(AgentClock(n))) {
     SendAction(n, it);
   }
-  if (const auto quick = agent.executor->QuickCall(now)) {
+  if (const auto quick = agent.executor->QuickCall(AgentClock(n))) {
     Look(n, *quick);
   } else if (now >= agent.next_poll) {
     agent.next_poll = now + kPollInterval;
-    Look(n, agent.executor->WatchCall(now));
+    Look(n, agent.executor->WatchCall(AgentClock(n)));
   }
   Trace(agent.machine, agent.executor->TakeLog());
 }
@@ -379,7 +392,7 @@
         return fleet.Look(machine, look.context, look.noted_ends, now);
       },
       [this, n, look](const executor::WorkerView& view) {
-        agents[n].executor->OnView(look.number, view, now);
+        agents[n].executor->OnView(look.number, view, AgentClock(n));
       });
 }
 
@@ -395,7 +408,7 @@
           return fleet.Start(machine, context, order, now);
         },
         [this, n, run = start->order.run](const executor::OrderResult& it) {
-          agents[n].executor->OnStartResult(run, it, now);
+          agents[n].executor->OnStartResult(run, it, AgentClock(n));
         });
   } else if (const auto* stop = std::get_if<executor::StopAction>(&action)) {
     CallWorker<executor::OrderResult>(
@@ -404,7 +417,7 @@
           return fleet.Stop(machine, context, run, now);
         },
         [this, n, run = stop->run](const executor::OrderResult& it) {
-          agents[n].executor->OnStopResult(run, it, now);
+          agents[n].executor->OnStopResult(run, it, AgentClock(n));
         });
   }
 }
@@ -453,8 +466,9 @@
   it.entries.resize(static_cast<std::size_t>(options.entries));
   it.agents.resize(static_cast<std::size_t>(options.agents));
   for (int n = 0; n < options.agents; ++n) {
-    it.agents[static_cast<std::size_t>(n)].machine =
-        "machine-" + std::to_string(n);
+    AgentSim& agent = it.agents[static_cast<std::size_t>(n)];
+    agent.machine = "machine-" + std::to_string(n);
+    agent.clock_offset = kFirstClockOffset + n * kClockOffsetPerAgent;
     it.fleet.Add("machine-" + std::to_string(n),
                  {"rack-" + std::to_string(n / 2), options.worker}, it.now);
     StartAgent(n);
@@ -543,6 +557,12 @@
       executor::ExecutorOptions{AgentName(it.machine), Incarnation{it.life}});
 }
 
+void JobSimulation::RebootAgent(int agent, Millis clock_step) {
+  KillAgent(agent);
+  impl_->agents[static_cast<std::size_t>(agent)].clock_offset += clock_step;
+  StartAgent(agent);
+}
+
 void JobSimulation::PartitionAgent(int agent, bool cut) {
   impl_->agents[static_cast<std::size_t>(agent)].cut = cut;
 }
--- a/packages/jobharness/src/job_simulation_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -107,6 +107,22 @@
   EXPECT_EQ(world.Finish(kSettle), "");
 }
 
+// Guards against a lease that is counted from the clock of an agent's former
+// process, and does not end because the machine's clock has begun anew.
+TEST(JobSimulationTest, EndsLeasesAfterAnAgentsClockBeganAnew) {
+  for (const Millis step : {Millis(-3'600'000), Millis(3'600'000)}) {
+    JobSimulation world({});
+    world.Run(Millis(1'000));
+    world.Submit(MakeJob("j1", 12, "20000"));
+    world.Run(Millis(500));
+    world.RebootAgent(0, step);
+    world.Run(Millis(1'000));
+    world.PartitionAgent(0, true);
+    world.Run(Millis(20'000));
+    EXPECT_EQ(world.Finish(kSettle), "") << "clock step " << step.count();
+  }
+}
+
 TEST(JobSimulationTest, HandsOverWithoutWaitingForATimeout) {
   JobSimulation world({});
   world.Run(Millis(2'000));
