--- a/packages/decision/src/guarantee_state.h
+++ b/packages/decision/src/guarantee_state.h
@@ -195,6 +195,14 @@
   Capacity open_;
 };
 
+namespace detail {
+
+/// @brief The aligned block of this level that contains the mask, or an empty
+/// one.
+AcceleratorMask BlockAround(AcceleratorMask mask, int level);
+
+}  // namespace detail
+
 }  // namespace shallotlug::decision
 
 #endif  // SHALLOTLUG_DECISION_GUARANTEE_STATE_H_
