Ignore a late start order whose refusal is settled

A start that the worker refuses for want of room is reported as refused, without a stop, as nothing was begun. The scheduler places the task elsewhere and settles the refusal, and the agent forgets it. A copy of the order that the scheduler's other connection has delayed arrives then: same epoch, same incarnation, lease still valid. The agent starts the run beside the new one.

The agent remembers settled refusals until no order that was sent before can be valid. ExecutorTest.IgnoresALateOrderForASettledRefusal failed before.

--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -8,6 +8,13 @@
 
 namespace shallotlug::executor {
 
+namespace {
+
+// A start order that arrives later has expired, as no lease is as long.
+constexpr Millis kLateOrderLimit{60'000};
+
+}  // namespace
+
 using protocol::RefusalReason;
 using protocol::StartOrder;
 using protocol::WorkerState;
@@ -67,8 +74,12 @@
   if (lease_end) {
     it.lease_until = std::max(it.lease_until, *lease_end);
   }
+  std::erase_if(it.settled_refusals,
+                [&](const auto& settled) { return settled.second <= now; });
   for (const RunRef& ref : request.settled) {
-    it.refusals.erase(ref);
+    if (it.refusals.erase(ref) > 0) {
+      it.settled_refusals[ref] = now + kLateOrderLimit;
+    }
     it.crashes.erase(ref);
     std::erase_if(it.former_ends,
                   [&](const workload::RunEnd& end) { return end.run == ref; });
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -336,6 +336,22 @@
   }
 }
 
+// Guards against a run that starts after its task was placed elsewhere, by a
+// copy of the order that another connection has delayed.
+TEST_F(ExecutorTest, IgnoresALateOrderForASettledRefusal) {
+  Connect();
+  OrderStart();
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kNoRoom, {}, ""}, now);
+  ASSERT_THAT(Reply().refusals, SizeIs(1));
+  SyncRequest settles;
+  settles.settled.push_back(FirstRun());
+  EXPECT_THAT(Sync(settles).refusals, IsEmpty());
+  Wait(Millis(1'000));
+  OrderStart(true);
+  EXPECT_THAT(subject.TakeActions(now), IsEmpty());
+}
+
 TEST_F(ExecutorTest, RejectsALowerEpoch) {
   Connect();
   SyncRequest request;
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -66,6 +66,9 @@
   std::map<workload::RunRef, protocol::CrashReport>
       crashes;  ///< Of earlier lives.
   std::map<workload::RunRef, protocol::RefusalReason> refusals;
+  /// Refusals that the scheduler has recorded, and until when an order that was
+  /// sent before may still arrive.
+  std::map<workload::RunRef, TimePoint> settled_refusals;
   std::uint64_t noted_ends = 0;
   std::uint64_t confirmed_noted_ends = 0;  ///< Answered by the worker.
 
