Count the scheduler's authority from when its append was sent

A scheduler extends leases for 12 s after the store has last taken an append of it, and its successor waits for that. The time counted from when the answer was read: a scheduler that stood still meanwhile counted the pause as confirmed, and could extend leases for longer than its successor waits.

--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -347,6 +347,7 @@
 void Role::Impl::BeginTerm(const SchedulerClaim& claim, Now now) {
   options.epoch = claim.epoch;
   term.emplace(Scheduler(options, ledger, now));
+  term->scheduler.ConfirmAuthority({sent_at, now.wall});
   term->epoch = claim.epoch;
   term->sequence = claim.nonce + 1;
   term->began = now.local;
@@ -447,7 +448,8 @@
     StepDown("resigned", now.local);
     return;
   }
-  term->scheduler.ConfirmAuthority(now);
+  // The store may have answered long before this process reads the answer.
+  term->scheduler.ConfirmAuthority({sent_at, now.wall});
   term->scheduler.Commit();
 }
 
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -90,6 +90,26 @@
   EXPECT_EQ(again->options.at, 1U);
 }
 
+// Guards against leases that are extended long after the store has last heard
+// of the scheduler, because it stood still before it read an answer.
+TEST_F(RoleTest, CountsItsAuthorityFromWhenTheAppendWasSent) {
+  Read({unrelated});
+  ASSERT_TRUE(role.NextAppend(kNonce, now));
+  role.OnAppended(Appended(end), now);
+  Read({workload::Encode(ledger.claim)});
+  protocol::SyncReply reply;
+  reply.agent = AgentName("a");
+  reply.incarnation = Incarnation{1};
+  reply.accepted = true;
+  now.local += Millis(1'000);
+  ASSERT_TRUE(role.NextAppend(kNonce, now));
+  now.local += Millis(13'000);
+  role.OnAppended(Appended(end), now);
+  role.Active()->OnReply(AgentName("a"), reply, now);
+  EXPECT_EQ(role.Active()->MakeSync(AgentName("a"), Millis{0}, now).lease,
+            Millis{0});
+}
+
 // Guards against two entries that alternately take the role from each other.
 TEST_F(RoleTest, YieldsTheRoleToAnotherClaim) {
   ASSERT_TRUE(role.NextAppend(kNonce, now));
