--- a/packages/net/include/shallotlug/net/http_client.h
+++ b/packages/net/include/shallotlug/net/http_client.h
@@ -15,6 +15,9 @@
 enum class ConnectionUse {
   /// A connection that is found closed is replaced and the request sent again.
   kReuseAndRepeat,
+  /// As above, but a request that was sent is not sent again: the server may
+  /// carry out the first copy later.
+  kReuse,
   /// A new connection, so that a failure to connect proves "never sent".
   kFresh,
 };
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -70,6 +70,7 @@
   FetchHandler handler;
   std::uint64_t sequence = 0;
   bool reused = false;
+  bool repeats = false;  ///< A request without an answer is sent again.
   bool timed_out = false;
   bool closed = false;
 };
@@ -95,7 +96,7 @@
     request.set(it.name, it.value);
   }
   request.body() = options.body;
-  request.keep_alive(use == ConnectionUse::kReuseAndRepeat);
+  request.keep_alive(use != ConnectionUse::kFresh);
   request.prepare_payload();
   timer.expires_after(options.timeout);
   timer.async_wait(
@@ -110,7 +111,8 @@
     return;
   }
   endpoint = parsed.value();
-  reused = use == ConnectionUse::kReuseAndRepeat && socket.is_open() &&
+  repeats = use == ConnectionUse::kReuseAndRepeat;
+  reused = use != ConnectionUse::kFresh && socket.is_open() &&
            connected_to == address;
   if (reused) {
     Write();
@@ -163,7 +165,7 @@
         if (ec) {
           // The server closed the idle connection while the request was on
           // its way; the caller allowed to repeat it.
-          if (n == 0 && self->reused && !self->timed_out) {
+          if (n == 0 && self->reused && self->repeats && !self->timed_out) {
             self->Connect();
             return;
           }
--- a/packages/net/src/http_test.cc
+++ b/packages/net/src/http_test.cc
@@ -5,9 +5,11 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include "address.h"
+#include "shallotlug/net/http_client.h"
 #include "shallotlug/net/http_fetch.h"
 #include "shallotlug/net/http_server.h"
 
@@ -188,6 +190,62 @@
   }
 }
 
+// Guards against a request that reaches the server twice without its caller's
+// knowledge, when a kept connection ends without an answer.
+TEST_F(HttpTest, SendsARequestOnceUnlessItMayBeRepeated) {
+  for (const ConnectionUse use :
+       {ConnectionUse::kReuse, ConnectionUse::kReuseAndRepeat}) {
+    tcp::acceptor acceptor(client_context,
+                           ParseEndpoint("127.0.0.1:0").value());
+    int received = 0;
+    // The first connection answers one request and ends during the second.
+    std::thread peer([&] {
+      tcp::socket socket(client_context);
+      acceptor.accept(socket);
+      std::string buf;
+      const auto receive = [&] {
+        asio::read_until(socket, asio::dynamic_buffer(buf), "\r\n\r\n");
+        buf.clear();
+        ++received;
+      };
+      const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      receive();
+      asio::write(socket, asio::buffer(reply));
+      receive();
+      socket.close();
+      if (use == ConnectionUse::kReuseAndRepeat) {
+        acceptor.accept(socket);
+        receive();
+        asio::write(socket, asio::buffer(reply));
+      }
+    });
+    HttpFetchOptions options;
+    options.address = ToString(acceptor.local_endpoint());
+    options.timeout = Millis(2'000);
+    asio::io_context caller;
+    HttpClient client(caller);
+    std::optional<FetchResult> second;
+    client.Send(options, use, [&](const FetchResult& first) {
+      EXPECT_TRUE(first);
+      client.Send(options, use, [&](FetchResult it) { second = it; });
+    });
+    caller.run();
+    peer.join();
+    ASSERT_TRUE(second);
+    if (use == ConnectionUse::kReuse) {
+      EXPECT_EQ(second->error(), FetchError::kOutcomeUnknown);
+      EXPECT_EQ(received, 2);
+      boost::system::error_code ec;
+      acceptor.non_blocking(true);
+      acceptor.accept(ec);
+      EXPECT_EQ(ec, asio::error::would_block);
+    } else {
+      EXPECT_TRUE(*second);
+      EXPECT_EQ(received, 3);
+    }
+  }
+}
+
 // Guards against "not run" for a request that a server may have acted on.
 TEST_F(HttpTest, TellsNeverSentFromUnknown) {
   Start();
