Ignore late replies of an agent's former process

An agent has two connections to the scheduler. A reply of its former process that arrives after the new process has answered was applied as if it came from a third process: replies are put in order by version only within one incarnation, and incarnations are random numbers.

Such a reply names the worker's former life, so that the runs on the present life were abandoned and started again beside themselves, and its clock reading replaced the present one. In the new test the task starts a third time while its second run goes on.

A reply of another incarnation is now applied only if its request was made after the present one was heard (`lease_from` of each request names it): a process that takes such a request is alive after the present one has answered, so that it is a later one. Any other is ignored and logged ('reply_of_other_incarnation'). A list of former incarnations would not do: the first reply heard may be the former process's, and the present one would be ignored for good. Here the next call settles it.

OutcomesTest.IgnoresALateReplyOfAFormerAgentProcess and AcceptsANewAgentProcessAfterAnIgnoredReply failed before (3 starts instead of 2; incarnation 1 instead of 2).

--- a/bench/job_scheduler.cc
+++ b/bench/job_scheduler.cc
@@ -211,7 +211,8 @@
     });
     ++agent.version;
     agent.changed = !request.stops.empty();
-    scheduler_.OnReply(agent.name, ReplyOf(agent), now_);
+    scheduler_.OnReply(agent.name, request.lease_from.incarnation,
+                       ReplyOf(agent), now_);
   }
 
   // Between half and one and a half of the mean of all shapes.
--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -316,13 +316,14 @@
     const TimePoint local = AgentClock(*called);
     const bool accepted = agent.OnSync(request, local);
     const protocol::SyncReply reply = agent.MakeReply(accepted, local);
-    After(Delay(), [this, n, name, reply, life, epoch, release] {
+    const Incarnation known = request.lease_from.incarnation;
+    After(Delay(), [this, n, name, known, reply, life, epoch, release] {
       release();
       if (!EntryLives(n, life) || entries[n].role->Epoch() != epoch) {
         return;
       }
       if (reply.accepted) {
-        entries[n].role->Active()->OnReply(name, reply, BothClocks());
+        entries[n].role->Active()->OnReply(name, known, reply, BothClocks());
       } else {
         entries[n].role->OnDeposed(epoch, BothClocks());
       }
--- a/packages/scheduler/include/shallotlug/scheduler/scheduler.h
+++ b/packages/scheduler/include/shallotlug/scheduler/scheduler.h
@@ -87,7 +87,10 @@
   /// again with HasNews().
   std::vector<AgentName> TakeNews(Now now);
 
+  /// @param known The incarnation of the agent that the answered request was
+  /// made for, its `lease_from.incarnation`.
   void OnReply(const AgentName& agent,
+               Incarnation known,
                const protocol::SyncReply& reply,
                Now now);
 
--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -81,6 +81,49 @@
   EXPECT_EQ(scheduler.Running("lost").count("a2"), 1U);
 }
 
+// Guards against runs on the worker's present life that are abandoned, and
+// start twice, when a former process of the agent reports its former life late.
+TEST_F(OutcomesTest, IgnoresALateReplyOfAFormerAgentProcess) {
+  const AgentName agent("a1");
+  scheduler.Submit(scheduler.Job("j", "batch", "acme", 1, 8));
+  scheduler.Run(2);
+  const Incarnation former = scheduler.Get()
+                                 .MakeSync(agent, Millis{0}, scheduler.Clock())
+                                 .lease_from.incarnation;
+  const protocol::SyncReply late = scheduler.Report("a1");
+  scheduler.Crash("a1", false);
+  scheduler.RestartAgent("a1");
+  scheduler.Run(4);
+  const workload::TaskRef task{JobId("j"), 0, 0, 0};
+  ASSERT_EQ(scheduler.Starts(task).size(), 2U);
+  scheduler.Get().OnReply(agent, former, late, scheduler.Clock());
+  const protocol::SyncRequest next =
+      scheduler.Get().MakeSync(agent, Millis{0}, scheduler.Clock());
+  EXPECT_EQ(next.lease_from.incarnation, Incarnation{2});
+  EXPECT_EQ(next.worker, scheduler.Report("a1").worker.life);
+  scheduler.Run(4);
+  EXPECT_EQ(scheduler.Starts(task).size(), 2U);
+}
+
+// Guards against an agent that is ignored for good because its first reply
+// could not be told from one of a former process.
+TEST_F(OutcomesTest, AcceptsANewAgentProcessAfterAnIgnoredReply) {
+  const AgentName agent("a1");
+  const auto known = [&] {
+    return scheduler.Get()
+        .MakeSync(agent, Millis{0}, scheduler.Clock())
+        .lease_from.incarnation;
+  };
+  const Incarnation first = known();
+  scheduler.Run(1);
+  scheduler.RestartAgent("a1");
+  scheduler.Get().OnReply(agent, first, scheduler.Report("a1"),
+                          scheduler.Clock());
+  EXPECT_EQ(known(), Incarnation{1});
+  scheduler.Run(1);
+  EXPECT_EQ(known(), Incarnation{2});
+}
+
 // Guards against a log that keeps every job forever.
 TEST_F(OutcomesTest, DropsJobsWhoseStateNeedNotBeReported) {
   scheduler.Submit(scheduler.Job("j", "batch", "acme", 1, 8));
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -346,6 +346,16 @@
        {"clock_step_ms", std::to_string(step.count())}});
 }
 
+void LogIgnoredReply(State& state,
+                     const AgentRow& agent,
+                     const SyncReply& reply) {
+  Log(state, "reply_of_other_incarnation",
+      {{"agent", agent.address.agent.value},
+       {"worker", reply.worker.life.id},
+       {"born", std::to_string(reply.worker.life.born)},
+       {"version", std::to_string(reply.version)}});
+}
+
 }  // namespace
 
 void AvoidWorker(State& state,
@@ -410,6 +420,7 @@
 
 void ApplyReply(State& state,
                 const AgentName& name,
+                Incarnation known,
                 const SyncReply& reply,
                 TimePoint now) {
   const auto found = state.agents.find(name);
@@ -417,18 +428,24 @@
     return;
   }
   AgentRow& agent = found->second;
-  if (reply.incarnation == agent.clock.incarnation &&
-      reply.version < agent.version) {
+  const bool other = reply.incarnation != agent.clock.incarnation;
+  if (!other && reply.version < agent.version) {
     // Replies to two calls may arrive out of order.
     return;
   }
+  if (agent.heard && other && known != agent.clock.incarnation) {
+    // Only the answer to a request that was made after the present incarnation
+    // was heard is certain to come from a later one.
+    LogIgnoredReply(state, agent, reply);
+    return;
+  }
   if (!agent.heard) {
     // From now on the agent accepts no lower epoch; a lease of a predecessor
     // started at an earlier reading of the agent's clock.
     agent.lease_expiry = LeaseExpiry(state.options, now, state.options.lease);
     state.placement_outdated = true;
   }
-  if (agent.heard && reply.incarnation != agent.clock.incarnation) {
+  if (agent.heard && other) {
     LogAgentRestart(state, agent, reply, now);
   }
   agent.version = reply.version;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -319,7 +319,6 @@
       agent.worker_state == protocol::WorkerState::kSilent) {
     return;
   }
-  request.lease_from = agent.clock;
   request.lease = agent.worker.draining
                       ? std::min(state.options.lease, kMaxDrainingLease)
                       : state.options.lease;
@@ -346,6 +345,7 @@
   }
   AgentRow& agent = found->second;
   request.worker = agent.worker.life;
+  request.lease_from = agent.clock;
   request.known_version = agent.version;
   request.wait = agent.heard ? wait : Millis{0};
   request.noted_ends = agent.noted_ends;
@@ -394,9 +394,10 @@
 }
 
 void Scheduler::OnReply(const AgentName& agent,
+                        Incarnation known,
                         const SyncReply& reply,
                         Now now) {
-  ApplyReply(impl_->state, agent, reply, now.local);
+  ApplyReply(impl_->state, agent, known, reply, now.local);
 }
 
 void Scheduler::ConfirmAuthority(Now now) {
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -204,8 +204,10 @@
 void ExpireLeases(State& state, TimePoint now);
 
 /// @brief Applies an agent's report.
+/// @param known The incarnation that its request was made for.
 void ApplyReply(State& state,
                 const AgentName& agent,
+                Incarnation known,
                 const protocol::SyncReply& reply,
                 TimePoint now);
 
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -68,6 +68,14 @@
   /// @param early Its runs had just been started.
   void Crash(const std::string& agent, bool early);
 
+  /// @brief Another process of the agent takes over.
+  void RestartAgent(const std::string& agent);
+
+  /// @brief What the agent would report now.
+  protocol::SyncReply Report(const std::string& agent) const {
+    return ReplyOf(agent, agents_.at(agent));
+  }
+
   /// @brief From now on each start of the task crashes its worker.
   void MakeDeadly(const workload::TaskRef& task) { deadly_.insert(task); }
 
@@ -116,6 +124,7 @@
     std::vector<protocol::CrashReport> crashes;
     std::uint64_t next_end = 1;
     std::uint64_t version = 1;
+    Incarnation incarnation{1};
     int percent = 0;
     bool silent = false;
     bool holds_stops = false;
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -97,7 +97,7 @@
                                            const Agent& agent) {
   protocol::SyncReply reply;
   reply.agent = AgentName(name);
-  reply.incarnation = Incarnation{1};
+  reply.incarnation = agent.incarnation;
   reply.accepted = true;
   reply.version = agent.version;
   reply.worker_state = agent.silent ? protocol::WorkerState::kSilent
@@ -152,7 +152,15 @@
     return !acknowledgements_lost_ && it.number <= request.noted_ends;
   });
   ++agent.version;
-  scheduler_.OnReply(AgentName(name), ReplyOf(name, agent), now_);
+  scheduler_.OnReply(AgentName(name), request.lease_from.incarnation,
+                     ReplyOf(name, agent), now_);
+}
+
+void TestScheduler::RestartAgent(const std::string& name) {
+  Agent& agent = agents_.at(name);
+  agent.incarnation =
+      Incarnation{static_cast<std::uint64_t>(agent.incarnation) + 1};
+  agent.version = 1;
 }
 
 void TestScheduler::Crash(const std::string& name, bool early) {
--- a/packages/service/src/agent_link.cc
+++ b/packages/service/src/agent_link.cc
@@ -51,16 +51,19 @@
   fetch.method = "POST";
   fetch.target = kSyncPath;
   fetch.content_type = "application/octet-stream";
-  fetch.body =
-      protocol::Encode(scheduler->MakeSync(agent_, wait, ReadBothClocks()));
+  const protocol::SyncRequest request =
+      scheduler->MakeSync(agent_, wait, ReadBothClocks());
+  fetch.body = protocol::Encode(request);
   fetch.timeout = wait + kCallTimeout;
   client.Send(fetch, net::ConnectionUse::kReuseAndRepeat,
-              [this, done = std::move(done)](const net::FetchResult& result) {
-                HandleReply(result, done);
+              [this, known = request.lease_from.incarnation,
+               done = std::move(done)](const net::FetchResult& result) {
+                HandleReply(known, result, done);
               });
 }
 
-void AgentLink::HandleReply(const net::FetchResult& result,
+void AgentLink::HandleReply(Incarnation known,
+                            const net::FetchResult& result,
                             const std::function<void(bool answered)>& done) {
   scheduler::Scheduler* scheduler = CurrentScheduler();
   if (scheduler == nullptr) {
@@ -79,7 +82,7 @@
     on_reply_();
     return;
   }
-  scheduler->OnReply(agent_, *reply, ReadBothClocks());
+  scheduler->OnReply(agent_, known, *reply, ReadBothClocks());
   done(true);
   on_reply_();
 }
--- a/packages/service/src/agent_link.h
+++ b/packages/service/src/agent_link.h
@@ -39,7 +39,8 @@
  private:
   /// @brief The active scheduler; null when the link's epoch has ended.
   scheduler::Scheduler* CurrentScheduler();
-  void HandleReply(const net::FetchResult& result,
+  void HandleReply(Incarnation known,
+                   const net::FetchResult& result,
                    const std::function<void(bool answered)>& done);
   void Poll();
   void PollAfterDelay();
