Let adopted runs lapse only after a former process's lease

A new process of an agent adopts the runs that it finds on its worker. If the worker then did not answer for 2.5 s, and no scheduler had called yet, the agent reported the runs as lapsed at once, because it had granted no lease itself. The worker goes on with them under the lease that the former process granted, for up to its limit (hold_max_ms), while the scheduler starts them elsewhere.

The longest lease now counts from when the lists were first read. No run waits longer for this than the scheduler's own count of the lease, which is unchanged.

ExecutorTest.WaitsForTheLeaseOfAFormerProcessBeforeAnAdoptedRunLapses failed before: lapsed after 2.6 s, with a limit of 6 s. The fixture states a limit of 6 s for its leases of 5 s; no expectation of the other tests has changed.

--- a/packages/executor/include/shallotlug/executor/executor.h
+++ b/packages/executor/include/shallotlug/executor/executor.h
@@ -16,6 +16,7 @@
 struct ExecutorOptions {
   AgentName agent;
   Incarnation incarnation{};
+  Millis longest_lease{10'000};  ///< The worker shortens longer leases.
 };
 
 struct StartAction {
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -22,7 +22,8 @@
 
 class ExecutorTest : public testing::Test {
  protected:
-  ExecutorTest() : subject({AgentName("agent"), Incarnation{1}}) {
+  ExecutorTest()
+      : subject({AgentName("agent"), Incarnation{1}, Millis(6'000)}) {
     facts.life = {"w", 100};
     facts.service = "pool";
     facts.capacity = {8'000, 8'000, 8};
@@ -299,6 +300,30 @@
   EXPECT_GE(waited, Millis(5'000));
 }
 
+// Guards against runs that are reported as lapsed, and start elsewhere, while
+// the worker goes on under a lease that a former process of the agent granted.
+TEST_F(ExecutorTest, WaitsForTheLeaseOfAFormerProcessBeforeAnAdoptedRunLapses) {
+  Executor restarted({AgentName("agent"), Incarnation{2}, Millis(6'000)});
+  restarted.OnHeartbeat(facts, 1, now);
+  restarted.OnView(restarted.WatchCall(now).number, View({FirstRun()}), now);
+  Millis waited{0};
+  while (restarted.MakeReply(true, now).refusals.empty() &&
+         waited < Millis(20'000)) {
+    const WorkerQuery look = restarted.WatchCall(now);
+    Wait(Millis(100));
+    waited += Millis(100);
+    WorkerView lost;
+    lost.status = OrderStatus::kNoAnswer;
+    restarted.OnView(look.number, lost, now);
+    restarted.TakeActions(now);
+  }
+  const SyncReply reply = restarted.MakeReply(true, now);
+  ASSERT_THAT(reply.refusals, SizeIs(1));
+  EXPECT_EQ(reply.refusals[0].reason, RefusalReason::kLapsed);
+  EXPECT_GE(waited, Millis(6'000));
+  EXPECT_LE(waited, Millis(7'000));
+}
+
 // The scheduler considers a run ended when the lease of its order has expired,
 // and a request delayed by a network partition may arrive after that.
 TEST_F(ExecutorTest, IgnoresStartsWithAnExpiredLease) {
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -53,7 +53,7 @@
   PeerClockSample clock;
   bool clock_known = false;
   WorkerTime granted_lease{};
-  /// Upper bound of all leases sent to the worker.
+  /// Upper bound of all leases sent to the worker, also by former processes.
   TimePoint granted_until{};
 
   std::map<workload::RunRef, TrackedRun> runs;
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -162,6 +162,11 @@
   }
   it.heard_at = now;
   it.lapsed_runs.clear();
+  if (!it.lists_read) {
+    // A former process of the agent may have extended the lease until now.
+    it.granted_until =
+        std::max(it.granted_until, now + it.options.longest_lease);
+  }
   if (!it.lists_read || it.silent) {
     it.lists_read = true;
     it.silent = false;
--- a/packages/service/src/job_agent.cc
+++ b/packages/service/src/job_agent.cc
@@ -65,7 +65,8 @@
         poll_timer_(context_),
         records_(context_, settings.store),
         incarnation_(net::DrawIncarnation()),
-        executor_({AgentName(settings.name), incarnation_}),
+        executor_(
+            {AgentName(settings.name), incarnation_, settings.longest_lease}),
         poll_client_(context_, settings.worker),
         quick_client_(context_, settings.worker) {
     for (std::size_t n = 0; n < kOrderClients; ++n) {
--- a/packages/settings/include/shallotlug/settings/job_settings.h
+++ b/packages/settings/include/shallotlug/settings/job_settings.h
@@ -45,6 +45,7 @@
   std::string metrics_listen;
   std::string worker;
   std::string store;
+  Millis longest_lease{10'000};  ///< The worker caps leases at this.
   LogSettings log;
 };
 
--- a/packages/settings/src/job_settings.cc
+++ b/packages/settings/src/job_settings.cc
@@ -16,6 +16,10 @@
 constexpr double kMinCores = 0.001;
 constexpr double kMaxCores = 4'096.0;
 
+void ReadLongestLease(ObjectReader& timing, Millis& to) {
+  timing.Optional("longest_lease_ms", to, Millis(1'000));
+}
+
 void ReadTiming(ObjectReader& parent,
                 const std::string& file,
                 JobTiming& to,
@@ -25,7 +29,7 @@
     return;
   }
   ObjectReader reader(*node, "/timing", file, findings);
-  reader.Optional("longest_lease_ms", to.longest_lease, Millis(1'000));
+  ReadLongestLease(reader, to.longest_lease);
   reader.Optional("stop_timeout_ms", to.stop_timeout, Millis(1));
   reader.Optional("reclaim_ms", to.reclaim, Millis(1));
   reader.Optional("state_retention_s", to.state_retention_s, 0.0, 86'400.0);
@@ -61,6 +65,11 @@
   ReadAddress(reader, "metrics_listen", to.metrics_listen);
   ReadAddress(reader, "worker", to.worker);
   ReadAddress(reader, "store", to.store);
+  if (const JsonNode* node = reader.Find("timing")) {
+    ObjectReader timing(*node, "/timing", file, findings);
+    ReadLongestLease(timing, to.longest_lease);
+    timing.Finish();
+  }
   ReadLog(reader, file, to.log, findings);
   return to;
 }
--- a/packages/settings/src/job_settings_test.cc
+++ b/packages/settings/src/job_settings_test.cc
@@ -29,10 +29,12 @@
     "name": "side-bergen-a-1", "data_centre": "bergen-a",
     "heartbeats_listen": "10.1.0.20:8526", "scheduler_listen": "10.1.0.20:7000",
     "metrics_listen": "10.1.0.20:7001", "worker": "10.1.0.20:8529",
-    "store": "10.200.1.7:8524", "log": { "format": "json" } })",
+    "store": "10.200.1.7:8524", "timing": { "longest_lease_ms": 6000 },
+    "log": { "format": "json" } })",
                                             "agent.json");
   ASSERT_TRUE(std::holds_alternative<JobAgentSettings>(parsed))
       << ToString(std::get<Findings>(parsed));
+  EXPECT_EQ(std::get<JobAgentSettings>(parsed).longest_lease, Millis(6'000));
 }
 
 // Guards against starting with defaults when the file is invalid.
