Do not count an agent's own standstill as its worker's silence

In the traces of the maintainers an agent stands still for 6 s, its first call after that has no answer, and a healthy worker counts as silent at once, because its last answer is older than 2.5 s. The scheduler then extends no lease, and 1 to 2 s later places the runs elsewhere.

The executor is stepped every 100 ms; a break of more than 500 ms shows that the process itself stood still ('stood_still'). Since the last answer of the worker, at most the longest lease is left out of its silence in this way, so that an agent which hardly ever runs reports a lost worker, too. Leases are as before: the scheduler's end of the lease bounds what the agent grants, and the scheduler's count of it does not change.

ExecutorTest.DoesNotCountItsOwnStandstillAsTheWorkersSilence failed before (silent at the first call without an answer). Without the bound, ReportsASilentWorkerAlthoughItStandsStillAgainAndAgain fails: present after 60 s. CrashTest.ReportsRunsWhoseLeaseExpiredBeforeTheWorkerReturned let 3 s pass without a step, which no running agent does; it steps now and expects the same.

Ruled out: to abandon runs by the scheduler's count only for agents that it cannot reach. OutcomesTest.PlacesRunsAgainWhenTheLeaseOfASilentWorkerIsOver demands that they are placed again then although the agent reports, and the count is safe as such.

--- a/packages/executor/include/shallotlug/executor/executor.h
+++ b/packages/executor/include/shallotlug/executor/executor.h
@@ -57,8 +57,8 @@
   protocol::SyncReply MakeReply(bool accepted, TimePoint now) const;
   std::uint64_t Version() const;
 
-  /// @brief Orders that are due; each must be answered by OnStartResult() or
-  /// OnStopResult().
+  /// @brief Orders that are due; called at least every 500 ms. Each must be
+  /// answered by OnStartResult() or OnStopResult().
   std::vector<Action> TakeActions(TimePoint now);
   /// @brief The context of the next order.
   OrderContext Context();
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -71,6 +71,14 @@
 
   void Wait(Millis time) { now += time; }
 
+  /// @brief Lets time pass with the steps of a process that runs.
+  void Step(Millis time) {
+    for (Millis passed{0}; passed < time; passed += Millis(100)) {
+      Wait(Millis(100));
+      subject.TakeActions(now);
+    }
+  }
+
   TimePoint now{Millis(10'000)};
   std::uint64_t sequence = 0;
   workload::WorkerFacts facts;
@@ -178,7 +186,7 @@
   Connect();
   Start(Run("job"));
   WorkerView no_answer;
-  Wait(Millis(3'000));
+  Step(Millis(3'000));
   Answer(subject.WatchCall(now), no_answer);
   Wait(Millis(6'000));
   subject.TakeActions(now);
@@ -300,6 +308,45 @@
   EXPECT_GE(waited, Millis(5'000));
 }
 
+// Guards against a healthy worker that counts as silent after its agent has
+// stood still, so that its leases are not extended.
+TEST_F(ExecutorTest, DoesNotCountItsOwnStandstillAsTheWorkersSilence) {
+  Connect();
+  OrderStart();
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+  Answer(subject.WatchCall(now), View({FirstRun()}));
+  Step(Millis(400));
+  const auto lease = subject.WatchCall(now).context.lease_until;
+  Wait(Millis(6'000));
+  const WorkerView lost;
+  Answer(subject.WatchCall(now), lost);
+  EXPECT_EQ(Reply().worker_state, WorkerState::kPresent);
+  EXPECT_EQ(subject.WatchCall(now).context.lease_until, lease);
+  Step(Millis(2'000));
+  Answer(subject.WatchCall(now), lost);
+  EXPECT_EQ(Reply().worker_state, WorkerState::kPresent);
+  Step(Millis(200));
+  Answer(subject.WatchCall(now), lost);
+  EXPECT_EQ(Reply().worker_state, WorkerState::kSilent);
+}
+
+// Guards against a lost worker whose agent hardly ever runs and extends its
+// leases for ever.
+TEST_F(ExecutorTest, ReportsASilentWorkerAlthoughItStandsStillAgainAndAgain) {
+  Connect();
+  Millis waited{0};
+  while (Reply().worker_state == WorkerState::kPresent &&
+         waited < Millis(60'000)) {
+    const WorkerQuery look = subject.WatchCall(now);
+    Wait(Millis(900));
+    waited += Millis(900);
+    Answer(look, {});
+  }
+  EXPECT_EQ(Reply().worker_state, WorkerState::kSilent);
+  EXPECT_LE(waited, Millis(2'500 + 6'000 + 900));
+}
+
 // Guards against runs that are reported as lapsed, and start elsewhere, while
 // the worker goes on under a lease that a former process of the agent granted.
 TEST_F(ExecutorTest, WaitsForTheLeaseOfAFormerProcessBeforeAnAdoptedRunLapses) {
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -50,6 +50,9 @@
   bool silent = false;
   std::int64_t reported_born = 0;
   TimePoint answered_at{};
+  /// For how long this process has stood still since the last answer.
+  Millis stood_still{0};
+  std::optional<TimePoint> stepped_at;
   PeerClockSample clock;
   bool clock_known = false;
   WorkerTime granted_lease{};
@@ -96,6 +99,8 @@
   bool HasEnded(const workload::RunRef& run) const;
   std::optional<WorkerTime> SafeWorkerLease() const;
   std::optional<WorkerTime> GrantLease();
+  void NoteStep(TimePoint now);
+  Millis WorkerSilence(TimePoint now) const;
   void ExpireSilentWorker(TimePoint now);
   WorkerQuery MakeQuery(Millis wait);
   void ApplyActiveRuns(const std::vector<workload::ActiveRun>& active,
--- a/packages/executor/src/orders.cc
+++ b/packages/executor/src/orders.cc
@@ -159,6 +159,7 @@
 
 std::vector<Action> Executor::TakeActions(TimePoint now) {
   Impl& it = *impl_;
+  it.NoteStep(now);
   it.ExpireSilentWorker(now);
   std::vector<Action> actions;
   for (auto& [ref, run] : it.runs) {
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -15,6 +15,8 @@
 constexpr Millis kMaxWorkerSilence{2'500};
 constexpr Millis kWatchWait{1'000};
 constexpr Millis kIdleWatchWait{2'000};
+// A process is stepped more often; after a longer break it has stood still.
+constexpr Millis kMaxStepInterval{500};
 // The worker's lease is renewed when it can be extended by more than this.
 constexpr Millis kLeaseRenewalThreshold{700};
 
@@ -118,14 +120,33 @@
   return it.MakeQuery(Millis{0});
 }
 
+// Answers that came while this process stood still may have been lost with
+// their connections.
+void Executor::Impl::NoteStep(TimePoint now) {
+  const Millis passed = now - stepped_at.value_or(now);
+  if (passed > kMaxStepInterval) {
+    stood_still += passed;
+    log.push_back(
+        {LogLevel::kInfo, "stood_still", {{"for_ms", ToString(passed)}}});
+  }
+  stepped_at = now;
+}
+
+// The bound lets a process that hardly ever runs find out, too. After a longer
+// time the worker's runs have ended in any case.
+Millis Executor::Impl::WorkerSilence(TimePoint now) const {
+  return now - answered_at - std::min(stood_still, options.longest_lease);
+}
+
 void Executor::OnView(std::uint64_t number,
                       const WorkerView& view,
                       TimePoint now) {
   Impl& it = *impl_;
+  it.NoteStep(now);
   const auto look = it.pending_looks.extract(number);
   if (view.status != OrderStatus::kDone) {
     if (!it.silent && it.lists_read &&
-        now - it.answered_at > kMaxWorkerSilence) {
+        it.WorkerSilence(now) > kMaxWorkerSilence) {
       it.silent = true;
       it.log.push_back({LogLevel::kWarning,
                         "worker_silent",
@@ -138,6 +159,7 @@
     return;
   }
   it.answered_at = now;
+  it.stood_still = Millis{0};
   if (view.born != 0 && it.reported_born != 0 &&
       view.born != it.reported_born) {
     it.StartNewLife("lists", now);
