--- a/packages/executor/include/shallotlug/executor/executor.h
+++ b/packages/executor/include/shallotlug/executor/executor.h
@@ -16,6 +16,7 @@
 struct ExecutorOptions {
   AgentName agent;
   Incarnation incarnation{};
+  Millis longest_lease{10'000};  ///< The worker shortens longer leases.
 };
 
 struct StartAction {
@@ -56,8 +57,8 @@
   protocol::SyncReply MakeReply(bool accepted, TimePoint now) const;
   std::uint64_t Version() const;
 
-  /// @brief Orders that are due; each must be answered by OnStartResult() or
-  /// OnStopResult().
+  /// @brief Orders that are due; called at least every 500 ms. Each must be
+  /// answered by OnStartResult() or OnStopResult().
   std::vector<Action> TakeActions(TimePoint now);
   /// @brief The context of the next order.
   OrderContext Context();
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -50,10 +50,13 @@
   bool silent = false;
   std::int64_t reported_born = 0;
   TimePoint answered_at{};
+  /// For how long this process has stood still since the last answer.
+  Millis stood_still{0};
+  std::optional<TimePoint> stepped_at;
   PeerClockSample clock;
   bool clock_known = false;
   WorkerTime granted_lease{};
-  /// Upper bound of all leases sent to the worker.
+  /// Upper bound of all leases sent to the worker, also by former processes.
   TimePoint granted_until{};
 
   std::map<workload::RunRef, TrackedRun> runs;
@@ -99,6 +102,8 @@
   bool HasEnded(const workload::RunRef& run) const;
   std::optional<WorkerTime> SafeWorkerLease() const;
   std::optional<WorkerTime> GrantLease();
+  void NoteStep(TimePoint now);
+  Millis WorkerSilence(TimePoint now) const;
   void ExpireSilentWorker(TimePoint now);
   WorkerQuery MakeQuery(Millis wait);
   void ApplyActiveRuns(const std::vector<workload::ActiveRun>& active,
