Play drifting clocks, frozen agents and late calls to new lives in the job simulation

New: clock drift (agents up to 2 % slow or fast, workers up to 2 % slow), agents that stand still (FreezeAgent; queued messages are handled in any order, and calls that have timed out meanwhile may count as unanswered), wall clocks that step between two lives of a worker, answers that overtake each other, and calls that are carried out late by a new life of a worker under the same id, which was left out without an option.

--- a/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
+++ b/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
@@ -17,6 +17,7 @@
 struct FakeWorkerSetup {
   std::string rack;
   workload::Resources capacity;
+  double clock_rate = 1;  ///< Of its clock to the simulated one.
 };
 
 /// @brief Stand-in for a fleet of workers, as a state machine: starts, stops,
@@ -35,6 +36,9 @@
   /// @brief The worker crashes; a new life begins at once, under the same id.
   void Restart(const std::string& machine, TimePoint now);
 
+  /// @brief The wall clock of the machine is set; later lives are dated by it.
+  void StepWallClock(const std::string& machine, Millis step);
+
   /// @brief Whether the worker has crashed and has not started again yet.
   bool IsDown(const std::string& machine) const;
 
@@ -74,6 +78,7 @@
     workload::Resources need;
     std::string checkpoint;
   };
+  using WorkerTime = executor::WorkerTime;
   struct Worker {
     FakeWorkerSetup setup;
     workload::WorkerFacts facts;
@@ -81,7 +86,7 @@
     std::uint64_t epoch = 0;
     TimePoint born{};
     std::optional<TimePoint> down_until;
-    TimePoint lease_until{};
+    WorkerTime lease_until{};
     std::map<workload::TaskRef, Run> runs;
     std::map<workload::TaskRef, int> highest;  ///< Run that ended there.
     std::vector<workload::RunEnd> ends;
@@ -91,7 +96,7 @@
     std::uint64_t ends_before_lapse = 0;
   };
 
-  executor::WorkerTime Clock(const Worker& worker, TimePoint now) const;
+  WorkerTime Clock(const Worker& worker, TimePoint now) const;
   bool Fenced(Worker& worker, std::uint64_t epoch) const;
   void Extend(Worker& worker,
               const executor::OrderContext& context,
@@ -105,6 +110,7 @@
 
   JobOracle& oracle_;
   std::map<std::string, Worker> workers_;
+  std::map<std::string, Millis> wall_steps_;
   std::map<std::pair<JobId, int>, int> gangs_;
   TimePoint advanced_to_{};
 };
--- a/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
@@ -26,6 +26,15 @@
   /// Share of the store's answers that are lost; half of these appends are
   /// carried out.
   double lost_appends = 0;
+  /// Share of the workers' answers that take up to the call's timeout, so that
+  /// they overtake each other.
+  double slow_answers = 0;
+  /// Whether a call without an answer may be carried out by a later life of the
+  /// worker, which has the same id.
+  bool late_calls_reach_new_lives = false;
+  /// Agents' clocks run at 0.98 to 1.02, workers' clocks at 0.98 to 1 of the
+  /// simulated time.
+  bool clocks_drift = false;
   bool trace = false;  ///< Prints the processes' log to standard error.
 };
 
@@ -52,6 +61,9 @@
   void FreezeEntry(int entry, bool frozen);
   void KillAgent(int agent);
   void StartAgent(int agent);
+  /// @brief A frozen agent does nothing; requests and answers to it are queued.
+  /// Calls that have timed out meanwhile may be taken for unanswered.
+  void FreezeAgent(int agent, bool frozen);
   /// @brief The agent's machine loses power and starts again. Its clock, which
   /// has begun anew, differs by `clock_step` from what it would have shown.
   void RebootAgent(int agent, Millis clock_step);
--- a/packages/jobharness/src/fake_fleet.cc
+++ b/packages/jobharness/src/fake_fleet.cc
@@ -42,7 +42,8 @@
   Worker worker;
   worker.setup = setup;
   worker.born = now;
-  worker.facts.life = {"w-" + machine, now.time_since_epoch().count() + 1};
+  const Millis wall = now.time_since_epoch() + wall_steps_[machine];
+  worker.facts.life = {"w-" + machine, wall.count() + 1};
   worker.facts.service = "pool";
   worker.facts.rack = setup.rack;
   worker.facts.labels = {"a", setup.rack};
@@ -56,6 +57,10 @@
   Add(machine, setup, now);
 }
 
+void FakeFleet::StepWallClock(const std::string& machine, Millis step) {
+  wall_steps_[machine] += step;
+}
+
 workload::WorkerFacts FakeFleet::Facts(const std::string& machine) const {
   return workers_.at(machine).facts;
 }
@@ -69,7 +74,9 @@
 }
 
 WorkerTime FakeFleet::Clock(const Worker& worker, TimePoint now) const {
-  return WorkerTime(now - worker.born);
+  const auto age = static_cast<double>((now - worker.born).count());
+  return WorkerTime(
+      Millis(static_cast<std::int64_t>(age * worker.setup.clock_rate)));
 }
 
 bool FakeFleet::Fenced(Worker& worker, std::uint64_t epoch) const {
@@ -84,10 +91,9 @@
                        const OrderContext& context,
                        TimePoint now) const {
   if (context.lease_until) {
-    const TimePoint asked =
-        worker.born + context.lease_until->time_since_epoch();
+    const WorkerTime longest = Clock(worker, now) + kLongestLease;
     worker.lease_until =
-        std::max(worker.lease_until, std::min(asked, now + kLongestLease));
+        std::max(worker.lease_until, std::min(*context.lease_until, longest));
   }
 }
 
@@ -109,8 +115,7 @@
     Extend(worker, context, now);
     return Answer(OrderStatus::kDone, clock);
   }
-  if (!context.lease_until ||
-      worker.born + context.lease_until->time_since_epoch() <= now) {
+  if (!context.lease_until || *context.lease_until <= clock) {
     return Answer(OrderStatus::kLeaseOver, clock);
   }
   Extend(worker, context, now);
@@ -279,14 +284,15 @@
     Crash(machine, now);
     return;
   }
-  if (now >= worker.lease_until && !worker.lapsed) {
+  const bool lapsed = Clock(worker, now) >= worker.lease_until;
+  if (lapsed && !worker.lapsed) {
     worker.ends_before_lapse = worker.next_end - 1;
   }
-  worker.lapsed = now >= worker.lease_until;
+  worker.lapsed = lapsed;
   std::vector<std::pair<TaskRef, EndReason>> ends;
   for (auto& [task, run] : worker.runs) {
     const bool gang = gangs_.contains({task.job, task.step});
-    if (now >= worker.lease_until) {
+    if (lapsed) {
       ends.emplace_back(task, EndReason::kLapsed);
     } else if (run.stopping) {
       if (now >= run.stop_at) {
--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -1,6 +1,7 @@
 #include "shallotlug/jobharness/job_simulation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -26,6 +27,7 @@
 constexpr Millis kSubmitRetry{400};
 constexpr int kSubmitAttempts = 60;
 constexpr int kMaxDelayMs = 6;
+constexpr double kMaxClockDrift = 0.02;
 // The machines of the agents have started at different times.
 constexpr Millis kFirstClockOffset{10'000'000};
 constexpr Millis kClockOffsetPerAgent{1'000'000};
@@ -49,7 +51,10 @@
   bool cut = false;
   bool worker_partitioned = false;
   bool draining = false;
+  bool frozen = false;
+  std::vector<std::function<void()>> queued;  ///< While it was frozen.
   Millis clock_offset{0};  ///< Of its machine's clock to the simulated one.
+  double clock_rate = 1;   ///< The same.
   std::optional<executor::Executor> executor;
   TimePoint next_heartbeat{};
   TimePoint next_poll{};
@@ -93,17 +98,45 @@
   }
   /// @brief The time by the clock of the agent's machine.
   TimePoint AgentClock(std::size_t n) const {
-    return now + agents[n].clock_offset;
+    const auto simulated = static_cast<double>(now.time_since_epoch().count());
+    return TimePoint(Millis(std::llround(simulated * agents[n].clock_rate))) +
+           agents[n].clock_offset;
   }
   bool Chance(double share) {
     return std::uniform_real_distribution<>(0, 1)(random) < share;
   }
+  double ClockRate(double slowest, double fastest) {
+    return std::uniform_real_distribution<>(slowest, fastest)(random);
+  }
   Millis Delay() {
     return Millis(std::uniform_int_distribution<>(1, kMaxDelayMs)(random));
   }
+  Millis AnswerDelay() {
+    if (options.slow_answers > 0 && Chance(options.slow_answers)) {
+      return Millis(std::uniform_int_distribution<std::int64_t>(
+          1, kCallTimeout.count())(random));
+    }
+    return Delay();
+  }
   void After(Millis delay, std::function<void()> call) {
     events.emplace(now + delay, std::move(call));
   }
+  /// @brief Calls when the agent is not frozen, if it still lives by then.
+  void Deliver(std::size_t n, std::uint64_t life, std::function<void()> call) {
+    if (!AgentLives(n, life)) {
+      return;
+    }
+    if (agents[n].frozen) {
+      agents[n].queued.push_back(std::move(call));
+    } else {
+      call();
+    }
+  }
+  template <class Result, class Answer>
+  void DeliverAnswer(std::size_t n,
+                     std::uint64_t life,
+                     Answer answer,
+                     const Result& result);
 
   void Tick();
   void StepEntry(std::size_t n);
@@ -169,9 +202,7 @@
     After(kCallTimeout, [this, n, life, answer] {
       Result result;
       result.status = executor::OrderStatus::kNotReached;
-      if (AgentLives(n, life)) {
-        answer(result);
-      }
+      DeliverAnswer(n, life, answer, result);
     });
     return;
   }
@@ -179,12 +210,11 @@
   const Millis late = lost ? Millis(std::uniform_int_distribution<std::int64_t>(
                                  0, options.late_by.count())(random))
                            : Delay();
-  // An order without an answer is carried out later, but not by another life:
-  // orders name the worker and not its life, so that nothing the agent does
-  // could keep a new life from carrying out what the former one was sent.
+  // Calls name the worker and not its life.
   const workload::WorkerLife meant = fleet.Facts(agents[n].machine).life;
   After(late, [this, n, life, call, answer, lost, meant] {
-    if (lost && fleet.Facts(agents[n].machine).life != meant) {
+    if (lost && !options.late_calls_reach_new_lives &&
+        fleet.Facts(agents[n].machine).life != meant) {
       return;
     }
     if (fleet.IsDown(agents[n].machine)) {
@@ -196,10 +226,8 @@
     }
     const Result result = call();
     if (!lost) {
-      After(Delay(), [this, n, life, answer, result] {
-        if (AgentLives(n, life)) {
-          answer(result);
-        }
+      After(AnswerDelay(), [this, n, life, answer, result] {
+        DeliverAnswer(n, life, answer, result);
       });
     }
   });
@@ -215,9 +243,24 @@
   After(kCallTimeout, [this, n, life, answer] {
     Result result;
     result.status = executor::OrderStatus::kNoAnswer;
-    if (AgentLives(n, life)) {
-      answer(result);
+    DeliverAnswer(n, life, answer, result);
+  });
+}
+
+// An agent that goes on after a freeze finds the answer and the call's timeout
+// at the same time.
+template <class Result, class Answer>
+void JobSimulation::Impl::DeliverAnswer(std::size_t n,
+                                        std::uint64_t life,
+                                        Answer answer,
+                                        const Result& result) {
+  Deliver(n, life, [this, answer, result, arrived = now] {
+    Result seen = result;
+    if (now - arrived >= kCallTimeout && Chance(0.5)) {
+      seen = {};
+      seen.status = executor::OrderStatus::kNoAnswer;
     }
+    answer(seen);
   });
 }
 
@@ -235,7 +278,7 @@
     }
   }
   for (std::size_t n = 0; n < agents.size(); ++n) {
-    if (agents[n].running) {
+    if (agents[n].running && !agents[n].frozen) {
       StepAgent(n);
     }
   }
@@ -312,21 +355,31 @@
       DeliverLate(name, request);
       return;
     }
-    executor::Executor& agent = *agents[*called].executor;
-    const TimePoint local = AgentClock(*called);
-    const bool accepted = agent.OnSync(request, local);
-    const protocol::SyncReply reply = agent.MakeReply(accepted, local);
-    After(Delay(), [this, n, name, reply, life, epoch, release] {
-      release();
-      if (!EntryLives(n, life) || entries[n].role->Epoch() != epoch) {
-        return;
-      }
-      if (reply.accepted) {
-        entries[n].role->Active()->OnReply(name, reply, BothClocks());
-      } else {
-        entries[n].role->OnDeposed(epoch, BothClocks());
+    if (agents[*called].frozen) {
+      After(kCallTimeout, release);
+    }
+    const auto handle = [this, n, m = *called, name, request, life, epoch,
+                         release, arrived = now] {
+      executor::Executor& agent = *agents[m].executor;
+      const TimePoint local = AgentClock(m);
+      const bool accepted = agent.OnSync(request, local);
+      if (now - arrived >= kCallTimeout) {
+        return;  // The caller waits no longer.
       }
-    });
+      const protocol::SyncReply reply = agent.MakeReply(accepted, local);
+      After(Delay(), [this, n, name, reply, life, epoch, release] {
+        release();
+        if (!EntryLives(n, life) || entries[n].role->Epoch() != epoch) {
+          return;
+        }
+        if (reply.accepted) {
+          entries[n].role->Active()->OnReply(name, reply, BothClocks());
+        } else {
+          entries[n].role->OnDeposed(epoch, BothClocks());
+        }
+      });
+    };
+    Deliver(*called, agents[*called].life, handle);
   });
 }
 
@@ -339,7 +392,9 @@
   After(held, [this, name, request] {
     const auto called = FindAgent(name);
     if (called && agents[*called].running && !agents[*called].cut) {
-      agents[*called].executor->OnSync(request, AgentClock(*called));
+      Deliver(*called, agents[*called].life, [this, n = *called, request] {
+        agents[n].executor->OnSync(request, AgentClock(n));
+      });
     }
   });
 }
@@ -469,8 +524,12 @@
     AgentSim& agent = it.agents[static_cast<std::size_t>(n)];
     agent.machine = "machine-" + std::to_string(n);
     agent.clock_offset = kFirstClockOffset + n * kClockOffsetPerAgent;
-    it.fleet.Add("machine-" + std::to_string(n),
-                 {"rack-" + std::to_string(n / 2), options.worker}, it.now);
+    FakeWorkerSetup worker{"rack-" + std::to_string(n / 2), options.worker};
+    if (options.clocks_drift) {
+      agent.clock_rate = it.ClockRate(1 - kMaxClockDrift, 1 + kMaxClockDrift);
+      worker.clock_rate = it.ClockRate(1 - kMaxClockDrift, 1);
+    }
+    it.fleet.Add("machine-" + std::to_string(n), worker, it.now);
     StartAgent(n);
   }
   for (int n = 0; n < options.entries; ++n) {
@@ -542,7 +601,10 @@
 }
 
 void JobSimulation::KillAgent(int agent) {
-  impl_->agents[static_cast<std::size_t>(agent)].running = false;
+  AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
+  it.running = false;
+  it.frozen = false;
+  it.queued.clear();
 }
 
 void JobSimulation::StartAgent(int agent) {
@@ -557,9 +619,24 @@
       executor::ExecutorOptions{AgentName(it.machine), Incarnation{it.life}});
 }
 
+void JobSimulation::FreezeAgent(int agent, bool frozen) {
+  AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
+  it.frozen = frozen && it.running;
+  if (it.frozen) {
+    return;
+  }
+  auto queued = std::exchange(it.queued, {});
+  std::shuffle(queued.begin(), queued.end(), impl_->random);
+  for (const auto& call : queued) {
+    call();
+  }
+}
+
 void JobSimulation::RebootAgent(int agent, Millis clock_step) {
   KillAgent(agent);
-  impl_->agents[static_cast<std::size_t>(agent)].clock_offset += clock_step;
+  AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
+  // A steady clock shows no time before its own start.
+  it.clock_offset = std::max(it.clock_offset + clock_step, Millis{0});
   StartAgent(agent);
 }
 
@@ -645,6 +722,7 @@
     StartEntry(n);
   }
   for (int n = 0; n < impl_->options.agents; ++n) {
+    FreezeAgent(n, false);
     PartitionAgent(n, false);
     PartitionWorker(n, false);
     StartAgent(n);
--- a/packages/jobharness/src/job_simulation_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -215,14 +215,27 @@
   }
 }
 
+/// @brief The faults of a random day beside the usual ones.
+struct DayKind {
+  bool deadly = false;  ///< Some jobs crash the workers that start them.
+  bool drift = false;
+  bool freezes = false;     ///< Of agents.
+  bool reboots = false;     ///< Of agents, whose clocks begin anew.
+  bool wall_steps = false;  ///< Of the wall clocks that date workers' lives.
+  bool slow_answers = false;
+  bool late_calls = false;  ///< They may reach a new life of the worker.
+};
+
 /// @brief Draws jobs and faults; the same seed draws the same.
-/// @param deadly Some jobs crash the workers that start them.
 std::string RandomDay(std::uint64_t seed,
-                      bool deadly = false,
+                      const DayKind& kind = {},
                       bool trace = false) {
   JobSimulationOptions options;
   options.seed = seed;
   options.trace = trace;
+  options.clocks_drift = kind.drift;
+  options.slow_answers = kind.slow_answers ? 0.05 : 0;
+  options.late_calls_reach_new_lives = kind.late_calls;
   JobSimulation world(options);
   world.Oracle().AllowIncompleteGangs();
   std::mt19937_64 random(seed * 977);
@@ -238,7 +251,7 @@
           std::to_string(100 + draw(3'000)) + (draw(6) == 0 ? "!1" : ""));
       job.steps[0].gang = draw(3) == 0 && job.steps[0].count <= 4;
       job.steps[0].saves_checkpoints = draw(2) == 0;
-      if (deadly && draw(10) == 0) {
+      if (kind.deadly && draw(10) == 0) {
         job.payload = "1000*";
       }
       if (draw(4) == 0) {
@@ -314,6 +327,27 @@
       default:
         break;
     }
+    if (kind.freezes && draw(8) == 0) {
+      world.FreezeAgent(draw(4), true);
+    }
+    if (kind.freezes && draw(4) == 0) {
+      world.FreezeAgent(draw(4), false);
+    }
+    if (kind.reboots && draw(12) == 0) {
+      const int longest = draw(2) == 0 ? 2'000 : 10'000'000;
+      world.RebootAgent(draw(4), Millis(draw(2 * longest) - longest));
+    }
+    if (kind.wall_steps && draw(12) == 0) {
+      world.Fleet().StepWallClock("machine-" + std::to_string(draw(4)),
+                                  Millis(draw(20'000) - 10'000));
+    }
+    if ((kind.wall_steps || kind.slow_answers || kind.late_calls) &&
+        draw(10) == 0) {
+      world.RestartWorker(draw(4));
+    }
+    if (kind.late_calls && draw(10) == 0) {
+      world.SetLosses(draw(3) * 0.1, 0);
+    }
     world.Run(Millis(50 + draw(600)));
   }
   return world.Finish(Millis(90'000));
@@ -388,17 +422,54 @@
 
 TEST(JobSimulationTest, RandomDaysWithDeadlyTasksKeepThePromises) {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
-    EXPECT_EQ(RandomDay(seed, true), "") << "seed " << seed;
+    EXPECT_EQ(RandomDay(seed, {.deadly = true}), "") << "seed " << seed;
+  }
+}
+
+// Guards against leases that outlast what the scheduler counts because clocks
+// drift or begin anew, and against agents that go on after a freeze.
+TEST(JobSimulationTest, RandomDaysWithDriftingClocksKeepThePromises) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    EXPECT_EQ(
+        RandomDay(seed, {.drift = true, .freezes = true, .reboots = true}), "")
+        << "seed " << seed;
   }
 }
 
-// Plays the day of one seed with its log: SHALLOTLUG_SEED=N, with deadly tasks
-// if SHALLOTLUG_DEADLY is set.
+DayKind KindFromEnvironment() {
+  const auto has = [](const char* name) {
+    return std::getenv(name) != nullptr;
+  };
+  DayKind kind;
+  kind.deadly = has("SHALLOTLUG_DEADLY");
+  kind.drift = has("SHALLOTLUG_DRIFT");
+  kind.freezes = has("SHALLOTLUG_FREEZES");
+  kind.reboots = has("SHALLOTLUG_REBOOTS");
+  kind.wall_steps = has("SHALLOTLUG_WALL_STEPS");
+  kind.slow_answers = has("SHALLOTLUG_SLOW_ANSWERS");
+  kind.late_calls = has("SHALLOTLUG_LATE_CALLS");
+  return kind;
+}
+
+// Plays the day of one seed with its log: SHALLOTLUG_SEED=N, with the faults of
+// KindFromEnvironment().
 TEST(JobSimulationTest, OneRandomDay) {
   const char* seed = std::getenv("SHALLOTLUG_SEED");
   if (seed != nullptr) {
-    const bool deadly = std::getenv("SHALLOTLUG_DEADLY") != nullptr;
-    EXPECT_EQ(RandomDay(std::stoull(seed), deadly, true), "");
+    EXPECT_EQ(RandomDay(std::stoull(seed), KindFromEnvironment(), true), "");
+  }
+}
+
+// Plays SHALLOTLUG_SEEDS days from SHALLOTLUG_FIRST_SEED on without their logs.
+TEST(JobSimulationTest, ManyRandomDays) {
+  const char* first = std::getenv("SHALLOTLUG_FIRST_SEED");
+  const char* count = std::getenv("SHALLOTLUG_SEEDS");
+  if (first == nullptr || count == nullptr) {
+    return;
+  }
+  const std::uint64_t begin = std::stoull(first);
+  for (std::uint64_t n = begin; n < begin + std::stoull(count); ++n) {
+    EXPECT_EQ(RandomDay(n, KindFromEnvironment()), "") << "seed " << n;
   }
 }
 
