Ignore late answers of a worker's former life

A worker that starts again under its id begins its clock and the numbers of its ends anew. An answer of the former life that arrived after the new one was heard of was taken for a newer life: the agent took its 'born' and its clock, which is larger, and counted the new life's lease from it, so that it could last up to the worker's limit, longer than agent and scheduler count. The next answer of the new life then ended the same life a second time, with its runs refused although they went on: callers saw two runs of one task.

Lives are now ordered by calls. A call that was sent after the current life was first heard of cannot have been answered by a former one; if it names another life, that is the newer one. An answer to an earlier call that names another life says nothing about the order, is ignored, and the agent asks again.

LivesTest.IgnoresALateAnswerOfAFormerLife and LivesTest.AsksAgainWhenAnswersToEarlierCallsNameAnotherLife failed before.

--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -355,6 +355,52 @@
   EXPECT_EQ(Reply().worker.life.born, 100);
 }
 
+class LivesTest : public CrashTest {
+ protected:
+  /// @brief The clock of a new life of the worker begins anew.
+  WorkerView ViewOfLife(std::int64_t born, Millis clock) {
+    WorkerView view = View({});
+    view.born = born;
+    view.clock = WorkerTime(clock);
+    return view;
+  }
+};
+
+// Guards against leases by the clock of a worker's former life whose answer is
+// late: the new life would outlast what agent and scheduler count.
+TEST_F(LivesTest, IgnoresALateAnswerOfAFormerLife) {
+  Connect();
+  const WorkerQuery late = subject.WatchCall(now);
+  Restart();
+  Answer(late, ViewOfLife(100, Millis(500'000)));
+  EXPECT_FALSE(subject.WatchCall(now).context.lease_until);
+  Answer(subject.WatchCall(now), ViewOfLife(facts.life.born, Millis(30)));
+  Start(FirstRun());
+  ASSERT_THAT(Reply().runs, SizeIs(1));
+  Answer(late, ViewOfLife(100, Millis(500'000)));
+  EXPECT_THAT(Reply().runs, SizeIs(1));
+  EXPECT_EQ(Reply().worker_state, WorkerState::kPresent);
+  const auto lease = subject.WatchCall(now).context.lease_until;
+  ASSERT_TRUE(lease);
+  EXPECT_LE(*lease, WorkerTime(Millis(30) + Millis(5'000)));
+}
+
+// Guards against a former life that is taken for the newer one because nothing
+// but calls that were sent before is known.
+TEST_F(LivesTest, AsksAgainWhenAnswersToEarlierCallsNameAnotherLife) {
+  Connect();
+  const WorkerQuery first = subject.WatchCall(now);
+  const WorkerQuery second = subject.WatchCall(now);
+  Answer(second, ViewOfLife(200, Millis(20)));
+  Answer(subject.WatchCall(now), ViewOfLife(200, Millis(30)));
+  ASSERT_FALSE(subject.QuickCall(now));
+  Answer(first, ViewOfLife(150, Millis(500'000)));
+  EXPECT_TRUE(subject.QuickCall(now));
+  const auto lease = subject.WatchCall(now).context.lease_until;
+  ASSERT_TRUE(lease);
+  EXPECT_LE(*lease, WorkerTime(Millis(30) + Millis(5'000)));
+}
+
 // The worker's clock may run 2 % slow, and the lease must not end late.
 TEST_F(ExecutorTest, ShortensTheLeaseForASlowWorkerClock) {
   Connect();
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -49,6 +49,8 @@
   bool departed = false;
   bool silent = false;
   std::int64_t reported_born = 0;
+  /// The first look that was sent after `reported_born` was first heard of.
+  std::uint64_t life_from_look = 0;
   TimePoint answered_at{};
   PeerClockSample clock;
   bool clock_known = false;
@@ -82,6 +84,8 @@
            std::vector<Label> fields);
   void Refuse(const workload::RunRef& run, protocol::RefusalReason reason);
   void StartNewLife(const char* cause, TimePoint now);
+  /// @brief Answers tell lives apart from now on, beginning with this one.
+  void HearLife(std::int64_t born);
   void RecordCrash();
   /// @brief When the lease of the request ends, by this process's clock.
   /// Nothing if there is none, or if it refers to another incarnation.
--- a/packages/executor/src/lives.cc
+++ b/packages/executor/src/lives.cc
@@ -133,8 +133,9 @@
   it.heard_at = now;
   it.facts = facts;
   it.departed = false;
-  if (new_life && it.reported_born != facts.life.born) {
-    it.reported_born = 0;
+  if ((new_life || it.reported_born == 0) &&
+      it.reported_born != facts.life.born) {
+    it.HearLife(facts.life.born);
   }
   if (changed) {
     it.log.push_back({LogLevel::kInfo,
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -24,6 +24,11 @@
 
 }  // namespace
 
+void Executor::Impl::HearLife(std::int64_t born) {
+  reported_born = born;
+  life_from_look = next_look;
+}
+
 WorkerQuery Executor::Impl::MakeQuery(Millis wait) {
   WorkerQuery look;
   look.number = next_look++;
@@ -137,14 +142,23 @@
     }
     return;
   }
-  it.answered_at = now;
   if (view.born != 0 && it.reported_born != 0 &&
       view.born != it.reported_born) {
+    // Only a call that was sent after the current life was first heard cannot
+    // have been answered by a former one.
+    if (number < it.life_from_look) {
+      it.immediate_look = it.next_look;
+      return;
+    }
+    it.answered_at = now;
     it.StartNewLife("lists", now);
-    it.reported_born = view.born;
+    it.HearLife(view.born);
     return;
   }
-  it.reported_born = view.born != 0 ? view.born : it.reported_born;
+  it.answered_at = now;
+  if (view.born != 0 && it.reported_born == 0) {
+    it.HearLife(view.born);
+  }
   if (view.clock) {
     // A call that waits for an end may be answered after a later call.
     if (it.clock_known && *view.clock < it.clock.peer) {
