Find a worker's new life although its wall clock has stepped back

Lives of a worker were ordered by 'born', the wall clock at their start. After the clock had stepped back, all heartbeats of the new life were taken for delayed ones of the former life, for ever: the worker was never used again, and jobs that needed it did not end.

A heartbeat of a life that is dated before the known one now makes the agent ask; an answer to a call that is sent from then on comes from the life that is there now. The lives that have ended are remembered (the last 32), so that their delayed heartbeats are still ignored.

LivesTest.FindsANewLifeThatIsDatedBeforeTheFormerOne failed before.

Not covered: a delayed heartbeat of a former life that this process of the agent never heard of and that is dated after the current one; and a worker with another id that is dated before the known one.

--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -401,6 +401,27 @@
   EXPECT_LE(*lease, WorkerTime(Millis(30) + Millis(5'000)));
 }
 
+// The worker's wall clock may have stepped back between its lives.
+TEST_F(LivesTest, FindsANewLifeThatIsDatedBeforeTheFormerOne) {
+  Connect();
+  Start(FirstRun());
+  facts.life.born = 50;
+  subject.OnHeartbeat(facts, 1, now);
+  EXPECT_EQ(Reply().worker.life.born, 100);
+  const auto look = subject.QuickCall(now);
+  ASSERT_TRUE(look);
+  Answer(*look, ViewOfLife(50, Millis(30)));
+  EXPECT_THAT(Reply().crashes, SizeIs(1));
+  subject.OnHeartbeat(facts, 2, now);
+  EXPECT_EQ(Reply().worker.life.born, 50);
+  Answer(subject.WatchCall(now), ViewOfLife(50, Millis(40)));
+  EXPECT_EQ(Reply().worker_state, WorkerState::kPresent);
+  // A delayed heartbeat of the former life.
+  facts.life.born = 100;
+  subject.OnHeartbeat(facts, 99, now);
+  EXPECT_EQ(Reply().worker.life.born, 50);
+}
+
 // The worker's clock may run 2 % slow, and the lease must not end late.
 TEST_F(ExecutorTest, ShortensTheLeaseForASlowWorkerClock) {
   Connect();
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_EXECUTOR_SRC_IMPL_H_
 #define SHALLOTLUG_EXECUTOR_SRC_IMPL_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -51,6 +52,8 @@
   std::int64_t reported_born = 0;
   /// The first look that was sent after `reported_born` was first heard of.
   std::uint64_t life_from_look = 0;
+  /// `born` of the former lives that were heard of, the latest last.
+  std::deque<std::int64_t> former_lives;
   TimePoint answered_at{};
   PeerClockSample clock;
   bool clock_known = false;
@@ -84,6 +87,7 @@
            std::vector<Label> fields);
   void Refuse(const workload::RunRef& run, protocol::RefusalReason reason);
   void StartNewLife(const char* cause, TimePoint now);
+  bool IsFormerLife(std::int64_t born) const;
   /// @brief Answers tell lives apart from now on, beginning with this one.
   void HearLife(std::int64_t born);
   void RecordCrash();
--- a/packages/executor/src/lives.cc
+++ b/packages/executor/src/lives.cc
@@ -56,6 +56,11 @@
   MarkChanged();
 }
 
+bool Executor::Impl::IsFormerLife(std::int64_t born) const {
+  return std::find(former_lives.begin(), former_lives.end(), born) !=
+         former_lives.end();
+}
+
 void Executor::Impl::RecordCrash() {
   std::vector<PresentRun> present = lapsed_runs;
   for (const auto& [ref, run] : runs) {
@@ -120,8 +125,13 @@
     if (sequence <= it.heartbeat_sequence && !it.departed) {
       return;
     }
-  } else if (it.facts && facts.life.born < it.facts->life.born) {
-    // A delayed heartbeat of a former life.
+  } else if (it.IsFormerLife(facts.life.born)) {
+    return;
+  } else if (it.facts && facts.life.born < it.facts->life.born &&
+             facts.life.born != it.reported_born) {
+    // A delayed heartbeat of a former life, or a life that is dated by a wall
+    // clock that has stepped back. An answer tells.
+    it.immediate_look = it.next_look;
     return;
   }
   const bool new_life = it.facts && it.facts->life != facts.life;
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -17,6 +17,8 @@
 constexpr Millis kIdleWatchWait{2'000};
 // The worker's lease is renewed when it can be extended by more than this.
 constexpr Millis kLeaseRenewalThreshold{700};
+// More lives than may send heartbeats or answers that are still under way.
+constexpr std::size_t kMaxFormerLives = 32;
 
 std::string ToString(Millis it) {
   return std::to_string(it.count());
@@ -25,6 +27,12 @@
 }  // namespace
 
 void Executor::Impl::HearLife(std::int64_t born) {
+  if (reported_born != 0) {
+    former_lives.push_back(reported_born);
+    if (former_lives.size() > kMaxFormerLives) {
+      former_lives.pop_front();
+    }
+  }
   reported_born = born;
   life_from_look = next_look;
 }
