--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_EXECUTOR_SRC_IMPL_H_
 #define SHALLOTLUG_EXECUTOR_SRC_IMPL_H_
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,6 +50,10 @@
   bool departed = false;
   bool silent = false;
   std::int64_t reported_born = 0;
+  /// The first look that was sent after `reported_born` was first heard of.
+  std::uint64_t life_from_look = 0;
+  /// `born` of the former lives that were heard of, the latest last.
+  std::deque<std::int64_t> former_lives;
   TimePoint answered_at{};
   /// For how long this process has stood still since the last answer.
   Millis stood_still{0};
@@ -88,6 +93,9 @@
            std::vector<Label> fields);
   void Refuse(const workload::RunRef& run, protocol::RefusalReason reason);
   void StartNewLife(const char* cause, TimePoint now);
+  bool IsFormerLife(std::int64_t born) const;
+  /// @brief Answers tell lives apart from now on, beginning with this one.
+  void HearLife(std::int64_t born);
   void RecordCrash();
   /// @brief When the lease of the request ends, by this process's clock.
   /// Nothing if there is none, or if it refers to another incarnation.
@@ -103,6 +111,7 @@
   std::optional<WorkerTime> SafeWorkerLease() const;
   std::optional<WorkerTime> GrantLease();
   void NoteStep(TimePoint now);
+  void NoteAnswer(TimePoint now);
   Millis WorkerSilence(TimePoint now) const;
   void ExpireSilentWorker(TimePoint now);
   WorkerQuery MakeQuery(Millis wait);
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -19,6 +19,8 @@
 constexpr Millis kMaxStepInterval{500};
 // The worker's lease is renewed when it can be extended by more than this.
 constexpr Millis kLeaseRenewalThreshold{700};
+// More lives than may send heartbeats or answers that are still under way.
+constexpr std::size_t kMaxFormerLives = 32;
 
 std::string ToString(Millis it) {
   return std::to_string(it.count());
@@ -26,6 +28,17 @@
 
 }  // namespace
 
+void Executor::Impl::HearLife(std::int64_t born) {
+  if (reported_born != 0) {
+    former_lives.push_back(reported_born);
+    if (former_lives.size() > kMaxFormerLives) {
+      former_lives.pop_front();
+    }
+  }
+  reported_born = born;
+  life_from_look = next_look;
+}
+
 WorkerQuery Executor::Impl::MakeQuery(Millis wait) {
   WorkerQuery look;
   look.number = next_look++;
@@ -132,6 +145,11 @@
   stepped_at = now;
 }
 
+void Executor::Impl::NoteAnswer(TimePoint now) {
+  answered_at = now;
+  stood_still = Millis{0};
+}
+
 // The bound lets a process that hardly ever runs find out, too. After a longer
 // time the worker's runs have ended in any case.
 Millis Executor::Impl::WorkerSilence(TimePoint now) const {
@@ -158,15 +176,23 @@
     }
     return;
   }
-  it.answered_at = now;
-  it.stood_still = Millis{0};
   if (view.born != 0 && it.reported_born != 0 &&
       view.born != it.reported_born) {
+    // Only a call that was sent after the current life was first heard cannot
+    // have been answered by a former one.
+    if (number < it.life_from_look) {
+      it.immediate_look = it.next_look;
+      return;
+    }
+    it.NoteAnswer(now);
     it.StartNewLife("lists", now);
-    it.reported_born = view.born;
+    it.HearLife(view.born);
     return;
   }
-  it.reported_born = view.born != 0 ? view.born : it.reported_born;
+  it.NoteAnswer(now);
+  if (view.born != 0 && it.reported_born == 0) {
+    it.HearLife(view.born);
+  }
   if (view.clock) {
     // A call that waits for an end may be answered after a later call.
     if (it.clock_known && *view.clock < it.clock.peer) {
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -105,7 +105,7 @@
   ASSERT_TRUE(role.NextAppend(kNonce, now));
   now.local += Millis(13'000);
   role.OnAppended(Appended(end), now);
-  role.Active()->OnReply(AgentName("a"), reply, now);
+  role.Active()->OnReply(AgentName("a"), Incarnation{}, reply, now);
   EXPECT_EQ(role.Active()->MakeSync(AgentName("a"), Millis{0}, now).lease,
             Millis{0});
 }
