Send commands only to the backend server whose clock they refer to

A lease or a start of a task could reach a restarted backend server with a time that was read from the clock of the former one. If its clock has begun anew, the task runs on for as long as the clocks differ, without its agent.

Cause: BackendClient marked a command with the incarnation that it had polled last. When a server restarts, the first answer of the new one is not passed on, because it may lack events; until the next answer the agent still counts on the former clock, and its starts carried the new incarnation. The harness did not show this: its fake shell used the incarnation of the last report that the agent had taken.

Change: the agent says with each command which incarnation it is for. The client drops one for another incarnation and counts it in shallotlug_backend_commands_outdated_total; the agent learns of the restart from the next report and ends its tasks then.

BackendClientTest.ANewServerGetsNoLeaseOfAFormerServersClock failed before: the start counted for incarnation 3 was sent with incarnation 4.

--- a/packages/agent/include/shallotlug/agent/agent.h
+++ b/packages/agent/include/shallotlug/agent/agent.h
@@ -61,7 +61,7 @@
   std::vector<Send> sends;
   std::vector<Dial> dials;
   std::vector<CloseLink> closes;
-  std::vector<BackendCommand> backend_commands;
+  std::vector<AddressedCommand> backend_commands;
   std::vector<LogLine> log_lines;
   bool may_exit = false;  ///< A graceful shutdown has finished.
 };
--- a/packages/agent/include/shallotlug/agent/backend.h
+++ b/packages/agent/include/shallotlug/agent/backend.h
@@ -38,6 +38,13 @@
 
 using BackendCommand = std::variant<StartTask, RenewLease, ControlTask>;
 
+/// @brief A command and the incarnation of the backend server whose clock and
+/// tasks it refers to. No other incarnation may get it.
+struct AddressedCommand {
+  std::uint64_t incarnation = 0;
+  BackendCommand command;
+};
+
 enum class TaskEventKind {
   kStarted,
   kRejected,      ///< The backend server did not start it and never will.
--- a/packages/agent/src/backend_tasks.cc
+++ b/packages/agent/src/backend_tasks.cc
@@ -10,6 +10,11 @@
 namespace shallotlug::agent {
 namespace {
 
+void SendCommand(const State& state, BackendCommand command, Outbox& out) {
+  out.backend_commands.push_back(
+      {state.backend.incarnation, std::move(command)});
+}
+
 bool EndsTask(TaskEventKind kind) {
   return kind != TaskEventKind::kStarted;
 }
@@ -121,7 +126,7 @@
 void StopOrphanedTasks(State& state, Outbox& out) {
   for (const auto& [id, accelerators] : state.backend.orphaned_tasks) {
     state.counters.AddTo("shallotlug_agent_foreign_task_stops_total");
-    out.backend_commands.push_back(ControlTask{id, TaskAction::kStop});
+    SendCommand(state, ControlTask{id, TaskAction::kStop}, out);
   }
 }
 
@@ -156,9 +161,11 @@
   task.throttleable = start.throttleable;
   task.lease_until = lease;
   state.backend.tasks[id] = std::move(task);
-  out.backend_commands.push_back(StartTask{
-      id, start.live, start.accelerators, lease, start.declared_run_time,
-      std::move(start.body), std::move(start.checkpoint)});
+  SendCommand(state,
+              StartTask{id, start.live, start.accelerators, lease,
+                        start.declared_run_time, std::move(start.body),
+                        std::move(start.checkpoint)},
+              out);
   return id;
 }
 
@@ -179,7 +186,7 @@
   }
   it->second.stopping |=
       action == TaskAction::kStop || action == TaskAction::kCheckpoint;
-  out.backend_commands.push_back(ControlTask{task, action});
+  SendCommand(state, ControlTask{task, action}, out);
 }
 
 void OnBackendReport(State& state,
@@ -224,7 +231,7 @@
         ToPeerTime(backend.clock, LeaseLimit(state, task, now));
     if (task.reported && until > task.lease_until) {
       task.lease_until = until;
-      out.backend_commands.push_back(RenewLease{id, until});
+      SendCommand(state, RenewLease{id, until}, out);
     }
   }
 }
--- a/packages/agent/src/test_cluster.h
+++ b/packages/agent/src/test_cluster.h
@@ -221,9 +221,10 @@
 
   void Deliver(std::size_t i) {
     Node& node = nodes[i];
-    for (const BackendCommand& command : node.last.backend_commands) {
-      if (node.backend.reachable) {
-        node.backend.Apply(command);
+    for (const AddressedCommand& it : node.last.backend_commands) {
+      if (node.backend.reachable &&
+          it.incarnation == node.backend.incarnation) {
+        node.backend.Apply(it.command);
       }
     }
     for (const Dial& dial : node.last.dials) {
--- a/packages/harness/include/shallotlug/harness/fake_worker.h
+++ b/packages/harness/include/shallotlug/harness/fake_worker.h
@@ -23,11 +23,9 @@
  public:
   FakeWorker(int index, ClockModel clock, std::uint64_t seed, Oracle& oracle);
 
-  /// @brief Carries out a command that was meant for `incarnation`. Another
-  /// incarnation ignores it, as the protocol of the backend server says.
-  void Handle(Millis now,
-              std::uint64_t incarnation,
-              const agent::BackendCommand& command);
+  /// @brief Carries out a command. An incarnation that it is not addressed to
+  /// ignores it, as the protocol of the backend server says.
+  void Handle(Millis now, const agent::AddressedCommand& addressed);
   void Tick(Millis now);
   /// @brief The next report when one is due.
   std::optional<agent::BackendReport> TakeReport(Millis now);
--- a/packages/harness/src/fake_worker.cc
+++ b/packages/harness/src/fake_worker.cc
@@ -119,13 +119,12 @@
   }
 }
 
-void FakeWorker::Handle(Millis now,
-                        std::uint64_t incarnation,
-                        const agent::BackendCommand& command) {
+void FakeWorker::Handle(Millis now, const agent::AddressedCommand& addressed) {
   Tick(now);
-  if (incarnation != incarnation_) {
+  if (addressed.incarnation != incarnation_) {
     return;
   }
+  const agent::BackendCommand& command = addressed.command;
   if (const auto* start = std::get_if<agent::StartTask>(&command)) {
     Start(now, *start);
   } else if (const auto* renew = std::get_if<agent::RenewLease>(&command)) {
--- a/packages/harness/src/processes.h
+++ b/packages/harness/src/processes.h
@@ -14,8 +14,7 @@
 /// @brief A command on its way to a backend server.
 struct PendingCommand {
   Millis at{};
-  std::uint64_t incarnation = 0;
-  agent::BackendCommand command;
+  agent::AddressedCommand command;
 };
 
 /// @brief An agent process, its machine's clock and its backend server.
@@ -26,8 +25,6 @@
   agent::StatePtr state;
   std::unique_ptr<FakeWorker> worker;
   std::deque<PendingCommand> commands;
-  /// Of the backend server, by the last report that the agent has.
-  std::uint64_t backend_incarnation = 0;
   std::deque<std::pair<Millis, agent::BackendReport>> reports;
   bool alive = false;
   bool shutdown_due = false;
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -313,7 +313,6 @@
   inbox.links_down = std::move(arrivals.links_down);
   inbox.received = std::move(arrivals.received);
   while (!agent.reports.empty() && agent.reports.front().first <= now_) {
-    agent.backend_incarnation = agent.reports.front().second.incarnation;
     inbox.backend_reports.push_back(std::move(agent.reports.front().second));
     agent.reports.pop_front();
   }
@@ -331,17 +330,16 @@
   for (const CloseLink& close : outbox.closes) {
     network_.CloseFrom(now_, agent.ref, close.link);
   }
-  for (agent::BackendCommand& command : outbox.backend_commands) {
-    TraceCommand(agent.ref, command);
-    agent.commands.push_back(
-        {now_ + kCommandDelay, agent.backend_incarnation, std::move(command)});
+  for (agent::AddressedCommand& it : outbox.backend_commands) {
+    TraceCommand(agent.ref, it.command);
+    agent.commands.push_back({now_ + kCommandDelay, std::move(it)});
   }
   CheckRevision(agent.ref, agent::CurrentTargets(*agent.state).revision,
                 agent.highest_revision);
   if (outbox.may_exit) {
     // Commands that were handed to the shell still reach the backend server.
     for (const PendingCommand& it : agent.commands) {
-      agent.worker->Handle(now_, it.incarnation, it.command);
+      agent.worker->Handle(now_, it.command);
     }
     Kill(agent.ref, false);
   }
@@ -417,7 +415,7 @@
     while (!agent->commands.empty() && agent->commands.front().at <= now_) {
       const PendingCommand pending = std::move(agent->commands.front());
       agent->commands.pop_front();
-      agent->worker->Handle(now_, pending.incarnation, pending.command);
+      agent->worker->Handle(now_, pending.command);
     }
     agent->worker->Tick(now_);
     if (!agent->alive) {
--- a/packages/net/src/agent_shell.cc
+++ b/packages/net/src/agent_shell.cc
@@ -101,7 +101,7 @@
     for (const Dial& it : out.dials) {
       links_->Dial(it);
     }
-    for (agent::BackendCommand& it : out.backend_commands) {
+    for (agent::AddressedCommand& it : out.backend_commands) {
       backend_.Command(std::move(it));
     }
     if (out.may_exit) {
--- a/packages/net/src/backend_client.cc
+++ b/packages/net/src/backend_client.cc
@@ -212,12 +212,17 @@
   });
 }
 
-void BackendClient::Command(agent::BackendCommand command) {
+void BackendClient::Command(agent::AddressedCommand command) {
+  if (command.incarnation != last_.incarnation) {
+    // The agent learns from the next report that the server has restarted.
+    counters_.AddTo("shallotlug_backend_commands_outdated_total");
+    return;
+  }
   if (queue_.size() >= options_.queued_commands) {
     counters_.AddTo("shallotlug_backend_commands_dropped_total");
     return;
   }
-  queue_.push_back({std::move(command), last_.incarnation});
+  queue_.push_back({std::move(command.command), command.incarnation});
   if (!sending_) {
     SendNext();
   }
--- a/packages/net/src/backend_client.h
+++ b/packages/net/src/backend_client.h
@@ -48,7 +48,7 @@
   /// @brief Starts to poll reports.
   void Start();
 
-  void Command(agent::BackendCommand command);
+  void Command(agent::AddressedCommand command);
 
  private:
   struct Queued {
--- a/packages/net/src/backend_client_test.cc
+++ b/packages/net/src/backend_client_test.cc
@@ -82,8 +82,10 @@
   }
 
   void StartTask() {
-    client->Command(agent::StartTask{
-        TaskId("t"), true, 5, PeerTime(Millis(9)), {}, "b", ""});
+    client->Command(
+        {reports.back().incarnation,
+         agent::StartTask{
+             TaskId("t"), true, 5, PeerTime(Millis(9)), {}, "b", ""}});
   }
 
   template <class Condition>
@@ -191,11 +193,25 @@
   EXPECT_EQ(reports[1].incarnation, 4U);
 }
 
+// Guards against a lease that was counted on the clock of a backend server that
+// has restarted since, before the agent heard of it.
+TEST_F(BackendClientTest, ANewServerGetsNoLeaseOfAFormerServersClock) {
+  incarnation = 4;
+  SendReport({}, {});
+  RunUntil([this] { return !polls.empty(); });
+  ASSERT_EQ(reports.size(), 1U);
+  StartTask();
+  SendReport({}, {});
+  RunUntil([this] { return reports.size() >= 2; });
+  EXPECT_TRUE(commands.empty());
+}
+
 // Guards against one request for each of hundreds of renewals.
 TEST_F(BackendClientTest, SendsRenewalsTogether) {
   for (int n = 0; n < 100; ++n) {
     client->Command(
-        agent::RenewLease{TaskId(std::to_string(n)), PeerTime(Millis(n))});
+        {reports.back().incarnation,
+         agent::RenewLease{TaskId(std::to_string(n)), PeerTime(Millis(n))}});
   }
   RunUntil([this] { return commands.size() == 2; });
   EXPECT_EQ(json::parse(commands[1].body).at("leases").as_array().size(), 99U);
