Begin clocks anew in the harness after a loss of power

'destroy' now stands for a loss of power: the clocks of the process and of its backend server begin anew, behind or ahead by about a second or by hours. 'restart worker' begins the server's clock anew. 'restart' and 'kill' of an agent or entry keep the machine's clock.

--- a/packages/harness/include/shallotlug/harness/fake_worker.h
+++ b/packages/harness/include/shallotlug/harness/fake_worker.h
@@ -36,6 +36,7 @@
   void SetFailsAll(bool fails) { fails_all_ = fails; }
   void SetCutsAnswers(bool cuts) { cuts_answers_ = cuts; }
   void SetCheckpointTime(Millis time) { checkpoint_time_ = time; }
+  /// @brief Starts a new incarnation, whose clock begins anew.
   void Restart(Millis now);
   /// @brief Whether a task of the named work runs here.
   bool Runs(const std::string& name) const;
@@ -66,6 +67,7 @@
   int index_;
   ClockModel clock_;
   Random random_;
+  Random clock_random_;
   Oracle& oracle_;
   std::uint64_t incarnation_;
   bool leaving_ = false;
--- a/packages/harness/include/shallotlug/harness/process.h
+++ b/packages/harness/include/shallotlug/harness/process.h
@@ -1,10 +1,12 @@
 #ifndef SHALLOTLUG_HARNESS_PROCESS_H_
 #define SHALLOTLUG_HARNESS_PROCESS_H_
 
+#include <algorithm>
 #include <compare>
 #include <string>
 
 #include "shallotlug/base/clock.h"
+#include "shallotlug/harness/random.h"
 
 namespace shallotlug::harness {
 
@@ -42,6 +44,32 @@
   }
 };
 
+/// @brief The clock after a loss of power at `now`: behind or ahead of the
+/// former one, by about a second or by hours.
+inline ClockModel ClockAfterPowerLoss(const ClockModel& former,
+                                      Millis now,
+                                      Random& random) {
+  constexpr Millis kHours{10'000'000};
+  const Millis step(800 + random.Below(400));
+  const Millis read = former.Read(now);
+  ClockModel clock = former;
+  switch (random.Below(4)) {
+    case 0:  // Began at 0.
+      clock.offset -= read - step;
+      break;
+    case 1:
+      clock.offset -= std::min(step, read);
+      break;
+    case 2:
+      clock.offset += step;
+      break;
+    default:
+      clock.offset += kHours + step;
+      break;
+  }
+  return clock;
+}
+
 }  // namespace shallotlug::harness
 
 #endif  // SHALLOTLUG_HARNESS_PROCESS_H_
--- a/packages/harness/include/shallotlug/harness/world.h
+++ b/packages/harness/include/shallotlug/harness/world.h
@@ -238,6 +238,7 @@
 
   WorldOptions options_;
   Random random_;
+  Random clock_random_;  ///< Of clocks that begin anew.
   Millis now_{};
   Oracle oracle_;
   FakeNetwork network_;
--- a/packages/harness/src/fake_worker.cc
+++ b/packages/harness/src/fake_worker.cc
@@ -34,6 +34,7 @@
     : index_(index),
       clock_(clock),
       random_(seed),
+      clock_random_(seed + 1),
       oracle_(oracle),
       incarnation_(random_.Next()) {}
 
@@ -206,6 +207,7 @@
   known_.clear();
   events_.clear();
   incarnation_ = random_.Next();
+  clock_ = ClockAfterPowerLoss(clock_, now, clock_random_);
   changed_ = true;
   if (leaving_) {
     SetLeaving(now, false);
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -34,6 +34,7 @@
 World::World(const WorldOptions& options)
     : options_(options),
       random_(options.seed),
+      clock_random_(options.seed + 3),
       network_(options.seed + 1),
       log_(options.seed + 2) {
   log_.SetRetention(options.log_retention);
@@ -132,11 +133,15 @@
     agent.reports.clear();
     if (silently) {
       agent.worker->Restart(now_);
+      agent.clock = ClockAfterPowerLoss(agent.clock, now_, clock_random_);
     }
     return;
   }
   Entry& entry = *entries_[index];
   entry.alive = false;
+  if (silently) {
+    entry.clock = ClockAfterPowerLoss(entry.clock, now_, clock_random_);
+  }
   entry.state.reset();
   entry.calls.clear();
   log_.Forget(process);
