Do not take the next backend server's refusal for the former one's

A live request whose task had run could be answered "not run", and be sent to another worker, when its backend server restarted between a start and its repetition. The same answer passed on a reading of the new server's clock under the former incarnation.

Cause: a start whose answer is lost is repeated. A restarted server refuses the repetition (409, incarnation_changed), and BackendClient reported the task as rejected, which means that it never ran, with the time of the answer.

Change: an answer of another incarnation than the command's says nothing of the task. The next report shows the restart, and the agent ends its tasks with an unknown outcome, as it does for every other task of a restarted server. A start that had been sent only once is then unknown, too.

BackendClientTest.TheNextServersRefusalIsNoAnswerOfTheFormer failed before: the client made a second report, of the former incarnation.

--- a/packages/net/src/backend_client.cc
+++ b/packages/net/src/backend_client.cc
@@ -336,6 +336,14 @@
   try {
     const json::value parsed = json::parse(response.body);
     const json::object& body = parsed.as_object();
+    if (body.contains("incarnation") &&
+        body.at("incarnation").to_number<std::uint64_t>() !=
+            last_.incarnation) {
+      // A former server may have run the task; the next report ends it.
+      counters_.AddTo("shallotlug_backend_commands_outdated_total");
+      starting_.erase(start.task);
+      return;
+    }
     event.reason = TextOf(body, "reason");
     if (body.contains("now")) {
       report.now = std::max(report.now, TimeOf(body, "now"));
--- a/packages/net/src/backend_client_test.cc
+++ b/packages/net/src/backend_client_test.cc
@@ -59,7 +59,9 @@
     }
     HttpResponse response;
     response.status = command_status;
-    response.body = R"({"now":5,"reason":"no_free_slot"})";
+    response.body = json::serialize(json::object{{"now", command_now},
+                                                 {"incarnation", incarnation},
+                                                 {"reason", "no_free_slot"}});
     server->Reply(id, response);
   }
 
@@ -108,6 +110,7 @@
   int unreachable = 0;
   int lost_answers = 0;
   int command_status = 201;
+  int command_now = 5;
   std::uint64_t incarnation = 3;
   std::uint64_t sequence = 0;
 };
@@ -206,6 +209,24 @@
   EXPECT_TRUE(commands.empty());
 }
 
+// Guards against a task that reads as never started, and against a clock
+// reading under the wrong incarnation, because its repeated start met the next
+// server.
+TEST_F(BackendClientTest, TheNextServersRefusalIsNoAnswerOfTheFormer) {
+  lost_answers = 1;
+  StartTask();
+  RunUntil([this] { return commands.size() == 1; });
+  incarnation = 4;
+  command_status = 409;
+  command_now = 9'000;
+  RunUntil([this] { return commands.size() == 2; });
+  for (int n = 0; n < 20; ++n) {
+    context.restart();
+    context.run_for(Millis(1));
+  }
+  EXPECT_EQ(reports.size(), 1U);
+}
+
 // Guards against one request for each of hundreds of renewals.
 TEST_F(BackendClientTest, SendsRenewalsTogether) {
   for (int n = 0; n < 100; ++n) {
