Do not take reports made during a pause for news

After a pause of an entry, calls could be answered from a configuration that had been replaced meanwhile, though the entry holds such calls until it has read the log or has heard from an agent after the pause.

Cause: reports that arrived during the pause are read after it. The first of them became the sample of the agent's clock, with the time after the pause as the time of its receipt; compared with it, the second one looked as if it had been made after the pause. The hello of a new agent process had the same effect.

Change: reports are compared with the sample from before the pause, which is kept with the agent's incarnation.

ConfigTest.ReportsThatWaitedDuringAPauseEndNoRefresh failed before: the held call was sent to the agent at once.

--- a/packages/entry/src/agents.cc
+++ b/packages/entry/src/agents.cc
@@ -161,7 +161,7 @@
   if (!report.has_attempts) {
     agent->report.attempts = std::move(attempts);
   }
-  OnFreshReport(state, agent->clock, report);
+  OnFreshReport(state, *agent, report);
   const bool changed =
       changes_placement ||
       agent->health != decision::StateOf(state.health, agent->ref.name);
--- a/packages/entry/src/config_test.cc
+++ b/packages/entry/src/config_test.cc
@@ -119,6 +119,27 @@
   EXPECT_TRUE(closes.empty());
 }
 
+// Guards against reports that were made during a pause and count as news.
+TEST_F(ConfigTest, ReportsThatWaitedDuringAPauseEndNoRefresh) {
+  Call(1, SetTarget("c1", LiveTarget()));
+  Connect(1, "a1");
+  log_up = false;
+  AgentReport report = Report();
+  now += Millis(5000);
+  Inbox inbox;
+  for (int n = 0; n < 3; ++n) {
+    report.now += Millis(1000);
+    inbox.received.push_back({LinkId{1}, report});
+  }
+  inbox.calls.push_back({CallId{2}, OneShot()});
+  Run(std::move(inbox));
+  Advance(Millis(100));
+  EXPECT_EQ(CountSent<StartRequest>(), 0U);
+  Receive(1, Report());
+  Advance(Millis(50));
+  EXPECT_EQ(CountSent<StartRequest>(), 1U);
+}
+
 // Guards against a paused entry that waits forever when neither the log nor
 // an agent answers.
 TEST_F(ConfigTest, PausedEntryContinuesWhenRefreshTimesOut) {
--- a/packages/entry/src/pause.cc
+++ b/packages/entry/src/pause.cc
@@ -29,6 +29,16 @@
   }
 }
 
+// A second pause keeps the samples of the first one while its refresh lasts.
+void KeepClocks(State& state) {
+  if (state.refresh.active) {
+    return;
+  }
+  for (auto& [name, agent] : state.agents) {
+    agent.clock_before_pause = agent.clock;
+  }
+}
+
 }  // namespace
 
 void CheckPause(State& state) {
@@ -39,6 +49,7 @@
   Log(state, LogLevel::kWarning, "resumed_after_pause",
       {{"ms", std::to_string((state.now - state.last_step).count())}});
   ResetSilenceTimers(state);
+  KeepClocks(state);
   state.refresh.active = true;
   state.refresh.since = state.now;
   state.config_io.reader.due = state.now;
@@ -61,10 +72,13 @@
 }
 
 void OnFreshReport(State& state,
-                   const PeerClockSample& before,
+                   const Agent& agent,
                    const AgentReport& report) {
-  // A report made before the process resumed may have been buffered.
-  const bool fresh = report.now > ToPeerTime(before, state.refresh.since);
+  // Reports made before the process resumed are still read after it. They must
+  // not serve as samples here, because they seem to have been received late.
+  const bool fresh =
+      agent.clock_before_pause &&
+      report.now > ToPeerTime(*agent.clock_before_pause, state.refresh.since);
   const bool known =
       report.config_revision <= stream::Current(state.config).revision;
   if (state.refresh.active && fresh && known) {
--- a/packages/entry/src/pause.h
+++ b/packages/entry/src/pause.h
@@ -16,9 +16,7 @@
 
 /// @brief Ends the refresh if the agent report is newer than the pause and its
 /// configuration revision is not newer than this entry's.
-void OnFreshReport(State& state,
-                   const PeerClockSample& before,
-                   const AgentReport& report);
+void OnFreshReport(State& state, const Agent& agent, const AgentReport& report);
 
 /// @brief Returns and clears the held calls once the refresh has ended;
 /// otherwise returns none.
--- a/packages/entry/src/state.h
+++ b/packages/entry/src/state.h
@@ -32,6 +32,8 @@
   WorkerInventory inventory;
   std::string peer_address;
   PeerClockSample clock;
+  /// Before the last pause of this entry; none when the link is younger.
+  std::optional<PeerClockSample> clock_before_pause;
   bool reported = false;  ///< `report` was sent by this incarnation.
   AgentReport report;
   TimePoint last_heard{};
