Count a silent server's leases as over only after the clock drift

An attempt could be reported as ended while its task still ran on a backend server that the agent could not reach, so that the next attempt could start beside it.

Cause: the agent estimates the server's clock from its last report. A server whose clock is 2 % slower than the agent's has not yet reached the end of the lease, which is up to 6 s away.

Change: the lease counts as over after the margin that covers drift elsewhere (LeaseMargin).

GangTest.ASlowServersTasksOutliveTheirLeasesByTheDrift failed before: the attempt ended two ticks of 50 ms before the task did.

--- a/packages/agent/src/gang_test.cc
+++ b/packages/agent/src/gang_test.cc
@@ -299,5 +299,21 @@
   EXPECT_TRUE(AllFree());
 }
 
+// Guards against an attempt that ends while a task still runs on a backend
+// server whose clock is slow.
+TEST_F(GangTest, ASlowServersTasksOutliveTheirLeasesByTheDrift) {
+  StartGang({0});
+  cluster.Take<JobUpdate>(0);
+  ServerOf(0).reachable = false;
+  bool ended = false;
+  for (Millis t{}; t < Millis{9000}; t += Millis{50}) {
+    ServerOf(0).clock_offset -= Millis{1};  // 2 % of a tick.
+    cluster.Tick();
+    ended = ended || IsFinal(LastUpdate(0).phase);
+    EXPECT_FALSE(ended && RunningTasks() > 0) << t.count();
+  }
+  EXPECT_TRUE(ended);
+}
+
 }  // namespace
 }  // namespace shallotlug::agent
--- a/packages/agent/src/member_tasks.cc
+++ b/packages/agent/src/member_tasks.cc
@@ -127,7 +127,9 @@
 }
 
 void EndTasksPastLease(State& state, TimePoint now, Outbox& out) {
-  const PeerTime backend_now = ToPeerTime(state.backend.clock, now);
+  // The backend server's clock may be slower than this one.
+  const PeerTime backend_now = ToPeerTime(state.backend.clock, now) -
+                               LeaseMargin(state.options.worker_lease);
   std::vector<std::pair<TaskId, MemberTask>> past;
   for (auto& [id, task] : state.backend.tasks) {
     const auto* owner = std::get_if<MemberTask>(&task.owner);
