Permit computing only on the clock of the incarnation that is meant

A new agent could run its part of a gang that its coordinator had not started there: Reserve and Renew that were meant for the former agent, and arrived late, made it a member and started its tasks.

Cause: Renew carried run_until as a time on the member's clock without saying whose. On a clock that had begun anew behind, the time lies ahead until the hold ends; on one that is ahead, or the same, until it has passed.

Change: run_until is a ClockReading. An agent refuses a Renew for another incarnation (other_incarnation) and does not extend the hold for it; its coordinator ends the attempt, as after any restart of a member. A late Reserve still holds accelerators, for 6 s at most.

Compatibility: a Renew of an earlier build names no incarnation and is refused, so that gangs over agents of both builds do not start.

--- a/packages/agent/src/gang_faults_test.cc
+++ b/packages/agent/src/gang_faults_test.cc
@@ -236,6 +236,36 @@
   EXPECT_TRUE(AllFree());
 }
 
+// Guards against a member that computes under a permission counted on the clock
+// of a former incarnation.
+TEST_F(GangFaultsTest, AFormerIncarnationsPermissionStartsNothing) {
+  for (const Millis step : {Millis{-600'000}, Millis{-1000}, Millis{1000}}) {
+    Prepare(1);
+    faults = false;
+    std::vector<Message> old;
+    cluster.drop = [&](std::size_t, std::size_t to, const Message& message) {
+      if (to == 1) {
+        old.push_back(message);
+      }
+      return false;
+    };
+    Propose(MakeProposal("j", 1, {0, 1}));
+    cluster.Run(Millis{3000});
+    ASSERT_EQ(RunningTasks(), 2U);
+    const std::vector<Message> late = old;
+    cluster.LosePower(1, step);
+    members["j/1"].erase(1);  // The former agent's hold ended with it.
+    cluster.Tick();
+    ASSERT_EQ(ServerOf(1).started.size(), 1U);
+    // Before the attempt ends, so that a clock one second behind matters.
+    for (const Message& message : late) {
+      cluster.SendTo(1, message);
+    }
+    cluster.Run(Millis{500});
+    EXPECT_EQ(ServerOf(1).started.size(), 1U) << step.count();
+  }
+}
+
 // Shows that the invariant check notices members that compute without regard
 // to the permission of their coordinator.
 TEST_F(GangFaultsTest, CheckCatchesAMissingRunUntil) {
--- a/packages/agent/src/job_rounds.cc
+++ b/packages/agent/src/job_rounds.cc
@@ -86,8 +86,9 @@
                std::optional<TimePoint> permission,
                TimePoint now,
                Outbox& out) {
-  const PeerTime run_until =
-      permission ? ToPeerTime(member.clock, *permission) : PeerTime{};
+  const ClockReading run_until{
+      member.spec.agent.incarnation,
+      permission ? ToPeerTime(member.clock, *permission) : PeerTime{}};
   RecordSend(job, member, now);
   SendToMember(state, member,
                Renew{attempt, state.options.self, job.round, run_until}, out);
--- a/packages/agent/src/member.cc
+++ b/packages/agent/src/member.cc
@@ -258,6 +258,11 @@
              const Renew& message,
              TimePoint now,
              Outbox& out) {
+  if (message.run_until.incarnation != state.options.self.incarnation) {
+    SendRefusal(state, link, message.attempt, message.round,
+                "other_incarnation", now, out);
+    return;
+  }
   Member* member = FindMember(state, message.attempt, message.coordinator);
   if (member == nullptr) {
     SendRefusal(state, link, message.attempt, message.round, "unknown_attempt",
@@ -268,7 +273,8 @@
     return;
   }
   UpdateReadiness(state, message.attempt, *member);
-  ApplyPermission(state, message.attempt, *member, message.run_until, now, out);
+  ApplyPermission(state, message.attempt, *member, message.run_until.at, now,
+                  out);
   SendStatus(state, message.attempt, *member, now, out);
 }
 
--- a/packages/agent/src/test_cluster.h
+++ b/packages/agent/src/test_cluster.h
@@ -192,6 +192,21 @@
     }
   }
 
+  /// @brief Replaces an agent and its backend server by new incarnations whose
+  /// clocks differ by `step`.
+  void LosePower(std::size_t i, Millis step) {
+    BreakLinks(i);
+    Node& node = nodes[i];
+    Options& options = node.options;
+    options.self.incarnation =
+        Incarnation{static_cast<std::uint64_t>(options.self.incarnation) + 100};
+    node.clock_offset += step;
+    node.next = {};
+    node.backend.Restart();
+    node.state = MakeState(options, NodeNow(i));
+    ConnectEntry(i);
+  }
+
   std::vector<Node> nodes;
   TimePoint now{Millis{1'000'000}};
   /// Whether a message between agents is lost.
--- a/packages/protocol/include/shallotlug/protocol/messages.h
+++ b/packages/protocol/include/shallotlug/protocol/messages.h
@@ -262,7 +262,7 @@
   std::uint32_t round = 0;
   /// Member's clock; the member computes only before it. The epoch means that
   /// it may not compute yet.
-  PeerTime run_until{};
+  ClockReading run_until;
 };
 
 /// @brief Ends an attempt at a member: stops its tasks and frees its
--- a/packages/protocol/src/codec.cc
+++ b/packages/protocol/src/codec.cc
@@ -555,14 +555,17 @@
   Write(in.attempt, out.initAttempt());
   Write(in.coordinator, out.initCoordinator());
   out.setRound(in.round);
-  out.setRunUntil(in.run_until.time_since_epoch().count());
+  out.setRunUntil(in.run_until.at.time_since_epoch().count());
+  out.setRunUntilIncarnation(
+      static_cast<std::uint64_t>(in.run_until.incarnation));
 }
 
 void Read(wire::Renew::Reader in, Renew& out) {
   Read(in.getAttempt(), out.attempt);
   Read(in.getCoordinator(), out.coordinator);
   out.round = in.getRound();
-  out.run_until = PeerTime(Millis(in.getRunUntil()));
+  out.run_until = {Incarnation{in.getRunUntilIncarnation()},
+                   PeerTime(Millis(in.getRunUntil()))};
 }
 
 void Write(const Release& in, wire::Release::Builder out) {
--- a/packages/protocol/src/messages.capnp
+++ b/packages/protocol/src/messages.capnp
@@ -265,6 +265,7 @@
   coordinator @1 :ProcessRef;
   round @2 :UInt32;
   runUntil @3 :Int64;
+  runUntilIncarnation @4 :UInt64;
 }
 
 struct Release {
--- a/packages/protocol/src/messages.capnp.h
+++ b/packages/protocol/src/messages.capnp.h
@@ -480,7 +480,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e139eddb80c14450, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e139eddb80c14450, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3161,6 +3161,8 @@
 
   inline  ::int64_t getRunUntil() const;
 
+  inline  ::uint64_t getRunUntilIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3209,6 +3211,9 @@
   inline  ::int64_t getRunUntil();
   inline void setRunUntil( ::int64_t value);
 
+  inline  ::uint64_t getRunUntilIncarnation();
+  inline void setRunUntilIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6843,6 +6848,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Renew::Reader::getRunUntilIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Renew::Builder::getRunUntilIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Renew::Builder::setRunUntilIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Release::Reader::hasAttempt() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
