--- a/packages/harness/include/shallotlug/harness/fake_worker.h
+++ b/packages/harness/include/shallotlug/harness/fake_worker.h
@@ -23,11 +23,9 @@
  public:
   FakeWorker(int index, ClockModel clock, std::uint64_t seed, Oracle& oracle);
 
-  /// @brief Carries out a command that was meant for `incarnation`. Another
-  /// incarnation ignores it, as the protocol of the backend server says.
-  void Handle(Millis now,
-              std::uint64_t incarnation,
-              const agent::BackendCommand& command);
+  /// @brief Carries out a command. An incarnation that it is not addressed to
+  /// ignores it, as the protocol of the backend server says.
+  void Handle(Millis now, const agent::AddressedCommand& addressed);
   void Tick(Millis now);
   /// @brief The next report when one is due.
   std::optional<agent::BackendReport> TakeReport(Millis now);
@@ -38,6 +36,7 @@
   void SetFailsAll(bool fails) { fails_all_ = fails; }
   void SetCutsAnswers(bool cuts) { cuts_answers_ = cuts; }
   void SetCheckpointTime(Millis time) { checkpoint_time_ = time; }
+  /// @brief Starts a new incarnation, whose clock begins anew.
   void Restart(Millis now);
   /// @brief Whether a task of the named work runs here.
   bool Runs(const std::string& name) const;
@@ -68,6 +67,7 @@
   int index_;
   ClockModel clock_;
   Random random_;
+  Random clock_random_;
   Oracle& oracle_;
   std::uint64_t incarnation_;
   bool leaving_ = false;
--- a/packages/harness/src/fake_worker.cc
+++ b/packages/harness/src/fake_worker.cc
@@ -34,6 +34,7 @@
     : index_(index),
       clock_(clock),
       random_(seed),
+      clock_random_(seed + 1),
       oracle_(oracle),
       incarnation_(random_.Next()) {}
 
@@ -119,13 +120,12 @@
   }
 }
 
-void FakeWorker::Handle(Millis now,
-                        std::uint64_t incarnation,
-                        const agent::BackendCommand& command) {
+void FakeWorker::Handle(Millis now, const agent::AddressedCommand& addressed) {
   Tick(now);
-  if (incarnation != incarnation_) {
+  if (addressed.incarnation != incarnation_) {
     return;
   }
+  const agent::BackendCommand& command = addressed.command;
   if (const auto* start = std::get_if<agent::StartTask>(&command)) {
     Start(now, *start);
   } else if (const auto* renew = std::get_if<agent::RenewLease>(&command)) {
@@ -207,6 +207,7 @@
   known_.clear();
   events_.clear();
   incarnation_ = random_.Next();
+  clock_ = ClockAfterPowerLoss(clock_, now, clock_random_);
   changed_ = true;
   if (leaving_) {
     SetLeaving(now, false);
--- a/packages/net/src/backend_client.cc
+++ b/packages/net/src/backend_client.cc
@@ -212,12 +212,17 @@
   });
 }
 
-void BackendClient::Command(agent::BackendCommand command) {
+void BackendClient::Command(agent::AddressedCommand command) {
+  if (command.incarnation != last_.incarnation) {
+    // The agent learns from the next report that the server has restarted.
+    counters_.AddTo("shallotlug_backend_commands_outdated_total");
+    return;
+  }
   if (queue_.size() >= options_.queued_commands) {
     counters_.AddTo("shallotlug_backend_commands_dropped_total");
     return;
   }
-  queue_.push_back({std::move(command), last_.incarnation});
+  queue_.push_back({std::move(command.command), command.incarnation});
   if (!sending_) {
     SendNext();
   }
@@ -331,6 +336,14 @@
   try {
     const json::value parsed = json::parse(response.body);
     const json::object& body = parsed.as_object();
+    if (body.contains("incarnation") &&
+        body.at("incarnation").to_number<std::uint64_t>() !=
+            last_.incarnation) {
+      // A former server may have run the task; the next report ends it.
+      counters_.AddTo("shallotlug_backend_commands_outdated_total");
+      starting_.erase(start.task);
+      return;
+    }
     event.reason = TextOf(body, "reason");
     if (body.contains("now")) {
       report.now = std::max(report.now, TimeOf(body, "now"));
--- a/packages/net/src/backend_client_test.cc
+++ b/packages/net/src/backend_client_test.cc
@@ -59,7 +59,9 @@
     }
     HttpResponse response;
     response.status = command_status;
-    response.body = R"({"now":5,"reason":"no_free_slot"})";
+    response.body = json::serialize(json::object{{"now", command_now},
+                                                 {"incarnation", incarnation},
+                                                 {"reason", "no_free_slot"}});
     server->Reply(id, response);
   }
 
@@ -82,8 +84,10 @@
   }
 
   void StartTask() {
-    client->Command(agent::StartTask{
-        TaskId("t"), true, 5, PeerTime(Millis(9)), {}, "b", ""});
+    client->Command(
+        {reports.back().incarnation,
+         agent::StartTask{
+             TaskId("t"), true, 5, PeerTime(Millis(9)), {}, "b", ""}});
   }
 
   template <class Condition>
@@ -106,6 +110,7 @@
   int unreachable = 0;
   int lost_answers = 0;
   int command_status = 201;
+  int command_now = 5;
   std::uint64_t incarnation = 3;
   std::uint64_t sequence = 0;
 };
@@ -191,11 +196,43 @@
   EXPECT_EQ(reports[1].incarnation, 4U);
 }
 
+// Guards against a lease that was counted on the clock of a backend server that
+// has restarted since, before the agent heard of it.
+TEST_F(BackendClientTest, ANewServerGetsNoLeaseOfAFormerServersClock) {
+  incarnation = 4;
+  SendReport({}, {});
+  RunUntil([this] { return !polls.empty(); });
+  ASSERT_EQ(reports.size(), 1U);
+  StartTask();
+  SendReport({}, {});
+  RunUntil([this] { return reports.size() >= 2; });
+  EXPECT_TRUE(commands.empty());
+}
+
+// Guards against a task that reads as never started, and against a clock
+// reading under the wrong incarnation, because its repeated start met the next
+// server.
+TEST_F(BackendClientTest, TheNextServersRefusalIsNoAnswerOfTheFormer) {
+  lost_answers = 1;
+  StartTask();
+  RunUntil([this] { return commands.size() == 1; });
+  incarnation = 4;
+  command_status = 409;
+  command_now = 9'000;
+  RunUntil([this] { return commands.size() == 2; });
+  for (int n = 0; n < 20; ++n) {
+    context.restart();
+    context.run_for(Millis(1));
+  }
+  EXPECT_EQ(reports.size(), 1U);
+}
+
 // Guards against one request for each of hundreds of renewals.
 TEST_F(BackendClientTest, SendsRenewalsTogether) {
   for (int n = 0; n < 100; ++n) {
     client->Command(
-        agent::RenewLease{TaskId(std::to_string(n)), PeerTime(Millis(n))});
+        {reports.back().incarnation,
+         agent::RenewLease{TaskId(std::to_string(n)), PeerTime(Millis(n))}});
   }
   RunUntil([this] { return commands.size() == 2; });
   EXPECT_EQ(json::parse(commands[1].body).at("leases").as_array().size(), 99U);
