Let tests move the clock of a program

--clock_offset_ms of the entry's and the agent's program is added to net::ReadClock of that process.

--- a/apps/src/serve.cc
+++ b/apps/src/serve.cc
@@ -1,5 +1,6 @@
 #include "serve.h"
 
+#include <cstdint>
 #include <iostream>
 #include <string>
 #include <string_view>
@@ -11,6 +12,7 @@
 
 #include "shallotlug/net/agent_shell.h"
 #include "shallotlug/net/entry_shell.h"
+#include "shallotlug/net/role_loop.h"
 #include "shallotlug/service/job_agent.h"
 #include "shallotlug/service/job_entry.h"
 #include "shallotlug/settings/job_settings.h"
@@ -18,6 +20,10 @@
 
 ABSL_FLAG(std::string, settings, "", "serve: JSON file with the settings");
 ABSL_FLAG(bool, check, false, "serve: only checks the settings");
+ABSL_FLAG(std::int64_t,
+          clock_offset_ms,
+          0,
+          "for tests: added to the machine's steady clock");
 
 namespace shallotlug {
 namespace {
@@ -62,6 +68,7 @@
     std::cout << file << ": no findings\n";
     return kServeDone;
   }
+  net::SetClockOffset(Millis(absl::GetFlag(FLAGS_clock_offset_ms)));
   return run(std::get<0>(loaded)) == 0 ? kServeDone : kServeListen;
 }
 
--- a/packages/net/include/shallotlug/net/role_loop.h
+++ b/packages/net/include/shallotlug/net/role_loop.h
@@ -23,6 +23,10 @@
 /// machine was suspended, so that leases lapse meanwhile.
 TimePoint ReadClock();
 
+/// @brief Moves the clock of this process, as if it ran on another machine. For
+/// tests with several processes; called before the first reading.
+void SetClockOffset(Millis offset);
+
 /// @brief Draws a number other than 0 from the operating system.
 std::uint64_t DrawNumber();
 
--- a/packages/net/src/role_loop.cc
+++ b/packages/net/src/role_loop.cc
@@ -23,6 +23,8 @@
 // Scrapes and probes come from few places.
 constexpr std::size_t kMetricsConnections = 64;
 
+Millis clock_offset{0};
+
 HttpResponse PlainText(int status, std::string body) {
   HttpResponse response;
   response.status = status;
@@ -37,8 +39,13 @@
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<Millis>(
-      std::chrono::seconds(now.tv_sec) +
-      std::chrono::nanoseconds(now.tv_nsec)));
+                       std::chrono::seconds(now.tv_sec) +
+                       std::chrono::nanoseconds(now.tv_nsec)) +
+                   clock_offset);
+}
+
+void SetClockOffset(Millis offset) {
+  clock_offset = offset;
 }
 
 std::uint64_t DrawNumber() {
