--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -115,7 +115,8 @@
         SizeOf(Renew{{MakeSpec(1, 1).id, 1},
                      MakeMembers(1)[0].agent,
                      7,
-                     PeerTime(Millis(1'000'000))}),
+                     {MakeMembers(1)[0].agent.incarnation,
+                      PeerTime(Millis(1'000'000))}}),
         "B");
   MemberStatus status;
   status.attempt = {MakeSpec(1, 1).id, 1};
