Answer at once when another incarnation's version is known

A long poll waits until the agent's version differs from the one that the scheduler knows. Versions count from 1 in each process, so that a new process whose version happened to equal the former one's left the scheduler without its first answer, and so without leases and starts that it accepts, for up to the poll's 1 s.

Each request names the incarnation that its version belongs to (`lease_from`). The agent waits only if it is its own.

ExecutorTest.DoesNotTakeAFormerIncarnationsVersionForItsOwn failed before.

--- a/packages/executor/include/shallotlug/executor/executor.h
+++ b/packages/executor/include/shallotlug/executor/executor.h
@@ -56,6 +56,8 @@
   bool OnSync(const protocol::SyncRequest& request, TimePoint now);
   protocol::SyncReply MakeReply(bool accepted, TimePoint now) const;
   std::uint64_t Version() const;
+  /// @brief Whether the caller already knows the present state.
+  bool IsKnown(const protocol::SyncRequest& request) const;
 
   /// @brief Orders that are due; called at least every 500 ms. Each must be
   /// answered by OnStartResult() or OnStopResult().
--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -136,6 +136,11 @@
   return impl_->version;
 }
 
+bool Executor::IsKnown(const protocol::SyncRequest& request) const {
+  return request.lease_from.incarnation == impl_->options.incarnation &&
+         request.known_version == impl_->version;
+}
+
 std::vector<LogLine> Executor::TakeLog() {
   return std::exchange(impl_->log, {});
 }
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -408,6 +408,18 @@
   }
 }
 
+// Guards against a scheduler that waits for the first answer of a new process
+// whose version happens to equal the former one's.
+TEST_F(ExecutorTest, DoesNotTakeAFormerIncarnationsVersionForItsOwn) {
+  SyncRequest request;
+  request.lease_from.incarnation = Incarnation{1};
+  request.known_version = subject.Version();
+  EXPECT_TRUE(subject.IsKnown(request));
+  const Executor restarted({AgentName("agent"), Incarnation{2}});
+  request.known_version = restarted.Version();
+  EXPECT_FALSE(restarted.IsKnown(request));
+}
+
 TEST_F(ExecutorTest, RejectsALowerEpoch) {
   Connect();
   SyncRequest request;
--- a/packages/protocol/include/shallotlug/protocol/sync.h
+++ b/packages/protocol/include/shallotlug/protocol/sync.h
@@ -44,7 +44,8 @@
   std::uint64_t noted_ends = 0;
   /// Refusals, ends of former lives and crashes that are recorded.
   std::vector<workload::RunRef> settled;
-  /// The reply waits until the agent knows something newer than this.
+  /// The reply waits until the agent knows something newer than this version
+  /// of the incarnation in `lease_from`.
   std::uint64_t known_version = 0;
   Millis wait{0};
 
--- a/packages/service/src/job_agent.cc
+++ b/packages/service/src/job_agent.cc
@@ -186,8 +186,7 @@
           joblog::AgentRegistrationDelay(0, net::DrawNumber());
     }
     const bool accepted = executor_.OnSync(*sync, now);
-    if (!accepted || sync->wait <= Millis{0} ||
-        executor_.Version() != sync->known_version) {
+    if (!accepted || sync->wait <= Millis{0} || !executor_.IsKnown(*sync)) {
       Reply(exchange, accepted);
     } else {
       pending_syncs_.push_back({exchange, sync->known_version,
