Note no ends of a worker's former life on a new one

A worker's new life may answer a call before its first heartbeat. Until then the agent still compared the scheduler's requests with the former life, so that their noted ends were passed on to the new life, which numbers its ends anew and forgot those that nobody had seen: a done task was started again.

LivesTest.NotesNoEndsOfTheFormerLifeOnANewOne failed before.

--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -73,7 +73,9 @@
     std::erase_if(it.former_ends,
                   [&](const workload::RunEnd& end) { return end.run == ref; });
   }
-  const bool same_life = it.facts && request.worker == it.facts->life;
+  // A new life may have answered before its first heartbeat.
+  const bool same_life = it.facts && request.worker == it.facts->life &&
+                         it.reported_born == it.facts->life.born;
   if (same_life && request.noted_ends > it.noted_ends) {
     it.noted_ends = request.noted_ends;
     std::erase_if(it.ends, [&](const workload::RunEnd& end) {
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -422,6 +422,20 @@
   EXPECT_EQ(Reply().worker.life.born, 50);
 }
 
+// Guards against a done task that is started again: the new life numbers its
+// ends anew and forgets those that the former life was told to forget.
+TEST_F(LivesTest, NotesNoEndsOfTheFormerLifeOnANewOne) {
+  Connect();
+  Answer(subject.WatchCall(now),
+         View({}, {{1, FirstRun(), EndReason::kDone, ""}}));
+  // The new life answers before it sends a heartbeat.
+  Answer(subject.WatchCall(now), ViewOfLife(200, Millis(30)));
+  SyncRequest request;
+  request.noted_ends = 1;
+  Sync(request);
+  EXPECT_EQ(subject.WatchCall(now).noted_ends, 0U);
+}
+
 // The worker's clock may run 2 % slow, and the lease must not end late.
 TEST_F(ExecutorTest, ShortensTheLeaseForASlowWorkerClock) {
   Connect();
