End a worker's life once

When a new life of a worker had answered before its first heartbeat, the heartbeat ended the former life a second time. Runs that were to be stopped on the new life, because a start may yet reach it, were then refused without a stop if this process of the agent had not sent the start, and reported as crashed a second time if it had.

LivesTest.EndsALifeOnce failed before.

--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -436,6 +436,20 @@
   EXPECT_EQ(subject.WatchCall(now).noted_ends, 0U);
 }
 
+// Guards against crashes that are reported, and stops that are dropped, because
+// a life is ended again when the next one that has answered sends a heartbeat.
+TEST_F(LivesTest, EndsALifeOnce) {
+  Connect();
+  Answer(subject.WatchCall(now), ViewOfLife(1'100, Millis(30)));
+  SyncRequest request;
+  request.stops = {FirstRun()};
+  Sync(request);
+  Restart();
+  EXPECT_THAT(Reply().refusals, IsEmpty());
+  EXPECT_THAT(Reply().crashes, IsEmpty());
+  EXPECT_THAT(subject.TakeActions(now), SizeIs(1));
+}
+
 // The worker's clock may run 2 % slow, and the lease must not end late.
 TEST_F(ExecutorTest, ShortensTheLeaseForASlowWorkerClock) {
   Connect();
--- a/packages/executor/src/lives.cc
+++ b/packages/executor/src/lives.cc
@@ -136,7 +136,8 @@
   }
   const bool new_life = it.facts && it.facts->life != facts.life;
   const bool changed = !it.facts || *it.facts != facts || it.departed;
-  if (new_life) {
+  // An answer of the new life may have ended the former one before.
+  if (new_life && it.reported_born != facts.life.born) {
     it.StartNewLife("heartbeat", now);
   }
   it.heartbeat_sequence = sequence;
