Stop a repeated start for a former life before refusing it

An order that was sent before, maybe to a former process of the agent, and that is meant for a former life of the worker was refused at once. A start without an answer may yet reach the new life, which has the same id, after the scheduler has placed the task elsewhere. It is now stopped on the new life first, as it is when the worker drains or the lease is over.

The scheduler still abandons such a run by itself when it hears of the new life before the order reaches the agent.

--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -450,6 +450,27 @@
   EXPECT_THAT(subject.TakeActions(now), SizeIs(1));
 }
 
+// Guards against a run that begins after it was refused: a former process of
+// the agent may have sent the start, which may yet reach the new life.
+TEST_F(LivesTest, StopsARepeatedStartForAFormerLifeBeforeRefusing) {
+  Connect();
+  SyncRequest request;
+  request.epoch = 1;
+  request.worker = {facts.life.id, 50};
+  request.lease_from = {Incarnation{1}, AsPeerTime(now)};
+  request.lease = Millis(5'000);
+  request.starts.push_back({FirstRun(), "work", "", true});
+  subject.OnSync(request, now);
+  EXPECT_THAT(Reply().refusals, IsEmpty());
+  const auto actions = subject.TakeActions(now);
+  ASSERT_THAT(actions, SizeIs(1));
+  EXPECT_TRUE(std::holds_alternative<StopAction>(actions[0]));
+  subject.OnStopResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+  Answer(*subject.QuickCall(now), View({}));
+  ASSERT_THAT(Reply().refusals, SizeIs(1));
+  EXPECT_EQ(Reply().refusals[0].reason, RefusalReason::kOtherLife);
+}
+
 // The worker's clock may run 2 % slow, and the lease must not end late.
 TEST_F(ExecutorTest, ShortensTheLeaseForASlowWorkerClock) {
   Connect();
--- a/packages/executor/src/orders.cc
+++ b/packages/executor/src/orders.cc
@@ -107,13 +107,16 @@
       (!lists_read && !departed)) {
     return;
   }
-  if (!facts || departed || life != facts->life) {
+  if (!facts || departed) {
     Refuse(ref, RefusalReason::kOtherLife);
     return;
   }
-  if (facts->draining || lease_until <= now) {
-    const RefusalReason reason =
-        facts->draining ? RefusalReason::kDraining : RefusalReason::kNoLease;
+  const bool other_life = life != facts->life;
+  if (other_life || facts->draining || lease_until <= now) {
+    const RefusalReason reason = other_life        ? RefusalReason::kOtherLife
+                                 : facts->draining ? RefusalReason::kDraining
+                                                   : RefusalReason::kNoLease;
+    // A start that was sent before may yet reach this life, too.
     if (order.repeated) {
       BeginStop(ref, reason, now);
     } else {
