Stop starts without an answer on each new life that they may reach

A start without an answer may be carried out up to 12 s later, also by a new life of the worker under the same id, which does not know that the run has ended or was stopped on the life before. The agent remembered such a start only as long as it tracked the run. After a restart of the worker a run that had ended began again, or one began that had been stopped and placed elsewhere.

The agent now remembers starts without an answer for 15 s, and stops them on each new life of the worker. A run that the scheduler still counts is refused only when this is done.

LivesTest.StopsAnEndedRunOnANewLifeThatAnEarlierStartMayReach failed before.

--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -471,6 +471,33 @@
   EXPECT_EQ(Reply().refusals[0].reason, RefusalReason::kOtherLife);
 }
 
+// Guards against a run that has ended and begins again on the next life of its
+// worker, by an earlier call that had no answer.
+TEST_F(LivesTest, StopsAnEndedRunOnANewLifeThatAnEarlierStartMayReach) {
+  Connect();
+  OrderStart();
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kNoAnswer, {}, ""}, now);
+  Wait(Millis(200));
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+  Answer(subject.WatchCall(now),
+         View({}, {{1, FirstRun(), EndReason::kDone, ""}}));
+  for (int lives = 0; lives < 2; ++lives) {
+    Restart();
+    const auto actions = subject.TakeActions(now);
+    ASSERT_THAT(actions, SizeIs(1));
+    EXPECT_TRUE(std::holds_alternative<StopAction>(actions[0]));
+    EXPECT_THAT(Reply().crashes, IsEmpty());
+    subject.OnStopResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+    Answer(*subject.QuickCall(now), View({}));
+    EXPECT_THAT(Reply().runs, IsEmpty());
+  }
+  Wait(Millis(20'000));
+  Restart();
+  EXPECT_THAT(subject.TakeActions(now), IsEmpty());
+}
+
 // The worker's clock may run 2 % slow, and the lease must not end late.
 TEST_F(ExecutorTest, ShortensTheLeaseForASlowWorkerClock) {
   Connect();
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -71,6 +71,8 @@
   std::map<workload::RunRef, protocol::CrashReport>
       crashes;  ///< Of earlier lives.
   std::map<workload::RunRef, protocol::RefusalReason> refusals;
+  /// When starts that may yet be carried out were found to have no answer.
+  std::map<workload::RunRef, TimePoint> unanswered_starts;
   std::uint64_t noted_ends = 0;
   std::uint64_t confirmed_noted_ends = 0;  ///< Answered by the worker.
 
@@ -90,6 +92,7 @@
   bool IsFormerLife(std::int64_t born) const;
   /// @brief Answers tell lives apart from now on, beginning with this one.
   void HearLife(std::int64_t born);
+  void StopUnansweredStarts(TimePoint now);
   void RecordCrash();
   /// @brief When the lease of the request ends, by this process's clock.
   /// Nothing if there is none, or if it refers to another incarnation.
--- a/packages/executor/src/lives.cc
+++ b/packages/executor/src/lives.cc
@@ -13,6 +13,8 @@
 
 // Time that a worker needs after the end of its lease to kill its runs.
 constexpr Millis kLeaseExpiryMargin{600};
+// A call without an answer may be carried out up to 12 s later.
+constexpr Millis kLatestStart{15'000};
 
 }  // namespace
 
@@ -43,6 +45,7 @@
   for (const RunRef& it : over) {
     Refuse(it, RefusalReason::kOtherLife);
   }
+  StopUnansweredStarts(now);
   former_ends.insert(former_ends.end(), ends.begin(), ends.end());
   ends.clear();
   noted_ends = 0;
@@ -56,6 +59,26 @@
   MarkChanged();
 }
 
+// A new life has forgotten which runs were stopped or have ended.
+void Executor::Impl::StopUnansweredStarts(TimePoint now) {
+  std::erase_if(unanswered_starts,
+                [&](const auto& it) { return now - it.second > kLatestStart; });
+  if (departed) {
+    return;
+  }
+  for (const auto& [ref, at] : unanswered_starts) {
+    const auto [run, added] = runs.try_emplace(ref);
+    if (added) {
+      run->second.active.run = ref;
+      run->second.phase = RunPhase::kStopping;
+      run->second.reason = RefusalReason::kOtherLife;
+      run->second.next_call = now;
+      refusals.erase(ref);
+      Log("stop_ordered", ref, {{"reason", "unanswered_start"}});
+    }
+  }
+}
+
 bool Executor::Impl::IsFormerLife(std::int64_t born) const {
   return std::find(former_lives.begin(), former_lives.end(), born) !=
          former_lives.end();
--- a/packages/executor/src/orders.cc
+++ b/packages/executor/src/orders.cc
@@ -192,6 +192,9 @@
   const auto found = it.runs.find(ref);
   it.Log("start_answered", ref,
          {{"status", Name(result.status)}, {"detail", result.detail}});
+  if (result.status == OrderStatus::kNoAnswer) {
+    it.unanswered_starts[ref] = now;
+  }
   if (found == it.runs.end()) {
     return;
   }
