--- a/packages/jobharness/src/job_simulation_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -436,6 +436,42 @@
   }
 }
 
+// Guards against former lives of a worker that are taken for the newer one,
+// because their answers are late or their wall clock was ahead.
+TEST(JobSimulationTest, RandomDaysThatConfuseWorkersLivesKeepThePromises) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    EXPECT_EQ(RandomDay(seed, {.drift = true,
+                               .freezes = true,
+                               .reboots = true,
+                               .wall_steps = true,
+                               .slow_answers = true}),
+              "")
+        << "seed " << seed;
+  }
+}
+
+// Guards against starts that are carried out by the worker's next life, after
+// their runs have ended or were placed elsewhere.
+TEST(JobSimulationTest, RandomDaysWithLateCallsToNewLivesKeepThePromises) {
+  for (std::uint64_t seed = 1; seed <= 160; ++seed) {
+    EXPECT_EQ(RandomDay(seed, {.late_calls = true}), "") << "seed " << seed;
+  }
+}
+
+// The same on days that no known fault breaks, while the test before is known
+// to fail.
+TEST(JobSimulationTest, FurtherRandomDaysWithLateCallsKeepThePromises) {
+  for (std::uint64_t seed = 161; seed <= 220; ++seed) {
+    EXPECT_EQ(RandomDay(seed, {.late_calls = true}), "") << "seed " << seed;
+  }
+}
+
+// Guards against jobs that fail because starts which reached only the worker's
+// next life are counted as crashes.
+TEST(JobSimulationTest, CountsNoCrashOfAStartThatReachedTheNextLife) {
+  EXPECT_EQ(RandomDay(209, {.slow_answers = true}), "");
+}
+
 DayKind KindFromEnvironment() {
   const auto has = [](const char* name) {
     return std::getenv(name) != nullptr;
