--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -522,6 +522,82 @@
   EXPECT_EQ(Reply().worker.life.born, 50);
 }
 
+// Guards against a done task that is started again: the new life numbers its
+// ends anew and forgets those that the former life was told to forget.
+TEST_F(LivesTest, NotesNoEndsOfTheFormerLifeOnANewOne) {
+  Connect();
+  Answer(subject.WatchCall(now),
+         View({}, {{1, FirstRun(), EndReason::kDone, ""}}));
+  // The new life answers before it sends a heartbeat.
+  Answer(subject.WatchCall(now), ViewOfLife(200, Millis(30)));
+  SyncRequest request;
+  request.noted_ends = 1;
+  Sync(request);
+  EXPECT_EQ(subject.WatchCall(now).noted_ends, 0U);
+}
+
+// Guards against crashes that are reported, and stops that are dropped, because
+// a life is ended again when the next one that has answered sends a heartbeat.
+TEST_F(LivesTest, EndsALifeOnce) {
+  Connect();
+  Answer(subject.WatchCall(now), ViewOfLife(1'100, Millis(30)));
+  SyncRequest request;
+  request.stops = {FirstRun()};
+  Sync(request);
+  Restart();
+  EXPECT_THAT(Reply().refusals, IsEmpty());
+  EXPECT_THAT(Reply().crashes, IsEmpty());
+  EXPECT_THAT(subject.TakeActions(now), SizeIs(1));
+}
+
+// Guards against a run that begins after it was refused: a former process of
+// the agent may have sent the start, which may yet reach the new life.
+TEST_F(LivesTest, StopsARepeatedStartForAFormerLifeBeforeRefusing) {
+  Connect();
+  SyncRequest request;
+  request.epoch = 1;
+  request.worker = {facts.life.id, 50};
+  request.lease_from = {Incarnation{1}, AsPeerTime(now)};
+  request.lease = Millis(5'000);
+  request.starts.push_back({FirstRun(), "work", "", true});
+  subject.OnSync(request, now);
+  EXPECT_THAT(Reply().refusals, IsEmpty());
+  const auto actions = subject.TakeActions(now);
+  ASSERT_THAT(actions, SizeIs(1));
+  EXPECT_TRUE(std::holds_alternative<StopAction>(actions[0]));
+  subject.OnStopResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+  Answer(*subject.QuickCall(now), View({}));
+  ASSERT_THAT(Reply().refusals, SizeIs(1));
+  EXPECT_EQ(Reply().refusals[0].reason, RefusalReason::kOtherLife);
+}
+
+// Guards against a run that has ended and begins again on the next life of its
+// worker, by an earlier call that had no answer.
+TEST_F(LivesTest, StopsAnEndedRunOnANewLifeThatAnEarlierStartMayReach) {
+  Connect();
+  OrderStart();
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kNoAnswer, {}, ""}, now);
+  Wait(Millis(200));
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+  Answer(subject.WatchCall(now),
+         View({}, {{1, FirstRun(), EndReason::kDone, ""}}));
+  for (int lives = 0; lives < 2; ++lives) {
+    Restart();
+    const auto actions = subject.TakeActions(now);
+    ASSERT_THAT(actions, SizeIs(1));
+    EXPECT_TRUE(std::holds_alternative<StopAction>(actions[0]));
+    EXPECT_THAT(Reply().crashes, IsEmpty());
+    subject.OnStopResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+    Answer(*subject.QuickCall(now), View({}));
+    EXPECT_THAT(Reply().runs, IsEmpty());
+  }
+  Wait(Millis(20'000));
+  Restart();
+  EXPECT_THAT(subject.TakeActions(now), IsEmpty());
+}
+
 // The worker's clock may run 2 % slow, and the lease must not end late.
 TEST_F(ExecutorTest, ShortensTheLeaseForASlowWorkerClock) {
   Connect();
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -77,6 +77,8 @@
   /// Refusals that the scheduler has recorded, and until when an order that was
   /// sent before may still arrive.
   std::map<workload::RunRef, TimePoint> settled_refusals;
+  /// When starts that may yet be carried out were found to have no answer.
+  std::map<workload::RunRef, TimePoint> unanswered_starts;
   std::uint64_t noted_ends = 0;
   std::uint64_t confirmed_noted_ends = 0;  ///< Answered by the worker.
 
@@ -96,6 +98,7 @@
   bool IsFormerLife(std::int64_t born) const;
   /// @brief Answers tell lives apart from now on, beginning with this one.
   void HearLife(std::int64_t born);
+  void StopUnansweredStarts(TimePoint now);
   void RecordCrash();
   /// @brief When the lease of the request ends, by this process's clock.
   /// Nothing if there is none, or if it refers to another incarnation.
