Play clocks that begin anew, late calls and series of faults in the soak

- Each process has a clock of its own.
A power loss lets it begin anew, jump by hours or step by about a second, to both sides; a plain restart keeps it.
- Workers' clocks have origins of their own, run up to 2 % slow, and begin at 0 in a new life, as the numbers of ends did before.
Leases are shortened to 10 s.
- Workers may carry out orders and holds 0.5 to 4 s later without an answer, also in their next life.
- Series: power loss of an agent, 2 to 6 s later a freeze of 3 to 8 s, then a cut from its worker.
- One job in ten has tasks of 6 to 12 s; entries are told leases of 6 s at most.

--- a/apps/tests/soak/callers.cc
+++ b/apps/tests/soak/callers.cc
@@ -22,6 +22,7 @@
 constexpr Millis kRetry{400};
 constexpr Millis kAskInterval{300};
 constexpr int kMaxAttempts = 8;
+constexpr int kUsualWork = 2'000;
 // An accepted job is known everywhere after this.
 constexpr Millis kVisibleAfter{3'000};
 // One task; the fleet's stand-in gives each task this much.
@@ -57,12 +58,14 @@
                  jobharness::JobOracle& oracle,
                  jobharness::FakeFleet& fleet,
                  std::mt19937_64& random,
-                 std::vector<std::string> entries)
+                 std::vector<std::string> entries,
+                 Millis longest_work)
     : context_(context),
       oracle_(oracle),
       fleet_(fleet),
       random_(random),
-      entries_(std::move(entries)) {}
+      entries_(std::move(entries)),
+      longest_work_(longest_work) {}
 
 int Callers::RandomInt(int low, int high) {
   return std::uniform_int_distribution<>(low, high)(random_);
@@ -77,7 +80,11 @@
   job.id = JobId(id.data());
   job.queue = RandomInt(0, 2) == 0 ? "live" : "batch";
   job.terms.max_attempts = 3;
-  const int work = RandomInt(100, 2'000);
+  // Some tasks outlast the leases of an agent that stands still.
+  const auto longest = static_cast<int>(longest_work_.count());
+  const int work = RandomInt(0, 9) == 0
+                       ? RandomInt(longest / 2, longest)
+                       : RandomInt(100, std::min(kUsualWork, longest));
   job.payload = std::to_string(work);
   if (RandomInt(0, 9) == 0) {
     job.payload += "!1";  // Fails in its first run.
--- a/apps/tests/soak/callers.h
+++ b/apps/tests/soak/callers.h
@@ -23,7 +23,8 @@
           jobharness::JobOracle& oracle,
           jobharness::FakeFleet& fleet,
           std::mt19937_64& random,
-          std::vector<std::string> entries);
+          std::vector<std::string> entries,
+          Millis longest_work);
 
   /// @brief Hands in another job from time to time until told to stop.
   void Tick(TimePoint now);
@@ -69,6 +70,7 @@
   jobharness::FakeFleet& fleet_;
   std::mt19937_64& random_;
   std::vector<std::string> entries_;
+  Millis longest_work_;
   std::vector<CallerPtr> callers_;
   std::vector<std::string> findings_;
   TimePoint next_job_{};
--- a/apps/tests/soak/platform_servers.cc
+++ b/apps/tests/soak/platform_servers.cc
@@ -28,7 +28,19 @@
 namespace {
 
 constexpr Millis kHeartbeat{500};
+constexpr Millis kShortestLateness{500};
 constexpr Millis kLongestLateness{4'000};
+constexpr int kPerMille = 1'000;
+constexpr const char* kHoldPath = "/api/hold";
+
+bool Chance(std::mt19937_64& random, double share) {
+  return std::uniform_real_distribution<>(0, 1)(random) < share;
+}
+
+Millis DrawLateness(std::mt19937_64& random) {
+  return Millis(std::uniform_int_distribution<std::int64_t>(
+      kShortestLateness.count(), kLongestLateness.count())(random));
+}
 
 std::optional<HttpServer> Listen(
     boost::asio::io_context& context,
@@ -139,10 +151,6 @@
   });
 }
 
-bool StoreServer::Chance(double share) {
-  return std::uniform_real_distribution<>(0, 1)(random_) < share;
-}
-
 void StoreServer::Handle(ExchangeId id, const HttpRequest& request) {
   if (faults_.silent) {
     return;
@@ -189,14 +197,13 @@
                         std::stoull(query.at("sequence"))};
   }
   const std::vector<workload::RawRecord> records = DecodeRecords(body);
-  if (Chance(faults_.late_appends)) {
-    const Millis lateness(std::uniform_int_distribution<>(
-        500, static_cast<int>(kLongestLateness.count()))(random_));
-    late_.push_back({ReadClock() + lateness, topic, records, options});
+  if (Chance(random_, faults_.late_appends)) {
+    late_.push_back(
+        {ReadClock() + DrawLateness(random_), topic, records, options});
     return;
   }
   const auto result = topics_[topic].Append("", records, options);
-  if (Chance(faults_.lost_answers)) {
+  if (Chance(random_, faults_.lost_answers)) {
     server_->Abort(id);
     return;
   }
@@ -232,49 +239,92 @@
   });
 }
 
+Millis RealTime(const WorkerClock& clock, Millis time) {
+  return time * kPerMille / (kPerMille - clock.slow_per_mille);
+}
+
 WorkerServer::WorkerServer(boost::asio::io_context& context,
                            jobharness::FakeFleet& fleet,
-                           std::string machine)
-    : fleet_(fleet), machine_(std::move(machine)), heartbeats_(context) {
+                           std::mt19937_64& random,
+                           std::string machine,
+                           const WorkerClock& clock)
+    : fleet_(fleet),
+      random_(random),
+      machine_(std::move(machine)),
+      clock_(clock),
+      first_born_(fleet.Facts(machine_).life.born),
+      heartbeats_(context) {
   server_ = Listen(context, [this](ExchangeId id, const HttpRequest& it) {
     Handle(id, it);
   });
 }
 
-void WorkerServer::Handle(ExchangeId id, const HttpRequest& request) {
-  const json::object body = json::parse(request.body).as_object();
+Millis WorkerServer::Origin() const {
+  return fleet_.Facts(machine_).life.born == first_born_ ? clock_.origin
+                                                         : Millis(0);
+}
+
+std::int64_t WorkerServer::Shown(executor::WorkerTime time) const {
+  const Millis slow =
+      time.time_since_epoch() * (kPerMille - clock_.slow_per_mille) / kPerMille;
+  return (Origin() + slow).count();
+}
+
+executor::OrderContext WorkerServer::DecodeContext(
+    const json::object& body) const {
   executor::OrderContext context;
   context.worker = fleet_.Facts(machine_).life.id;
   context.epoch = body.at("fencing_token").to_number<std::uint64_t>();
   if (const auto* lease = body.if_contains("deadline_ms")) {
+    const Millis until(lease->to_number<std::int64_t>());
     context.lease_until =
-        executor::WorkerTime(Millis(lease->to_number<std::int64_t>()));
+        executor::WorkerTime(RealTime(clock_, until - Origin()));
   }
+  return context;
+}
+
+OrderResult WorkerServer::CarryOut(const HttpRequest& request) {
+  const json::object body = json::parse(request.body).as_object();
+  const executor::OrderContext context = DecodeContext(body);
   const TimePoint now = ReadClock();
-  if (request.target == "/api/hold") {
+  if (request.target == kHoldPath) {
+    fleet_.Look(machine_, context,
+                body.at("last_seen").to_number<std::uint64_t>(), now);
+    return {};
+  }
+  const workload::RunRef run{*ParseTaskName(body.at("task").as_string()),
+                             body.at("run_id").to_number<int>()};
+  if (request.target != "/api/run-start") {
+    return fleet_.Stop(machine_, context, run, now);
+  }
+  protocol::StartOrder order;
+  order.run = run;
+  order.payload = body.at("spec").as_string();
+  if (const auto* checkpoint = body.if_contains("checkpoint")) {
+    order.checkpoint = checkpoint->as_string();
+  }
+  return fleet_.Start(machine_, context, order, now);
+}
+
+void WorkerServer::Handle(ExchangeId id, const HttpRequest& request) {
+  const TimePoint now = ReadClock();
+  if (Chance(random_, late_share_)) {
+    late_.push_back({now + DrawLateness(random_), request});
+    return;
+  }
+  if (request.target == kHoldPath) {
+    const json::object body = json::parse(request.body).as_object();
     const auto* wait = body.if_contains("wait_ms");
     const WaitingLook look{
-        id, context, body.at("last_seen").to_number<std::uint64_t>(),
+        id, DecodeContext(body),
+        body.at("last_seen").to_number<std::uint64_t>(),
         now + Millis(wait == nullptr ? 0 : wait->to_number<std::int64_t>())};
     if (!TryLook(look, wait == nullptr)) {
       looks_.push_back(look);
     }
     return;
   }
-  const workload::RunRef run{*ParseTaskName(body.at("task").as_string()),
-                             body.at("run_id").to_number<int>()};
-  OrderResult result;
-  if (request.target == "/api/run-start") {
-    protocol::StartOrder order;
-    order.run = run;
-    order.payload = body.at("spec").as_string();
-    if (const auto* checkpoint = body.if_contains("checkpoint")) {
-      order.checkpoint = checkpoint->as_string();
-    }
-    result = fleet_.Start(machine_, context, order, now);
-  } else {
-    result = fleet_.Stop(machine_, context, run, now);
-  }
+  const OrderResult result = CarryOut(request);
   if (loses_answers_) {
     server_->Abort(id);
     return;
@@ -286,7 +336,7 @@
       {OrderStatus::kNoRoom, "room"}};
   json::object answer;
   if (result.clock) {
-    answer["clock_ms"] = result.clock->time_since_epoch().count();
+    answer["clock_ms"] = Shown(*result.clock);
   }
   const auto reason = reasons.find(result.status);
   if (reason != reasons.end()) {
@@ -316,12 +366,10 @@
     ends.push_back(json::array{it.number, TaskName(it.run.task), it.run.run,
                                workload::Name(it.reason), it.checkpoint});
   }
-  server_->Reply(
-      look.id,
-      Answer(200, {{"clock_ms", view.clock->time_since_epoch().count()},
-                   {"born", view.born},
-                   {"active", std::move(active)},
-                   {"finished", std::move(ends)}}));
+  server_->Reply(look.id, Answer(200, {{"clock_ms", Shown(*view.clock)},
+                                       {"born", view.born},
+                                       {"active", std::move(active)},
+                                       {"finished", std::move(ends)}}));
   return true;
 }
 
@@ -329,6 +377,13 @@
   std::erase_if(looks_, [&](const WaitingLook& it) {
     return TryLook(it, now >= it.until);
   });
+  std::erase_if(late_, [&](const LateCall& it) {
+    if (now < it.at) {
+      return false;
+    }
+    CarryOut(it.request);
+    return true;
+  });
   if (now >= next_heartbeat_ && !heartbeats_.Busy() && !agent_.empty()) {
     next_heartbeat_ = now + kHeartbeat;
     SendHeartbeat();
--- a/apps/tests/soak/soak.cc
+++ b/apps/tests/soak/soak.cc
@@ -1,6 +1,7 @@
 // A randomized soak: the real programs as separate processes against stand-ins
 // of the platform, with faults that are injected from outside. Usage:
-//   soak [--seed=N] [--seconds=S] [--entries=E] [--agents=A] [--logs=FOLDER]
+//   soak [--seed=N] [--seconds=S] [--entries=E] [--agents=A]
+//        [--longest_work_ms=W] [--nosevere] [--logs=FOLDER]
 
 #include <csignal>
 #include <cstdio>
@@ -27,6 +28,8 @@
 ABSL_FLAG(int, seconds, 30, "Time with faults.");
 ABSL_FLAG(int, entries, 3, "Entries.");
 ABSL_FLAG(int, agents, 6, "Agents, each with a worker.");
+ABSL_FLAG(int, longest_work_ms, 12'000, "Work of the longest tasks.");
+ABSL_FLAG(bool, severe, true, "With series of faults and late calls.");
 ABSL_FLAG(std::string, logs, "", "Keeps the programs' output here.");
 
 namespace shallotlug::soak {
@@ -40,6 +43,18 @@
 constexpr Millis kSettle{60'000};
 constexpr int kShortestFault = 300;
 constexpr int kLongestFault = 5'000;
+constexpr int kShortestFreeze = 3'000;
+constexpr int kLongestFreeze = 8'000;
+// What the entries are told is shorter than most freezes and than the workers'
+// own maximum: a lease that is counted wrongly shows only after the scheduler
+// has abandoned the run.
+constexpr Millis kLeaseSetting{6'000};
+constexpr Millis kLongestLease{10'000};
+constexpr int kSlowestClockPerMille = 20;
+constexpr double kLateShare = 0.3;
+constexpr int kHour = 3'600'000;
+// Machines have run for up to this long.
+constexpr int kLongestUptimeHours = 40;
 
 /// @brief One of the system's processes, with its link to the store.
 struct Member {
@@ -54,7 +69,7 @@
   std::unique_ptr<apps::Process> process;
   bool wanted = true;  ///< Runs, or is started again when it has ended.
   TimePoint start_at{};
-  TimePoint resume_at{};
+  Millis clock_offset{0};  ///< Of its machine's clock.
 };
 
 class Soak {
@@ -71,7 +86,8 @@
       AddAgent("agent-" + std::to_string(n + 1), n / 3);
     }
     callers_ =
-        std::make_unique<Callers>(context_, oracle_, fleet_, random_, callers);
+        std::make_unique<Callers>(context_, oracle_, fleet_, random_, callers,
+                                  Millis(absl::GetFlag(FLAGS_longest_work_ms)));
   }
 
   int Run() {
@@ -86,6 +102,7 @@
       }
     }
     callers_->StopSubmitting();
+    planned_.clear();
     for (const auto& undo : undo_) {
       undo.second();
     }
@@ -137,6 +154,7 @@
         std::make_unique<StoreServer>(context_, topics_, faults_, random_);
     member->store_link =
         std::make_unique<LinkProxy>(context_, member->store->Address());
+    member->clock_offset = Millis(RandomInt(1, kLongestUptimeHours) * kHour);
     members_.push_back(std::move(member));
     return *members_.back();
   }
@@ -154,15 +172,23 @@
                             {"peers_listen", apps::FreeAddress()},
                             {"metrics_listen", apps::FreeAddress()},
                             {"store", entry.store_link->Address()},
+                            {"timing", json::object{{"longest_lease_ms",
+                                                     kLeaseSetting.count()}}},
                             {"log", json::object{{"format", "json"}}}}));
     Start(entry);
   }
 
   void AddAgent(const std::string& name, int rack) {
-    fleet_.Add(name, {"r" + std::to_string(rack), {4'000, 4'000, 4}},
+    const WorkerClock clock{Millis(RandomInt(0, kHour)),
+                            RandomInt(0, kSlowestClockPerMille)};
+    fleet_.Add(name,
+               {"r" + std::to_string(rack),
+                {4'000, 4'000, 4},
+                RealTime(clock, kLongestLease)},
                ReadClock());
     Member& agent = AddMember(name, SHALLOTLUG_AGENT_PROGRAM);
-    workers_.push_back(std::make_unique<WorkerServer>(context_, fleet_, name));
+    workers_.push_back(
+        std::make_unique<WorkerServer>(context_, fleet_, random_, name, clock));
     agent.other_link =
         std::make_unique<LinkProxy>(context_, workers_.back()->Address());
     const std::string heartbeats = apps::FreeAddress();
@@ -183,7 +209,9 @@
   static void Start(Member& member) {
     member.process = std::make_unique<apps::Process>(
         member.program,
-        std::vector<std::string>{"serve-jobs", "--settings=" + member.settings},
+        std::vector<std::string>{
+            "serve-jobs", "--settings=" + member.settings,
+            "--clock_offset_ms=" + std::to_string(member.clock_offset.count())},
         member.log);
   }
 
@@ -207,17 +235,29 @@
       }
     }
     callers_->Tick(now);
-    for (std::size_t n = 0; n < undo_.size();) {
-      if (now < undo_[n].first) {
+    RunDue(planned_, now);
+    RunDue(undo_, now);
+  }
+
+  using Schedule = std::vector<std::pair<TimePoint, std::function<void()>>>;
+
+  static void RunDue(Schedule& schedule, TimePoint now) {
+    for (std::size_t n = 0; n < schedule.size();) {
+      if (now < schedule[n].first) {
         ++n;
         continue;
       }
-      const auto undo = std::move(undo_[n].second);
-      undo_.erase(undo_.begin() + static_cast<std::ptrdiff_t>(n));
-      undo();
+      const auto action = std::move(schedule[n].second);
+      schedule.erase(schedule.begin() + static_cast<std::ptrdiff_t>(n));
+      action();
     }
   }
 
+  void After(int low, int high, std::function<void()> fault) {
+    planned_.emplace_back(ReadClock() + Millis(RandomInt(low, high)),
+                          std::move(fault));
+  }
+
   Member& Pick() {
     return *members_[static_cast<std::size_t>(
         RandomInt(0, static_cast<int>(members_.size()) - 1))];
@@ -225,8 +265,10 @@
 
   void For(const char* what,
            const std::string& whom,
-           std::function<void()> undo) {
-    const Millis time(RandomInt(kShortestFault, kLongestFault));
+           std::function<void()> undo,
+           int shortest = kShortestFault,
+           int longest = kLongestFault) {
+    const Millis time(RandomInt(shortest, longest));
     std::printf("%8lld ms %s %s for %lld ms\n", Elapsed(), what, whom.c_str(),
                 static_cast<long long>(time.count()));
     undo_.emplace_back(ReadClock() + time, std::move(undo));
@@ -241,25 +283,71 @@
     }
   }
 
+  void Pause(Member& member, int shortest, int longest) {
+    Signal(member, SIGSTOP, "pause");
+    For(
+        "pause", member.name,
+        [&member] {
+          if (member.process) {
+            member.process->Signal(SIGCONT);
+          }
+        },
+        shortest, longest);
+  }
+
+  void Cut(const std::string& name, LinkProxy& link) {
+    link.Block(true, true);
+    For("cut", name, [&link] { link.Block(false, false); });
+  }
+
+  // The clock begins anew, jumps within the uptimes of machines, or is about a
+  // second off.
+  void LosePower(Member& member) {
+    switch (RandomInt(0, 2)) {
+      case 0:
+        member.clock_offset =
+            Millis(RandomInt(10'000, 60'000)) - ReadClock().time_since_epoch();
+        break;
+      case 1:
+        member.clock_offset = Millis(RandomInt(1, kLongestUptimeHours) * kHour);
+        break;
+      default:
+        member.clock_offset +=
+            Millis(RandomInt(500, 1'500)) * (RandomInt(0, 1) == 0 ? 1 : -1);
+    }
+    std::printf("%8lld ms clock of %s at %+lld ms\n", Elapsed(),
+                member.name.c_str(),
+                static_cast<long long>(member.clock_offset.count()));
+    Signal(member, SIGKILL, "power loss");
+  }
+
+  // An agent loses power, stands still later on, and loses its worker.
+  void HarmAgent() {
+    const auto agents = static_cast<int>(workers_.size());
+    const auto n = members_.size() - workers_.size() +
+                   static_cast<std::size_t>(RandomInt(0, agents - 1));
+    Member& agent = *members_[n];
+    LosePower(agent);
+    After(2'000, 6'000, [this, &agent] {
+      Pause(agent, kShortestFreeze, kLongestFreeze);
+      After(0, kLongestFreeze,
+            [this, &agent] { Cut(agent.name, *agent.other_link); });
+    });
+  }
+
   void InjectFault() {
     Member& member = Pick();
     LinkProxy& link =
         RandomInt(0, 1) == 0 ? *member.store_link : *member.other_link;
-    switch (RandomInt(0, 13)) {
+    switch (RandomInt(0, severe_ ? 18 : 14)) {
       case 0:
         return Signal(member, SIGKILL, "kill");
       case 1:
         return Signal(member, SIGTERM, "terminate");
       case 2:
-        Signal(member, SIGSTOP, "pause");
-        return For("pause", member.name, [&member] {
-          if (member.process) {
-            member.process->Signal(SIGCONT);
-          }
-        });
+        return Pause(member, kShortestFault, kLongestFault);
       case 3:
-        link.Block(true, true);
-        return For("cut", member.name, [&link] { link.Block(false, false); });
+        return Cut(member.name, link);
       case 4: {
         const bool requests = RandomInt(0, 1) == 0;
         link.Block(requests, !requests);
@@ -296,8 +384,12 @@
                    [&member] { member.store->Refuse(false); });
       case 12:
         return HarmWorker();
-      default:
+      case 13:
+        return LosePower(member);
+      case 14:
         return HarmAll();
+      default:
+        return HarmAgent();
     }
   }
 
@@ -305,14 +397,27 @@
     const auto n = static_cast<std::size_t>(
         RandomInt(0, static_cast<int>(workers_.size()) - 1));
     const std::string name = "agent-" + std::to_string(n + 1);
-    if (RandomInt(0, 1) == 0) {
-      std::printf("%8lld ms worker of %s restarts\n", Elapsed(), name.c_str());
-      fleet_.Restart(name, ReadClock());
-      return;
+    switch (RandomInt(0, severe_ ? 2 : 1)) {
+      case 0:
+        return RestartWorker(name);
+      case 1:
+        workers_[n]->LoseAnswers(true);
+        return For("worker loses answers", name,
+                   [this, n] { workers_[n]->LoseAnswers(false); });
+      default:
+        workers_[n]->CarryOutLate(kLateShare);
+        For("worker is late", name,
+            [this, n] { workers_[n]->CarryOutLate(0); });
+        if (RandomInt(0, 1) == 0) {
+          After(kShortestFault, kLongestFault,
+                [this, name] { RestartWorker(name); });
+        }
     }
-    workers_[n]->LoseAnswers(true);
-    For("worker loses answers", name,
-        [this, n] { workers_[n]->LoseAnswers(false); });
+  }
+
+  void RestartWorker(const std::string& name) {
+    std::printf("%8lld ms worker of %s restarts\n", Elapsed(), name.c_str());
+    fleet_.Restart(name, ReadClock());
   }
 
   void HarmAll() {
@@ -350,6 +455,7 @@
   }
 
   const TimePoint began_ = ReadClock();
+  const bool severe_ = absl::GetFlag(FLAGS_severe);
   boost::asio::io_context context_;
   std::mt19937_64 random_;
   apps::TemporaryFolder folder_;
@@ -361,7 +467,8 @@
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::unique_ptr<WorkerServer>> workers_;
   std::unique_ptr<Callers> callers_;
-  std::vector<std::pair<TimePoint, std::function<void()>>> undo_;
+  Schedule planned_;  ///< Faults of series.
+  Schedule undo_;
 };
 
 }  // namespace
--- a/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
+++ b/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
@@ -17,6 +17,7 @@
 struct FakeWorkerSetup {
   std::string rack;
   workload::Resources capacity;
+  Millis longest_lease{5'500};  ///< A longer lease is shortened to this.
 };
 
 /// @brief Stand-in for a fleet of workers, as a state machine: starts, stops,
--- a/packages/jobharness/src/fake_fleet.cc
+++ b/packages/jobharness/src/fake_fleet.cc
@@ -20,8 +20,6 @@
 constexpr Millis kAloneAfter{3'000};
 constexpr Millis kDeadlyAfter{10};
 constexpr Millis kCrashTakes{3'000};
-// A longer lease is shortened to this.
-constexpr Millis kLongestLease{5'500};
 // Every task takes one accelerator; the payload says the rest.
 constexpr workload::Resources kNeed{1'000, 1'000, 1};
 
@@ -86,8 +84,8 @@
   if (context.lease_until) {
     const TimePoint asked =
         worker.born + context.lease_until->time_since_epoch();
-    worker.lease_until =
-        std::max(worker.lease_until, std::min(asked, now + kLongestLease));
+    worker.lease_until = std::max(
+        worker.lease_until, std::min(asked, now + worker.setup.longest_lease));
   }
 }
 
