--- a/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
+++ b/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
@@ -17,7 +17,8 @@
 struct FakeWorkerSetup {
   std::string rack;
   workload::Resources capacity;
-  double clock_rate = 1;  ///< Of its clock to the simulated one.
+  double clock_rate = 1;        ///< Of its clock to the simulated one.
+  Millis longest_lease{5'500};  ///< A longer lease is shortened to this.
 };
 
 /// @brief Stand-in for a fleet of workers, as a state machine: starts, stops,
--- a/packages/jobharness/src/fake_fleet.cc
+++ b/packages/jobharness/src/fake_fleet.cc
@@ -20,8 +20,6 @@
 constexpr Millis kAloneAfter{3'000};
 constexpr Millis kDeadlyAfter{10};
 constexpr Millis kCrashTakes{3'000};
-// A longer lease is shortened to this.
-constexpr Millis kLongestLease{5'500};
 // Every task takes one accelerator; the payload says the rest.
 constexpr workload::Resources kNeed{1'000, 1'000, 1};
 
@@ -91,7 +89,7 @@
                        const OrderContext& context,
                        TimePoint now) const {
   if (context.lease_until) {
-    const WorkerTime longest = Clock(worker, now) + kLongestLease;
+    const WorkerTime longest = Clock(worker, now) + worker.setup.longest_lease;
     worker.lease_until =
         std::max(worker.lease_until, std::min(*context.lease_until, longest));
   }
