Settle ends of a former worker life only when they are recorded

The scheduler acknowledged an end in a former life of a worker with its next call, before the end was in the log. The agent then forgot it. If the scheduler was lost before its append, its successor knew the run as placed only, and the task ran again after it had ended as done.

Such ends are now acknowledged like crashes, when the batch that contains them is durable; until then the agent reports them again, which changes nothing.

OutcomesTest.SettlesEndsOfAFormerLifeOnlyWhenTheyAreRecorded failed before (settled before the plan).

--- a/packages/scheduler/src/crash_counts.cc
+++ b/packages/scheduler/src/crash_counts.cc
@@ -47,8 +47,8 @@
 void ApplyCrash(State& state,
                 AgentRow& agent,
                 const protocol::CrashReport& crash) {
-  agent.counted_crashes.insert(crash.run);
-  state.crashed.insert(agent.address.agent);
+  agent.unsettled.insert(crash.run);
+  state.unsettled.insert(agent.address.agent);
   CountCrash(state, agent, crash);
 }
 
--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -105,6 +105,30 @@
   EXPECT_EQ(scheduler.Starts(task).size(), 2U);
 }
 
+// Guards against a job that runs again after its end, because the agent has
+// forgotten the end and the scheduler was lost before it recorded it.
+TEST_F(OutcomesTest, SettlesEndsOfAFormerLifeOnlyWhenTheyAreRecorded) {
+  const AgentName agent("a1");
+  scheduler.Submit(scheduler.Job("j", "batch", "acme", 1, 8));
+  scheduler.Run(2);
+  const workload::RunRef run{{JobId("j"), 0, 0, 0}, 1};
+  scheduler.Crash("a1", false);
+  protocol::SyncReply reply = scheduler.Report("a1");
+  reply.former_ends = {{1, run, workload::EndReason::kDone, ""}};
+  reply.crashes.clear();
+  const auto settled = [&] {
+    return scheduler.Get()
+        .MakeSync(agent, Millis{0}, scheduler.Clock())
+        .settled;
+  };
+  scheduler.Get().OnReply(agent, Incarnation{1}, reply, scheduler.Clock());
+  EXPECT_THAT(settled(), testing::IsEmpty());
+  scheduler.Get().Plan(scheduler.Policy(), scheduler.Clock());
+  EXPECT_THAT(settled(), testing::IsEmpty());
+  scheduler.Get().Commit();
+  EXPECT_THAT(settled(), testing::ElementsAre(run));
+}
+
 // Guards against an agent that is ignored for good because its first reply
 // could not be told from one of a former process.
 TEST_F(OutcomesTest, AcceptsANewAgentProcessAfterAnIgnoredReply) {
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -455,8 +455,8 @@
   // Must precede ApplyWorkerFacts(), which abandons runs of a former life.
   for (const workload::RunEnd& it : reply.former_ends) {
     ApplyEnd(state, agent, it, now);
-    agent.settled.push_back(it.run);
-    state.news.insert(name);
+    agent.unsettled.insert(it.run);
+    state.unsettled.insert(name);
   }
   for (const protocol::CrashReport& it : reply.crashes) {
     ApplyCrash(state, agent, it);
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -68,8 +68,8 @@
   /// Last run ends that the batch in flight records.
   std::map<AgentName, BatchEnds> batch_ends;
   std::vector<TaskRef> batch_runs;
-  /// Crashes that the batch in flight records.
-  std::map<AgentName, std::set<workload::RunRef>> batch_crashes;
+  /// Crashes and ends of former lives that the batch in flight records.
+  std::map<AgentName, std::set<workload::RunRef>> batch_settled;
   TimePoint swept_at{};  ///< When all agents were last checked for news.
 
   void RestoreRuns(const OccurrenceKey& key, const OccurrenceRow& row, Now now);
@@ -192,7 +192,7 @@
   PlaceUnits(state, policy, now);
   impl_->batch_ends.clear();
   impl_->batch_runs.clear();
-  impl_->batch_crashes.clear();
+  impl_->batch_settled.clear();
   std::vector<workload::RawRecord> records;
   if (CleanupIsDue(state, now.local)) {
     records = DropOldJobs(state, now.local);
@@ -210,11 +210,10 @@
       }
     }
   }
-  for (const AgentName& it : std::exchange(state.crashed, {})) {
+  for (const AgentName& it : std::exchange(state.unsettled, {})) {
     const auto agent = state.agents.find(it);
     if (agent != state.agents.end()) {
-      impl_->batch_crashes[it] =
-          std::exchange(agent->second.counted_crashes, {});
+      impl_->batch_settled[it] = std::exchange(agent->second.unsettled, {});
     }
   }
   for (const AgentName& it : std::exchange(state.unnoted, {})) {
@@ -246,7 +245,7 @@
       state.news.insert(run->on.agent);
     }
   }
-  for (const auto& [name, runs] : std::exchange(impl_->batch_crashes, {})) {
+  for (const auto& [name, runs] : std::exchange(impl_->batch_settled, {})) {
     const auto agent = state.agents.find(name);
     if (agent != state.agents.end()) {
       agent->second.settled.insert(agent->second.settled.end(), runs.begin(),
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -68,8 +68,9 @@
   std::uint64_t noted_sent = 0;
   TimePoint noted_at{};  ///< When `noted_ends` last passed `noted_sent`.
   std::vector<workload::RunRef> settled;  ///< Refusals to acknowledge.
-  /// Reported crashes that no batch contains yet.
-  std::set<workload::RunRef> counted_crashes;
+  /// Runs with reported crashes, or ends in former lives, that no batch
+  /// contains yet.
+  std::set<workload::RunRef> unsettled;
   /// Reported runs whose task is unknown, or whose run number or agent is not
   /// the one in `runs`.
   std::vector<workload::RunRef> orphans;
@@ -142,7 +143,7 @@
   std::set<AgentName> news;
   /// Agents with ends that the batch in flight does not record yet.
   std::set<AgentName> unnoted;
-  std::set<AgentName> crashed;  ///< Agents with counted crashes.
+  std::set<AgentName> unsettled;  ///< Agents with unsettled runs.
   std::map<UnitKey, Reservation> reservations;
   /// Batch units kept off the reserved workers of a pool that is not busy, and
   /// since when.
