--- a/packages/jobharness/src/job_simulation_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -470,6 +470,23 @@
 // next life are counted as crashes.
 TEST(JobSimulationTest, CountsNoCrashOfAStartThatReachedTheNextLife) {
   EXPECT_EQ(RandomDay(209, {.slow_answers = true}), "");
+  EXPECT_EQ(RandomDay(10'244, {.drift = true,
+                               .freezes = true,
+                               .reboots = true,
+                               .wall_steps = true,
+                               .slow_answers = true}),
+            "");
+}
+
+// Guards against a new life that forgets ends nobody has seen, by a late call
+// that was sent before the agent had heard of it.
+TEST(JobSimulationTest, LosesNoEndsToCallsThatReachTheNextLife) {
+  EXPECT_EQ(RandomDay(10'429, {.drift = true,
+                               .freezes = true,
+                               .reboots = true,
+                               .wall_steps = true,
+                               .slow_answers = true}),
+            "");
 }
 
 DayKind KindFromEnvironment() {
