--- a/apps/tests/soak/soak.cc
+++ b/apps/tests/soak/soak.cc
@@ -181,11 +181,11 @@
   void AddAgent(const std::string& name, int rack) {
     const WorkerClock clock{Millis(RandomInt(0, kHour)),
                             RandomInt(0, kSlowestClockPerMille)};
-    fleet_.Add(name,
-               {"r" + std::to_string(rack),
-                {4'000, 4'000, 4},
-                RealTime(clock, kLongestLease)},
-               ReadClock());
+    jobharness::FakeWorkerSetup setup;
+    setup.rack = "r" + std::to_string(rack);
+    setup.capacity = {4'000, 4'000, 4};
+    setup.longest_lease = RealTime(clock, kLongestLease);
+    fleet_.Add(name, setup, ReadClock());
     Member& agent = AddMember(name, SHALLOTLUG_AGENT_PROGRAM);
     workers_.push_back(
         std::make_unique<WorkerServer>(context_, fleet_, random_, name, clock));
