--- /dev/null
+++ b/review/standins/worker.h
@@ -0,0 +1,112 @@
+#ifndef REVIEW_STANDINS_WORKER_H_
+#define REVIEW_STANDINS_WORKER_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http.h"
+#include "record.h"
+
+namespace review {
+
+/// @brief A start of a task that a worker has carried out.
+struct Start {
+  std::string worker;
+  std::string task;
+  int run = 0;
+  double at = 0;      ///< Seconds, by the record.
+  double ended = -1;  ///< -1: it runs.
+  std::string how;    ///< How it ended.
+};
+
+/// @brief What becomes of an order to start a task.
+enum class Fate {
+  kAnswered,
+  kLate,  ///< No answer; carried out `lateness` later.
+};
+
+struct WorkerOptions {
+  std::string id;
+  std::string service;
+  std::string zone;
+  std::string rack;
+  int cpu = 32'000;
+  int memory_mb = 131'072;
+  int gpu = 8;
+  Millis longest_lease{10'000};
+  Millis heartbeat{1'500};
+  Millis lateness{4'000};
+};
+
+/// @brief A worker. The `spec` of a task says how long it runs: "run_ms=N".
+class Worker {
+ public:
+  using FateOf = std::function<Fate(const std::string& task, int run)>;
+
+  Worker(const WorkerOptions& options, Record& record);
+
+  std::string Address() const { return server_.Address(); }
+  /// @brief Begins to send heartbeats to the agent.
+  void Join(const std::string& agent);
+  void SetFate(FateOf fate);
+  std::vector<Start> Starts();
+
+ private:
+  struct Run {
+    int run = 0;
+    Clock::time_point began;
+    Millis length{0};
+    std::size_t start = 0;  ///< Position in `starts_`.
+  };
+  struct End {
+    std::uint64_t number = 0;
+    std::string task;
+    int run = 0;
+    std::string how;
+  };
+  struct Order {
+    std::string task;
+    int run = 0;
+    std::string spec;
+    std::uint64_t token = 0;
+    std::optional<std::int64_t> deadline;
+  };
+
+  std::optional<Response> Handle(const Request& request);
+  Response Reply(int status, const std::string& reason);
+  Response StartRun(const Order& order);
+  Response StopRun(const Order& order);
+  Response Hold(const Request& request);
+  bool IsFenced(std::uint64_t token);
+  void ExtendLease(std::optional<std::int64_t> deadline);
+  void EndRun(const std::string& task, const std::string& how);
+  void Tick();
+  void SendHeartbeats(const std::string& agent);
+  std::int64_t ClockMs() const;
+
+  WorkerOptions options_;
+  Record& record_;
+  const Clock::time_point born_at_ = Clock::now();
+  std::int64_t born_ms_ = 0;
+  std::mutex mutex_;
+  std::condition_variable ended_;
+  FateOf fate_;
+  std::uint64_t highest_token_ = 0;
+  std::int64_t lease_until_ = 0;
+  std::map<std::string, Run> active_;
+  std::map<std::string, int> closed_;  ///< Highest run that ended or stopped.
+  std::vector<End> ends_;
+  std::uint64_t next_end_ = 1;
+  std::vector<Start> starts_;
+  HttpServer server_;
+};
+
+}  // namespace review
+
+#endif  // REVIEW_STANDINS_WORKER_H_
