--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -29,6 +29,8 @@
 enum class LinkMode {
   kOpen,
   kRefused,  ///< New connections are refused, and open ones are reset.
+  kGone,     ///< New connections are refused, and open ones are closed, as when
+             ///< the process has ended.
   kSilent,   ///< Nothing passes in either direction.
 };
 
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -1,6 +1,7 @@
 #ifndef REVIEW_STANDINS_WORKER_H_
 #define REVIEW_STANDINS_WORKER_H_
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -55,6 +56,9 @@
   /// @brief Begins to send heartbeats to the agent.
   void Join(const std::string& agent);
   void SetFate(FateOf fate);
+  /// @brief Ends all that runs, without a word, and is not there for `down`.
+  /// Then a new life begins, which knows nothing of this one.
+  void Crash(Millis down);
   std::vector<Start> Starts();
 
  private:
@@ -89,12 +93,16 @@
   void Tick();
   void SendHeartbeats(const std::string& agent);
   std::int64_t ClockMs() const;
+  std::string Id();
+  void BeginLife();
 
   WorkerOptions options_;
   Record& record_;
-  const Clock::time_point born_at_ = Clock::now();
-  std::int64_t born_ms_ = 0;
+  std::atomic<std::int64_t> born_ms_{0};
+  std::atomic<bool> is_up_{true};
   std::mutex mutex_;
+  Clock::time_point born_at_;
+  int life_ = 0;
   std::condition_variable ended_;
   FateOf fate_;
   std::uint64_t highest_token_ = 0;
