--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -42,7 +42,7 @@
                                           {"host", kHost},
                                           {"path_prefix", kPrefix},
                                           {"service", kService},
-                                          {"priority", 1},
+                                          {"priority", 0},
                                           {"max_attempts", 4},
                                           {"slack_factor", 3.0},
                                           {"target_latency_ms", 1'000},
@@ -63,7 +63,10 @@
   return trouble == nullptr || std::string(trouble) != "0";
 }
 
-Deployment::Deployment(int entries, int workers, Record& record)
+Deployment::Deployment(int entries,
+                       int workers,
+                       int workers_a_rack,
+                       Record& record)
     : record_(record) {
   folder_ = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   if (::mkdtemp(folder_.data()) == nullptr) {
@@ -98,7 +101,7 @@
     options.id = "worker-" + number;
     options.service = kService;
     options.zone = kZone;
-    options.rack = "rack-" + number;
+    options.rack = "rack-" + std::to_string(n / workers_a_rack + 1);
     workers_.push_back(std::make_unique<Worker>(options, record_));
     agent_links_.push_back(LinkToStore("agent-" + number));
     const std::string heartbeats = FreeAddress();
@@ -232,13 +235,14 @@
          char** words,
          int entries,
          int workers,
+         int workers_a_rack,
          const std::function<int(Deployment&, Record&)>& run) {
   if (count != 2) {
     return kCouldNotRun;
   }
   // Threads of the stand-ins use these until the process ends.
   auto* record = new Record(words[1]);
-  auto* deployment = new Deployment(entries, workers, *record);
+  auto* deployment = new Deployment(entries, workers, workers_a_rack, *record);
   int code = kCouldNotRun;
   if (deployment->WaitUntilServing()) {
     code = run(*deployment, *record);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -32,7 +32,7 @@
 /// processes, and stand-ins for the store and the workers.
 class Deployment {
  public:
-  Deployment(int entries, int workers, Record& record);
+  Deployment(int entries, int workers, int workers_a_rack, Record& record);
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
   /// @brief Ends all processes that it started.
@@ -80,6 +80,7 @@
          char** words,
          int entries,
          int workers,
+         int workers_a_rack,
          const std::function<int(Deployment&, Record&)>& run);
 
 }  // namespace review
--- a/review/standins/http.cc
+++ b/review/standins/http.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdlib>
-#include <random>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -20,7 +19,8 @@
 constexpr int kPollMs = 5;
 constexpr std::size_t kReadBytes = 65'536;
 constexpr int kLowestPort = 12'000;
-constexpr int kHighestPort = 30'000;
+constexpr int kPortsOfRange = 200;
+constexpr int kPortRanges = 90;
 
 sockaddr_in Loopback(int port) {
   sockaddr_in address{};
@@ -324,11 +324,11 @@
 
 int FreePort() {
   // Below the ports that the system gives to outgoing connections, so that none
-  // of these takes it before the process listens.
-  static std::mt19937 random{std::random_device{}()};
-  std::uniform_int_distribution<int> ports(kLowestPort, kHighestPort);
+  // of these takes it before the process listens. Cases that run side by side
+  // search in other ranges, and no port is given out twice.
+  static int next = kLowestPort + ::getpid() % kPortRanges * kPortsOfRange;
   while (true) {
-    const int port = ports(random);
+    const int port = next++;
     const int listener = Listen(port);
     if (listener >= 0) {
       ::close(listener);
--- a/review/standins/worker.cc
+++ b/review/standins/worker.cc
@@ -29,7 +29,7 @@
     : options_(options),
       record_(record),
       server_([this](const Request& request) { return Handle(request); }) {
-  BeginLife();
+  BeginLife(false);
   std::thread([this] {
     while (true) {
       std::this_thread::sleep_for(kTick);
@@ -38,9 +38,28 @@
   }).detach();
 }
 
-void Worker::BeginLife() {
+void Worker::SetHoldFate(HoldFate fate) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  ++life_;
+  hold_fate_ = std::move(fate);
+}
+
+void Worker::CarryOutHold(std::uint64_t last_seen) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::erase_if(ends_, [&](const End& it) {
+    if (it.number > last_seen) {
+      return false;
+    }
+    record_.Line(options_.id + ": end " + std::to_string(it.number) + " of " +
+                 it.task + " run " + std::to_string(it.run) +
+                 " is taken note of by a late hold, last_seen " +
+                 std::to_string(last_seen));
+    return true;
+  });
+}
+
+void Worker::BeginLife(bool keeps_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  life_ += keeps_id ? 0 : 1;
   born_at_ = Clock::now();
   born_ms_ = std::chrono::duration_cast<Millis>(
                  std::chrono::system_clock::now().time_since_epoch())
@@ -58,7 +77,7 @@
   return options_.id + "-" + std::to_string(life_);
 }
 
-void Worker::Crash(Millis down) {
+void Worker::Crash(Millis down, bool keeps_id) {
   is_up_ = false;
   server_.SetMode(LinkMode::kGone);
   record_.Line(Id() + " crashes");
@@ -71,7 +90,7 @@
     active_.clear();
   }
   std::this_thread::sleep_for(down);
-  BeginLife();
+  BeginLife(keeps_id);
   server_.SetMode(LinkMode::kOpen);
   is_up_ = true;
   record_.Line(Id() + " begins");
@@ -243,7 +262,7 @@
   return Reply(200, "");
 }
 
-Response Worker::Hold(const Request& request) {
+std::optional<Response> Worker::Hold(const Request& request) {
   const json::object from = json::parse(request.body).as_object();
   const auto number = [&](const char* name) -> std::int64_t {
     const auto* it = from.if_contains(name);
@@ -258,8 +277,14 @@
     ExtendLease(number("deadline_ms"));
   }
   const auto seen = static_cast<std::uint64_t>(number("last_seen"));
+  if (hold_fate_ && hold_fate_(seen, false)) {
+    return std::nullopt;
+  }
   std::erase_if(ends_, [&](const End& it) { return it.number <= seen; });
   ended_.wait_until(lock, until, [&] { return !ends_.empty(); });
+  if (hold_fate_ && hold_fate_(seen, true)) {
+    return std::nullopt;
+  }
   json::array active;
   for (const auto& [task, run] : active_) {
     const auto passed =
@@ -274,11 +299,11 @@
       finished.push_back(json::array{it.number, it.task, it.run, it.how, ""});
     }
   }
-  return {200,
-          json::serialize(json::object{{"clock_ms", ClockMs()},
-                                       {"born", born_ms_.load()},
-                                       {"active", std::move(active)},
-                                       {"finished", std::move(finished)}})};
+  return Response{
+      200, json::serialize(json::object{{"clock_ms", ClockMs()},
+                                        {"born", born_ms_.load()},
+                                        {"active", std::move(active)},
+                                        {"finished", std::move(finished)}})};
 }
 
 void Worker::EndRun(const std::string& task, const std::string& how) {
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -58,7 +58,14 @@
   void SetFate(FateOf fate);
   /// @brief Ends all that runs, without a word, and is not there for `down`.
   /// Then a new life begins, which knows nothing of this one.
-  void Crash(Millis down);
+  /// @param keeps_id The new life has the id of this one.
+  void Crash(Millis down, bool keeps_id = false);
+  /// @brief Told of each hold when it comes and before it is answered; with
+  /// true it gets no answer.
+  using HoldFate = std::function<bool(std::uint64_t last_seen, bool is_answer)>;
+  void SetHoldFate(HoldFate fate);
+  /// @brief Carries out a hold that got no answer before.
+  void CarryOutHold(std::uint64_t last_seen);
   std::vector<Start> Starts();
 
  private:
@@ -86,7 +93,7 @@
   Response Reply(int status, const std::string& reason);
   Response StartRun(const Order& order);
   Response StopRun(const Order& order);
-  Response Hold(const Request& request);
+  std::optional<Response> Hold(const Request& request);
   bool IsFenced(std::uint64_t token);
   void ExtendLease(std::optional<std::int64_t> deadline);
   void EndRun(const std::string& task, const std::string& how);
@@ -94,7 +101,7 @@
   void SendHeartbeats(const std::string& agent);
   std::int64_t ClockMs() const;
   std::string Id();
-  void BeginLife();
+  void BeginLife(bool keeps_id);
 
   WorkerOptions options_;
   Record& record_;
@@ -105,6 +112,7 @@
   int life_ = 0;
   std::condition_variable ended_;
   FateOf fate_;
+  HoldFate hold_fate_;
   std::uint64_t highest_token_ = 0;
   std::int64_t lease_until_ = 0;
   std::map<std::string, Run> active_;
