--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -9,6 +9,8 @@
 constexpr workload::Resources kEight{64'000, 64'000, 8};
 // Longer than the state of a job is kept, in rounds of 50 ms.
 constexpr int kRetentionRounds = 3'700;
+// A lease, its margin for a slow clock, and the time to stop, in rounds.
+constexpr int kRoundsOfALease = (7'500 + 350 + 400) / 50 + 2;
 
 class OutcomesTest : public testing::Test {
  protected:
@@ -75,9 +77,43 @@
   scheduler.Run(2);
   scheduler.AddWorker("a2", "r1", kEight);
   scheduler.Silence("a1");
-  // The lease, its margin for a slow clock, and the time to stop, in rounds.
-  constexpr Millis kBound{7'500 + 350 + 400};
-  scheduler.Run(static_cast<int>(kBound / Millis(50)) + 2);
+  scheduler.Run(kRoundsOfALease);
+  EXPECT_EQ(scheduler.Running("lost").count("a2"), 1U);
+}
+
+// Guards against runs that wait for ever for a worker that is lost together
+// with the process of its agent: the next process has never heard of the
+// worker.
+TEST_F(OutcomesTest, PlacesRunsAgainWhenARestartedAgentKnowsNoWorker) {
+  scheduler.Submit(scheduler.Job("lost", "batch", "acme", 1, 8));
+  scheduler.Run(2);
+  scheduler.AddWorker("a2", "r1", kEight);
+  scheduler.LoseWorker("a1");
+  scheduler.RestartAgent("a1");
+  scheduler.Run(kRoundsOfALease);
+  EXPECT_EQ(scheduler.Running("lost").count("a2"), 1U);
+}
+
+// As above, when the next scheduler hears only of an agent without a worker.
+TEST_F(OutcomesTest, PlacesRunsOfAPredecessorWhoseWorkerIsUnknown) {
+  scheduler.Submit(scheduler.Job("lost", "batch", "acme", 1, 8));
+  scheduler.Run(2);
+  scheduler.AddWorker("a2", "r1", kEight);
+  scheduler.LoseWorker("a1");
+  scheduler.RestartAgent("a1");
+  scheduler.Replace();
+  scheduler.Run(kRoundsOfALease);
+  EXPECT_EQ(scheduler.Running("lost").count("a2"), 1U);
+}
+
+// Guards against a run that its agent reports for ever, as it cannot be stopped
+// on a worker that has left.
+TEST_F(OutcomesTest, PlacesARunAgainThatCannotBeStoppedOnAWorkerThatHasLeft) {
+  scheduler.Submit(scheduler.Job("lost", "batch", "acme", 1, 8));
+  scheduler.Run(2);
+  scheduler.AddWorker("a2", "r1", kEight);
+  scheduler.LeaveWithRuns("a1");
+  scheduler.Run(kRoundsOfALease);
   EXPECT_EQ(scheduler.Running("lost").count("a2"), 1U);
 }
 
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -312,10 +312,11 @@
                  AgentRow& agent,
                  SyncRequest& request,
                  TimePoint now) {
-  // A silent worker gets no lease from its agent, and the agent may be lost
-  // before it can report that the last one has ended.
+  // The agent grants leases only to a worker that answers it. The end of the
+  // last lease is the only end that the runs of any other worker are certain to
+  // have: a new process of the agent may never hear of it.
   if (!agent.heard || now - state.authority_confirmed > kAuthorityTimeout ||
-      agent.worker_state == protocol::WorkerState::kSilent) {
+      agent.worker_state != protocol::WorkerState::kPresent) {
     return;
   }
   request.lease = agent.worker.draining
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -59,6 +59,16 @@
   /// @brief The agent reports on, but its worker does not answer it any more.
   void Silence(const std::string& agent) { agents_.at(agent).silent = true; }
 
+  /// @brief The worker is lost for good; only a new process of the agent
+  /// reports that it knows no worker.
+  void LoseWorker(const std::string& agent) { agents_.at(agent).lost = true; }
+
+  /// @brief The worker leaves, and the agent keeps a run that it cannot stop
+  /// there.
+  void LeaveWithRuns(const std::string& agent) {
+    agents_.at(agent).left = true;
+  }
+
   /// @brief From now on the worker answers, but its runs do not stop.
   void HoldStops(const std::string& agent) {
     agents_.at(agent).holds_stops = true;
@@ -127,6 +137,8 @@
     Incarnation incarnation{1};
     int percent = 0;
     bool silent = false;
+    bool lost = false;
+    bool left = false;
     bool holds_stops = false;
     std::string checkpoint;
   };
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -8,6 +8,14 @@
 
 constexpr Millis kRound{50};
 
+protocol::WorkerState StateOf(bool left, bool silent) {
+  if (left) {
+    return protocol::WorkerState::kGone;
+  }
+  return silent ? protocol::WorkerState::kSilent
+                : protocol::WorkerState::kPresent;
+}
+
 SchedulerOptions Options() {
   SchedulerOptions options;
   options.entry = EntryName("entry");
@@ -100,8 +108,10 @@
   reply.incarnation = agent.incarnation;
   reply.accepted = true;
   reply.version = agent.version;
-  reply.worker_state = agent.silent ? protocol::WorkerState::kSilent
-                                    : protocol::WorkerState::kPresent;
+  if (agent.lost) {
+    return reply;
+  }
+  reply.worker_state = StateOf(agent.left, agent.silent);
   reply.worker = agent.facts;
   for (const auto& [run, stopping] : agent.runs) {
     protocol::RunReport report;
