--- a/packages/net/include/shallotlug/net/http_client.h
+++ b/packages/net/include/shallotlug/net/http_client.h
@@ -14,9 +14,11 @@
 /// @brief How an HttpClient may use its connection for a request.
 enum class ConnectionUse {
   /// A connection that is found closed is replaced and the request sent again.
+  /// The response tells only of the last copy; the server may carry out an
+  /// earlier one, too.
   kReuseAndRepeat,
-  /// As above, but a request that was sent is not sent again: the server may
-  /// carry out the first copy later.
+  /// As above, but a request that was sent is not sent again. For requests
+  /// whose caller has to know whether the server may have carried them out.
   kReuse,
   /// A new connection, so that a failure to connect proves "never sent".
   kFresh,
--- a/packages/net/include/shallotlug/net/http_fetch.h
+++ b/packages/net/include/shallotlug/net/http_fetch.h
@@ -14,7 +14,8 @@
 
 /// @brief Why a request has no response.
 enum class FetchError {
-  /// No byte of the request was sent; the server cannot have acted on it.
+  /// No byte of the request was sent on any connection; the server cannot have
+  /// acted on it.
   kNeverSent = 1,
   /// Part of the request was sent and no whole response came back.
   kOutcomeUnknown,
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -54,6 +54,8 @@
   void Write();
   void Read();
   void OnExpired();
+  bool ConnectionIsUsable();
+  FetchError Failure() const;
   void Finish(FetchResult result);
   void Close();
 
@@ -71,6 +73,8 @@
   std::uint64_t sequence = 0;
   bool reused = false;
   bool repeats = false;  ///< A request without an answer is sent again.
+  /// Bytes of the request were written, maybe to a former connection.
+  bool sent = false;
   bool timed_out = false;
   bool closed = false;
 };
@@ -79,6 +83,7 @@
                              ConnectionUse use) {
   ++sequence;
   timed_out = false;
+  sent = false;
   address = options.address;
   response_bytes = options.response_bytes;
   request = {};
@@ -113,7 +118,7 @@
   endpoint = parsed.value();
   repeats = use == ConnectionUse::kReuseAndRepeat;
   reused = use != ConnectionUse::kFresh && socket.is_open() &&
-           connected_to == address;
+           connected_to == address && ConnectionIsUsable();
   if (reused) {
     Write();
   } else {
@@ -121,6 +126,20 @@
   }
 }
 
+// A connection that the server has closed while it was idle carries nothing any
+// more; a request written to it would have an unknown outcome.
+bool HttpClient::Impl::ConnectionIsUsable() {
+  error_code ec;
+  char byte = 0;
+  socket.non_blocking(true, ec);
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec == asio::error::would_block;
+}
+
+FetchError HttpClient::Impl::Failure() const {
+  return sent ? FetchError::kOutcomeUnknown : FetchError::kNeverSent;
+}
+
 void HttpClient::Impl::Connect() {
   Close();
   reused = false;
@@ -128,7 +147,7 @@
   socket.async_connect(endpoint, [self = shared_from_this()](error_code ec) {
     if (ec || self->timed_out) {
       self->Close();
-      self->Finish(FetchError::kNeverSent);
+      self->Finish(self->Failure());
       return;
     }
     self->connected_to = self->address;
@@ -141,6 +160,7 @@
 void HttpClient::Impl::Write() {
   http::async_write(socket, request,
                     [self = shared_from_this()](error_code ec, std::size_t n) {
+                      self->sent = self->sent || n > 0;
                       if (!ec) {
                         self->Read();
                         return;
@@ -150,8 +170,7 @@
                         return;
                       }
                       self->Close();
-                      self->Finish(n == 0 ? FetchError::kNeverSent
-                                          : FetchError::kOutcomeUnknown);
+                      self->Finish(self->Failure());
                     });
 }
 
--- a/packages/net/src/http_test.cc
+++ b/packages/net/src/http_test.cc
@@ -1,4 +1,6 @@
+#include <atomic>
 #include <chrono>
+#include <string_view>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -19,6 +21,9 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+constexpr std::string_view kEmptyResponse =
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 // Runs a server on a thread of its own. It echoes bodies; a request for /hold
 // is never answered.
 class HttpTest : public testing::Test {
@@ -208,15 +213,14 @@
         buf.clear();
         ++received;
       };
-      const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
       receive();
-      asio::write(socket, asio::buffer(reply));
+      asio::write(socket, asio::buffer(kEmptyResponse));
       receive();
       socket.close();
       if (use == ConnectionUse::kReuseAndRepeat) {
         acceptor.accept(socket);
         receive();
-        asio::write(socket, asio::buffer(reply));
+        asio::write(socket, asio::buffer(kEmptyResponse));
       }
     });
     HttpFetchOptions options;
@@ -246,6 +250,79 @@
   }
 }
 
+// Guards against "never sent" for a request that a server has read, when the
+// connection for its repetition is refused.
+TEST_F(HttpTest, TellsUnknownWhenARepeatedRequestCannotBeSent) {
+  tcp::acceptor acceptor(client_context, ParseEndpoint("127.0.0.1:0").value());
+  HttpFetchOptions options;
+  options.address = ToString(acceptor.local_endpoint());
+  options.timeout = Millis(2'000);
+  std::thread peer([&] {
+    tcp::socket socket(client_context);
+    acceptor.accept(socket);
+    std::string buf;
+    asio::read_until(socket, asio::dynamic_buffer(buf), "\r\n\r\n");
+    buf.clear();
+    asio::write(socket, asio::buffer(kEmptyResponse));
+    asio::read_until(socket, asio::dynamic_buffer(buf), "\r\n\r\n");
+    acceptor.close();
+    socket.close();
+  });
+  asio::io_context caller;
+  HttpClient client(caller);
+  std::optional<FetchResult> second;
+  client.Send(options, ConnectionUse::kReuseAndRepeat,
+              [&](const FetchResult& first) {
+                EXPECT_TRUE(first);
+                client.Send(options, ConnectionUse::kReuseAndRepeat,
+                            [&](FetchResult it) { second = it; });
+              });
+  caller.run();
+  peer.join();
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->error(), FetchError::kOutcomeUnknown);
+}
+
+// Guards against an unknown outcome of each request that is sent after the
+// server has closed the idle connection.
+TEST_F(HttpTest, SendsOnANewConnectionWhenTheIdleOneIsClosed) {
+  tcp::acceptor acceptor(client_context, ParseEndpoint("127.0.0.1:0").value());
+  HttpFetchOptions options;
+  options.address = ToString(acceptor.local_endpoint());
+  options.timeout = Millis(2'000);
+  std::atomic<bool> closed{false};
+  std::thread peer([&] {
+    for (int n = 0; n < 2; ++n) {
+      tcp::socket socket(client_context);
+      acceptor.accept(socket);
+      std::string buf;
+      asio::read_until(socket, asio::dynamic_buffer(buf), "\r\n\r\n");
+      asio::write(socket, asio::buffer(kEmptyResponse));
+      socket.close();
+      closed = true;
+    }
+  });
+  asio::io_context caller;
+  HttpClient client(caller);
+  std::optional<FetchResult> second;
+  client.Send(options, ConnectionUse::kReuse, [&](const FetchResult& first) {
+    EXPECT_TRUE(first);
+    while (!closed) {
+      std::this_thread::sleep_for(Millis(1));
+    }
+    client.Send(options, ConnectionUse::kReuse,
+                [&](FetchResult it) { second = it; });
+  });
+  caller.run();
+  if (!second || !*second) {
+    // The server still waits for its second connection.
+    EXPECT_TRUE(Fetch(options));
+  }
+  peer.join();
+  ASSERT_TRUE(second);
+  EXPECT_TRUE(*second);
+}
+
 // Guards against "not run" for a request that a server may have acted on.
 TEST_F(HttpTest, TellsNeverSentFromUnknown) {
   Start();
--- a/packages/service/src/job_api_test.cc
+++ b/packages/service/src/job_api_test.cc
@@ -1,6 +1,7 @@
 #include "job_api.h"
 
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -38,12 +39,13 @@
   int status = 200;
   std::string body = R"({"offset":1,"end_offset":2})";
   int policy = 1;
-  bool drops = false;  // Reads the request and closes the connection.
+  bool drops = false;       // Reads the request and closes the connection.
+  bool drops_next = false;  // As above, for one request.
   std::vector<HttpRequest> requests;
 
  private:
   void Answer(ExchangeId id) {
-    if (drops) {
+    if (drops || std::exchange(drops_next, false)) {
       server_->Abort(id);
       return;
     }
@@ -214,6 +216,17 @@
   EXPECT_EQ(Submit().status, 504);
 }
 
+// As above, when the connection to the peer was kept from an earlier request,
+// and the peer would refuse a second copy of this one.
+TEST_F(JobApiTest, ReportsUnknownOutcomeWhenAPeerEndsAKeptConnection) {
+  store_available = false;
+  second.status = 503;
+  ASSERT_EQ(Submit().status, 200);
+  first.drops_next = true;
+  first.status = 503;
+  EXPECT_EQ(Submit().status, 504);
+}
+
 TEST_F(JobApiTest, RefusesJobThatNoEntryCanStore) {
   store.status = 503;
   first.status = 503;
--- a/packages/service/src/peer_relay.cc
+++ b/packages/service/src/peer_relay.cc
@@ -177,8 +177,11 @@
   call->fetch.address = call->peers.front();
   call->fetch.timeout = std::min(left, kPeerTimeout);
   call->peers.erase(call->peers.begin());
+  // "Not run" in response to a repeated copy would not hold for the first one.
   call->client->Send(
-      call->fetch, net::ConnectionUse::kReuseAndRepeat,
+      call->fetch,
+      call->mutating ? net::ConnectionUse::kReuse
+                     : net::ConnectionUse::kReuseAndRepeat,
       [this, call](const FetchResult& result) { OnResult(call, result); });
 }
 
