--- a/packages/executor/src/crashes.cc
+++ b/packages/executor/src/crashes.cc
@@ -10,11 +10,15 @@
 // a second after it was last heard.
 constexpr Millis kEarlyCrash{1'000};
 
-// A start without an answer may have ended the worker before it answered. An
-// adopted run has been there for an unknown time.
+// Orders are sent to a worker until its silence is noticed, so that a start
+// without an answer says nothing about what ended the worker.
+bool IsConfirmed(const PresentRun& run) {
+  return run.started_at || run.listed;
+}
+
+// An adopted run has been there for an unknown time.
 bool IsEarly(const PresentRun& run, TimePoint heard_at) {
-  return run.started_at ? heard_at - *run.started_at < kEarlyCrash
-                        : !run.listed;
+  return run.started_at && heard_at - *run.started_at < kEarlyCrash;
 }
 
 }  // namespace
@@ -29,6 +33,9 @@
   std::vector<protocol::CrashReport> reports;
   reports.reserve(runs.size());
   for (const PresentRun& it : runs) {
+    if (!IsConfirmed(it)) {
+      continue;
+    }
     reports.push_back({it.run, IsEarly(it, heard_at), alone});
   }
   return reports;
--- a/packages/executor/src/crashes.h
+++ b/packages/executor/src/crashes.h
@@ -17,7 +17,9 @@
   bool listed = false;  ///< The worker has listed it as active.
 };
 
-/// @brief Reports the runs that were on a worker that ended without notice.
+/// @brief Reports the runs that were on a worker that ended without notice,
+/// and that the worker had confirmed.
+/// @param runs All runs that may have been there.
 /// @param heard_at When the worker last answered or sent a heartbeat.
 std::vector<protocol::CrashReport> ReportCrash(
     const std::vector<PresentRun>& runs,
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -215,6 +215,39 @@
   EXPECT_THAT(Reply().crashes, IsEmpty());
 }
 
+// Guards against a job that is given up because the workers that its orders
+// were sent to had crashed before: none of them has confirmed the start.
+TEST_F(CrashTest, ReportsNoCrashUnderAStartThatWasNeverConfirmed) {
+  Connect();
+  Start(Run("there"));
+  SyncRequest request;
+  request.starts.push_back({Run("sent"), "work", "", false});
+  Sync(request);
+  subject.TakeActions(now);
+  subject.OnStartResult(Run("sent"), {OrderStatus::kNoAnswer, {}, ""}, now);
+  Wait(Millis(500));
+  Restart();
+  // The unanswered start may have reached the former life.
+  EXPECT_THAT(Reply().crashes, testing::ElementsAre(protocol::CrashReport{
+                                   Run("there"), true, false}));
+}
+
+// As above, for a worker that was away for longer than its lease.
+TEST_F(CrashTest, ReportsNoCrashUnderAnUnconfirmedStartAfterALapse) {
+  Connect();
+  SyncRequest request;
+  request.starts.push_back({Run("sent"), "work", "", false});
+  Sync(request);
+  subject.TakeActions(now);
+  subject.OnStartResult(Run("sent"), {OrderStatus::kNoAnswer, {}, ""}, now);
+  Step(Millis(3'000));
+  Answer(subject.WatchCall(now), WorkerView{});
+  Wait(Millis(6'000));
+  subject.TakeActions(now);
+  Restart();
+  EXPECT_THAT(Reply().crashes, IsEmpty());
+}
+
 TEST_F(CrashTest, ForgetsASettledCrash) {
   Connect();
   Start(Run("job"));
--- a/packages/protocol/include/shallotlug/protocol/sync.h
+++ b/packages/protocol/include/shallotlug/protocol/sync.h
@@ -88,13 +88,13 @@
   bool operator==(const Refusal&) const = default;
 };
 
-/// @brief A run that was, or may have been, on its worker when the worker ended
-/// without notice.
+/// @brief A run that its worker had confirmed when the worker ended without
+/// notice.
 struct CrashReport {
   workload::RunRef run;
   /// The worker was last heard shortly after the start of the run.
   bool early = false;
-  /// No run of another job was on the worker.
+  /// No run of another job may have been on the worker.
   bool alone = false;
 
   bool operator==(const CrashReport&) const = default;
