--- a/apps/tests/soak/callers.cc
+++ b/apps/tests/soak/callers.cc
@@ -12,8 +12,6 @@
 namespace shallotlug::soak {
 
 namespace json = boost::json;
-using net::FetchError;
-using net::FetchResult;
 using net::ReadClock;
 
 namespace {
@@ -23,6 +21,10 @@
 constexpr Millis kAskInterval{300};
 constexpr int kMaxAttempts = 8;
 constexpr int kUsualWork = 2'000;
+constexpr int kHundredPercent = 100;
+// Time between two waves of cancels.
+constexpr int kShortestWaveInterval = 1'500;
+constexpr int kLongestWaveInterval = 6'000;
 // An accepted job is known everywhere after this.
 constexpr Millis kVisibleAfter{3'000};
 // One task; the fleet's stand-in gives each task this much.
@@ -59,13 +61,13 @@
                  jobharness::FakeFleet& fleet,
                  std::mt19937_64& random,
                  std::vector<std::string> entries,
-                 Millis longest_work)
+                 const CallerOptions& options)
     : context_(context),
       oracle_(oracle),
       fleet_(fleet),
       random_(random),
       entries_(std::move(entries)),
-      longest_work_(longest_work) {}
+      options_(options) {}
 
 int Callers::RandomInt(int low, int high) {
   return std::uniform_int_distribution<>(low, high)(random_);
@@ -80,9 +82,15 @@
   job.id = JobId(id.data());
   job.queue = RandomInt(0, 2) == 0 ? "live" : "batch";
   job.terms.max_attempts = 3;
-  // Some tasks outlast the leases of an agent that stands still.
-  const auto longest = static_cast<int>(longest_work_.count());
-  const int work = RandomInt(0, 9) == 0
+  if (RandomInt(1, kHundredPercent) <= options_.cancel_percent) {
+    caller->cancels =
+        static_cast<CancelTime>(RandomInt(static_cast<int>(CancelTime::kLater),
+                                          static_cast<int>(CancelTime::kWave)));
+  }
+  // Some tasks outlast the leases of an agent that stands still. Those of a
+  // cancelled job do not end by themselves before they are judged.
+  const auto longest = static_cast<int>(options_.longest_work.count());
+  const int work = caller->cancels != CancelTime::kNever || RandomInt(0, 9) == 0
                        ? RandomInt(longest / 2, longest)
                        : RandomInt(100, std::min(kUsualWork, longest));
   job.payload = std::to_string(work);
@@ -105,11 +113,11 @@
     }
     job.steps.push_back(step);
   }
-  caller->cancels = RandomInt(0, 9) == 0;
   caller->next_call = now;
   caller->entry =
       static_cast<std::size_t>(RandomInt(0, 1'000)) % entries_.size();
-  caller->client = std::make_unique<net::HttpClient>(context_);
+  caller->connection = std::make_unique<CallerConnection>(context_);
+  caller->keeps_connection = RandomInt(0, 2) != 0;
   oracle_.OnSent(job);
   callers_.push_back(std::move(caller));
 }
@@ -117,35 +125,35 @@
 void Callers::Send(const CallerPtr& caller,
                    const char* method,
                    std::string body,
-                   std::function<void(const FetchResult&)> done) {
-  net::HttpFetchOptions fetch;
-  fetch.address = entries_[caller->entry % entries_.size()];
-  fetch.method = method;
-  fetch.target = "/" + caller->job.queue + "/" + caller->job.id.value;
-  fetch.headers = {{"Host", "jobs.example"}};
-  fetch.body = std::move(body);
-  fetch.timeout = kCallTimeout;
-  caller->client->Send(fetch, net::ConnectionUse::kReuseAndRepeat,
-                       [caller, done = std::move(done)](const FetchResult& it) {
-                         if (!it || it.value().status >= 500) {
-                           ++caller->entry;  // Retries reach other entries.
-                         }
-                         done(it);
-                       });
+                   CallerConnection::Handler done) {
+  CallerRequest request;
+  request.address = entries_[caller->entry % entries_.size()];
+  request.method = method;
+  request.host = "jobs.example";
+  request.target = "/" + caller->job.queue + "/" + caller->job.id.value;
+  request.body = std::move(body);
+  request.timeout = kCallTimeout;
+  if (!caller->keeps_connection) {
+    caller->connection = std::make_unique<CallerConnection>(context_);
+  }
+  caller->connection->Send(
+      request, [caller, done = std::move(done)](const CallerOutcome& it) {
+        if (it.status == 0 || it.status >= 500) {
+          ++caller->entry;  // Retries reach other entries.
+        }
+        done(it);
+      });
 }
 
 void Callers::Submit(const CallerPtr& caller) {
   ++caller->attempts;
   Send(caller, "POST", EncodeJob(caller->job),
-       [this, caller](const FetchResult& it) {
+       [this, caller](const CallerOutcome& it) {
          const TimePoint now = ReadClock();
          caller->next_call = now + kRetry;
-         if (it && it.value().status == 200) {
-           caller->accepted = true;
-           caller->accepted_at = now;
-           oracle_.OnAccepted(caller->job);
-         } else if (it ? it.value().status != 503
-                       : it.error() != FetchError::kNeverSent) {
+         if (it.status == 200) {
+           OnAccepted(caller, now);
+         } else if (it.status != 503 && !it.not_sent) {
            caller->ambiguous = true;
          }
          if (!caller->accepted && caller->attempts >= kMaxAttempts) {
@@ -158,50 +166,88 @@
        });
 }
 
+void Callers::OnAccepted(const CallerPtr& caller, TimePoint now) {
+  caller->accepted = true;
+  caller->accepted_at = now;
+  oracle_.OnAccepted(caller->job);
+  switch (caller->cancels) {
+    case CancelTime::kNever:
+    case CancelTime::kWave:
+      return;
+    case CancelTime::kLater:
+      caller->cancel_due = true;
+      return;
+    case CancelTime::kElsewhere:
+      ++caller->entry;
+      [[fallthrough]];
+    case CancelTime::kAtOnce:
+      caller->cancel_due = true;
+      caller->next_call = now;
+      return;
+  }
+}
+
 void Callers::Ask(const CallerPtr& caller) {
   const TimePoint asked = ReadClock();
-  Send(caller, "GET", "", [this, caller, asked](const FetchResult& it) {
+  Send(caller, "GET", "", [this, caller, asked](const CallerOutcome& it) {
     const TimePoint now = ReadClock();
     caller->next_call = now + kAskInterval;
-    if (!it) {
-      return;
-    }
-    if (it.value().status == 410 &&
-        asked - caller->accepted_at > kVisibleAfter) {
+    if (it.status == 410 && asked - caller->accepted_at > kVisibleAfter) {
       findings_.push_back("LOST: accepted job " + caller->job.id.value +
                           " is unknown to an entry");
     }
-    if (it.value().status == 200) {
-      caller->state = std::string(
-          json::parse(it.value().body).as_object().at("state").as_string());
+    if (it.status == 200) {
+      caller->state =
+          std::string(json::parse(it.body).as_object().at("state").as_string());
       oracle_.OnShown(caller->job.id, caller->state, now);
     }
   });
 }
 
+// 410 says that there is nothing to cancel, so that the job may not run either.
 void Callers::Cancel(const CallerPtr& caller) {
-  Send(caller, "DELETE", "", [this, caller](const FetchResult& it) {
-    caller->next_call = ReadClock() + kRetry;
-    if (it && it.value().status == 200) {
+  Send(caller, "DELETE", "", [this, caller](const CallerOutcome& it) {
+    const TimePoint now = ReadClock();
+    caller->next_call = now + kRetry;
+    if (it.status == 200 || it.status == 410) {
       caller->cancel_confirmed = true;
-      oracle_.OnCancelled(caller->job.id, ReadClock());
+      ++cancelled_;
+      oracle_.OnCancelled(caller->job.id, now);
+      std::printf("cancel of %s answered %d\n", caller->job.id.value.c_str(),
+                  it.status);
     }
   });
 }
 
+void Callers::StartWave(TimePoint now) {
+  next_wave_ =
+      now + Millis(RandomInt(kShortestWaveInterval, kLongestWaveInterval));
+  for (const CallerPtr& it : callers_) {
+    if (it->cancels == CancelTime::kWave && it->accepted &&
+        !it->cancel_confirmed) {
+      it->cancel_due = true;
+      it->next_call = now;
+    }
+  }
+}
+
 void Callers::Tick(TimePoint now) {
   if (submitting_ && now >= next_job_) {
-    next_job_ = now + Millis(RandomInt(50, 500));
+    const auto longest = static_cast<int>(options_.job_interval.count());
+    next_job_ = now + Millis(RandomInt(longest / 10, longest));
     Add(now);
   }
+  if (now >= next_wave_) {
+    StartWave(now);
+  }
   for (const CallerPtr& it : callers_) {
-    if (it->client->Busy() || now < it->next_call || it->refused ||
+    if (it->connection->Busy() || now < it->next_call || it->refused ||
         IsFinal(it->state)) {
       continue;
     }
     if (!it->accepted) {
       Submit(it);
-    } else if (it->cancels && !it->cancel_confirmed) {
+    } else if (it->cancel_due && !it->cancel_confirmed) {
       Cancel(it);
     } else {
       Ask(it);
--- a/apps/tests/soak/soak.cc
+++ b/apps/tests/soak/soak.cc
@@ -1,8 +1,10 @@
 // A randomized soak: the real programs as separate processes against stand-ins
 // of the platform, with faults that are injected from outside. Usage:
 //   soak [--seed=N] [--seconds=S] [--entries=E] [--agents=A]
-//        [--longest_work_ms=W] [--nosevere] [--logs=FOLDER]
+//        [--longest_work_ms=W] [--job_interval_ms=I] [--cancel_percent=C]
+//        [--rounds=R] [--nosevere] [--logs=FOLDER]
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -29,6 +31,9 @@
 ABSL_FLAG(int, entries, 3, "Entries.");
 ABSL_FLAG(int, agents, 6, "Agents, each with a worker.");
 ABSL_FLAG(int, longest_work_ms, 12'000, "Work of the longest tasks.");
+ABSL_FLAG(int, job_interval_ms, 500, "Longest time between two submissions.");
+ABSL_FLAG(int, cancel_percent, 10, "Share of the jobs that is cancelled.");
+ABSL_FLAG(int, rounds, 1, "Times with faults, each with a calm time after it.");
 ABSL_FLAG(bool, severe, true, "With series of faults and late calls.");
 ABSL_FLAG(std::string, logs, "", "Keeps the programs' output here.");
 
@@ -41,6 +46,10 @@
 constexpr Millis kTick{5};
 // All faults are over for this long before jobs must have ended.
 constexpr Millis kSettle{60'000};
+// After the end of a fault all parts are in contact again.
+constexpr Millis kContact{3'000};
+// Long enough to judge what goes on although it was cancelled.
+constexpr Millis kCalmTime{8'000};
 constexpr int kShortestFault = 300;
 constexpr int kLongestFault = 5'000;
 constexpr int kShortestFreeze = 3'000;
@@ -85,15 +94,41 @@
     for (int n = 0; n < absl::GetFlag(FLAGS_agents); ++n) {
       AddAgent("agent-" + std::to_string(n + 1), n / 3);
     }
-    callers_ =
-        std::make_unique<Callers>(context_, oracle_, fleet_, random_, callers,
-                                  Millis(absl::GetFlag(FLAGS_longest_work_ms)));
+    CallerOptions options;
+    options.longest_work = Millis(absl::GetFlag(FLAGS_longest_work_ms));
+    options.job_interval = Millis(absl::GetFlag(FLAGS_job_interval_ms));
+    options.cancel_percent = absl::GetFlag(FLAGS_cancel_percent);
+    callers_ = std::make_unique<Callers>(context_, oracle_, fleet_, random_,
+                                         callers, options);
   }
 
   int Run() {
+    for (int n = 0; n < absl::GetFlag(FLAGS_rounds); ++n) {
+      PlayFaults();
+      EndFaults();
+      const TimePoint calm_until = ReadClock() + kCalmTime;
+      while (ReadClock() < calm_until) {
+        Tick();
+      }
+    }
+    callers_->StopSubmitting();
+    const TimePoint end = ReadClock() + kSettle;
+    while (ReadClock() < end && !callers_->AllFinal()) {
+      Tick();
+    }
+    return Report();
+  }
+
+ private:
+  int RandomInt(int low, int high) {
+    return std::uniform_int_distribution<>(low, high)(random_);
+  }
+
+  void PlayFaults() {
     const TimePoint faults_until =
         ReadClock() + Millis(1'000 * absl::GetFlag(FLAGS_seconds));
     TimePoint next_fault = ReadClock() + Millis(1'500);
+    in_faults_ = true;
     while (ReadClock() < faults_until) {
       Tick();
       if (ReadClock() >= next_fault) {
@@ -101,22 +136,16 @@
         InjectFault();
       }
     }
-    callers_->StopSubmitting();
+  }
+
+  void EndFaults() {
     planned_.clear();
     for (const auto& undo : undo_) {
       undo.second();
     }
     undo_.clear();
-    const TimePoint end = ReadClock() + kSettle;
-    while (ReadClock() < end && !callers_->AllFinal()) {
-      Tick();
-    }
-    return Report();
-  }
-
- private:
-  int RandomInt(int low, int high) {
-    return std::uniform_int_distribution<>(low, high)(random_);
+    calm_since_ = ReadClock() + kContact;
+    in_faults_ = false;
   }
 
   void WriteConfiguration(int version) {
@@ -232,8 +261,12 @@
       }
       if (!it->process && now >= it->start_at) {
         Start(*it);
+        calm_since_ = std::max(calm_since_, now + kContact);
       }
     }
+    if (!in_faults_) {
+      oracle_.CheckCancelled(calm_since_, now);
+    }
     callers_->Tick(now);
     RunDue(planned_, now);
     RunDue(undo_, now);
@@ -447,10 +480,12 @@
     for (const std::string& it : findings) {
       std::printf("broken: %s\n", it.c_str());
     }
-    std::printf("seed %llu: %d jobs accepted, %d not, %d starts, %zu broken\n",
-                static_cast<unsigned long long>(absl::GetFlag(FLAGS_seed)),
-                callers_->Accepted(), callers_->Refused(), oracle_.Starts(),
-                findings.size());
+    std::printf(
+        "seed %llu: %d jobs accepted, %d not, %d cancelled, %d starts, "
+        "%zu broken\n",
+        static_cast<unsigned long long>(absl::GetFlag(FLAGS_seed)),
+        callers_->Accepted(), callers_->Refused(), callers_->Cancelled(),
+        oracle_.Starts(), findings.size());
     return findings.empty() && callers_->Accepted() > 0 ? 0 : 1;
   }
 
@@ -467,7 +502,9 @@
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::unique_ptr<WorkerServer>> workers_;
   std::unique_ptr<Callers> callers_;
-  Schedule planned_;  ///< Faults of series.
+  bool in_faults_ = true;
+  TimePoint calm_since_{};  ///< Outside times with faults.
+  Schedule planned_;        ///< Faults of series.
   Schedule undo_;
 };
 
--- a/packages/jobharness/include/shallotlug/jobharness/job_oracle.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_oracle.h
@@ -41,6 +41,11 @@
   /// @brief A caller was told a state.
   void OnShown(const JobId& job, const std::string& state, TimePoint now);
 
+  /// @brief Checks that no task of a cancelled job is still there.
+  /// @param calm_since When the last fault had been over for long enough that
+  /// all parts of the system were in contact.
+  void CheckCancelled(TimePoint calm_since, TimePoint now);
+
   /// @brief Checks that every accepted job has a final state.
   void Finish();
 
@@ -57,6 +62,8 @@
     int failed_ends = 0;  ///< Noted or not.
     int crashes = 0;      ///< Of workers under it.
     int starts_after_crashes = 0;
+    TimePoint started_at{};
+    bool runs_on = false;  ///< Reported as such.
   };
   struct JobState {
     workload::Job job;
--- a/packages/jobharness/src/job_oracle.cc
+++ b/packages/jobharness/src/job_oracle.cc
@@ -12,6 +12,8 @@
 
 // A cancelled job's tasks are no longer started after this.
 constexpr Millis kCancelBound{3'000};
+// Its tasks are gone after this time more, with no fault near.
+constexpr Millis kStopBound{400};
 // A task under which this many workers have crashed is not started this many
 // times more.
 constexpr int kCrashLimit = 3;
@@ -114,6 +116,23 @@
   }
   CheckOrder(job->second, run.task);
   task.running[worker] = run.run;
+  task.started_at = now;
+}
+
+void JobOracle::CheckCancelled(TimePoint calm_since, TimePoint now) {
+  for (auto& [ref, task] : tasks_) {
+    const auto job = jobs_.find(ref.job);
+    if (task.running.empty() || task.runs_on || job == jobs_.end() ||
+        !job->second.cancelled) {
+      continue;
+    }
+    const TimePoint from =
+        std::max({calm_since, job->second.cancelled_at, task.started_at});
+    if (now - from > kCancelBound + kStopBound) {
+      task.runs_on = true;
+      AddViolation("runs on after its job was cancelled", ref);
+    }
+  }
 }
 
 void JobOracle::OnEnded(const std::string& worker,
--- a/packages/jobharness/src/job_oracle_test.cc
+++ b/packages/jobharness/src/job_oracle_test.cc
@@ -57,6 +57,17 @@
   ExpectViolation("two runs at the same time");
 }
 
+TEST_F(JobOracleTest, SeesARunThatGoesOnAfterTheCancel) {
+  Start("w1", RunOf(0, 1));
+  oracle.OnCancelled(job.id, kNow);
+  oracle.CheckCancelled(kNow, kNow + Millis(3'400));
+  EXPECT_THAT(oracle.Violations(), IsEmpty());
+  oracle.CheckCancelled(kNow + Millis(1'000), kNow + Millis(4'400));
+  EXPECT_THAT(oracle.Violations(), IsEmpty());
+  oracle.CheckCancelled(kNow, kNow + Millis(3'401));
+  ExpectViolation("runs on after its job was cancelled");
+}
+
 TEST_F(JobOracleTest, SeesAStartAfterANotedEnd) {
   Start("w1", RunOf(0, 1));
   oracle.OnEnded("w1", RunOf(0, 1), EndReason::kDone);
--- a/packages/service/src/follow_loop.cc
+++ b/packages/service/src/follow_loop.cc
@@ -35,6 +35,7 @@
   const TimePoint began = ReadClock();
   read_at_ = began;
   reading_ = true;
+  ++reads_sent_;
   const Millis timeout = response_timer_.Timeout();
   if (call.kind == joblog::FollowCall::Kind::kNewest) {
     client_.ReadNewest(options_.topic, call.after_key, timeout,
@@ -48,7 +49,7 @@
   // While the store is unavailable, reads do not long-poll, so that its
   // recovery is seen at once.
   const Millis wait =
-      store_unavailable_ || !refreshing_.empty() ? Millis(0) : options_.wait;
+      store_unavailable_ || HasCallersWaiting() ? Millis(0) : options_.wait;
   client_.Read(options_.topic, {call.from, call.max_kilobytes, wait, timeout},
                [this, wait, began](const joblog::ReadResult& result) {
                  RecordLatency(result.status, wait, began);
@@ -89,11 +90,12 @@
   if (!unavailable) {
     on_page_();
     CallRefreshed();
+    CallCaughtUp(false);
     const Millis since_read = ReadClock() - read_at_;
     // While the newest records of the keys are paged, there is more to read.
     const bool paging =
         follower_.Next().kind == joblog::FollowCall::Kind::kNewest;
-    if (paging || since_read >= interval_) {
+    if (paging || HasCallersWaiting() || since_read >= interval_) {
       ReadNext();
     } else {
       waiting_ = true;
@@ -102,6 +104,7 @@
     return;
   }
   CallRefreshed();
+  CallCaughtUp(true);
   ReadAfter(kRetryDelay);
 }
 
@@ -117,6 +120,38 @@
   }
 }
 
+void FollowLoop::ReadToEnd(std::function<void(bool current)> handler) {
+  end_waiters_.push_back({reads_sent_, std::move(handler)});
+  if (waiting_) {
+    waiting_ = false;
+    ReadAfter(Millis(0));
+  }
+}
+
+bool FollowLoop::HasCallersWaiting() const {
+  return !refreshing_.empty() || !end_waiters_.empty();
+}
+
+void FollowLoop::CallCaughtUp(bool failed) {
+  // The follower has reached the end in the answer that has just come.
+  const bool current =
+      !failed && follower_.Loaded() && follower_.CurrentAt() >= read_at_;
+  if (!failed && !current) {
+    return;
+  }
+  std::vector<std::function<void(bool)>> due;
+  std::erase_if(end_waiters_, [&](EndWaiter& it) {
+    if (it.after >= reads_sent_) {
+      return false;
+    }
+    due.push_back(std::move(it.handler));
+    return true;
+  });
+  for (const std::function<void(bool)>& it : due) {
+    it(current);
+  }
+}
+
 void FollowLoop::CallRefreshed() {
   const std::vector<std::function<void()>> handlers =
       std::exchange(refreshing_, {});
--- a/packages/service/src/follow_loop.h
+++ b/packages/service/src/follow_loop.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_SERVICE_SRC_FOLLOW_LOOP_H_
 #define SHALLOTLUG_SERVICE_SRC_FOLLOW_LOOP_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -39,6 +40,11 @@
   /// interval, which this ends.
   void Refresh(std::function<void()> handler);
 
+  /// @brief Calls the handler after the first read that was sent after this
+  /// call: `true` if it has reached the end of the log, so that all records
+  /// appended before this call are known; `false` if the read has failed.
+  void ReadToEnd(std::function<void(bool current)> handler);
+
   const joblog::Follower& GetFollower() const { return follower_; }
 
   /// @brief Whether the store was unavailable for the last read.
@@ -50,10 +56,18 @@
   }
 
  private:
+  /// @brief A call of ReadToEnd().
+  struct EndWaiter {
+    std::uint64_t after = 0;  ///< Number of the last read sent before it.
+    std::function<void(bool)> handler;
+  };
+
   void ReadNext();
   void RecordLatency(joblog::ReadStatus status, Millis wait, TimePoint began);
   void ReadAfter(Millis delay);
   void CallRefreshed();
+  void CallCaughtUp(bool failed);
+  bool HasCallersWaiting() const;
   void OnReadDone(joblog::ReadStatus status, const std::string& detail);
 
   boost::asio::steady_timer timer_;
@@ -65,6 +79,8 @@
   bool reading_ = false;
   bool waiting_ = false;  ///< For the interval.
   std::vector<std::function<void()>> refreshing_;
+  std::vector<EndWaiter> end_waiters_;
+  std::uint64_t reads_sent_ = 0;
   bool store_unavailable_ = false;
   TimePoint unavailable_since_{};  ///< While the store is unavailable.
   Millis interval_{0};
--- a/packages/service/src/job_api.cc
+++ b/packages/service/src/job_api.cc
@@ -233,14 +233,29 @@
     reply(platform::UnavailableReply("store_lost", kRetryAfter));
     return;
   }
-  if (!state) {
-    reply(platform::UnknownJobReply());
+  if (state) {
+    CancelKnownJob(call.job, reply);
     return;
   }
+  // Another entry may have accepted the job a moment ago. A caller that hears
+  // of no such job takes it for ended.
+  state_.read_to_end([this, job = call.job, reply](bool current) {
+    if (StateOf(state_.ledger, job)) {
+      CancelKnownJob(job, reply);
+    } else if (current) {
+      LogJobEvent("job_to_cancel_unknown", job, {});
+      reply(platform::UnknownJobReply());
+    } else {
+      reply(platform::UnavailableReply("store_lost", kRetryAfter));
+    }
+  });
+}
+
+void JobApi::CancelKnownJob(const JobId& job, const Reply& reply) {
   state_.records.Append(
-      workload::Encode(workload::JobCancelled{call.job}),
+      workload::Encode(workload::JobCancelled{job}),
       ReadClock() + kAppendDeadline,
-      [this, job = call.job, reply, began = ReadClock()](Stored stored) {
+      [this, job, reply, began = ReadClock()](Stored stored) {
         state_.histograms.Observe("shallotlug_job_call_seconds",
                                   {{"call", "cancel"}}, ReadClock() - began);
         LogJobEvent("job_cancel_requested", job, {{"outcome", Name(stored)}});
--- a/packages/service/src/job_api.h
+++ b/packages/service/src/job_api.h
@@ -29,6 +29,9 @@
   std::function<std::optional<TimePoint>()> log_caught_up_at;
   /// Calls back once the records that are in the log now have been read.
   std::function<void(std::function<void()>)> refresh;
+  /// Calls back with `true` once all records that were appended before the call
+  /// have been read, or with `false` if the store cannot be read.
+  std::function<void(std::function<void(bool current)>)> read_to_end;
   /// Whether this entry can reach the store.
   std::function<bool()> store_available;
   /// For how long all reads of the store have failed; 0 while they succeed.
@@ -62,6 +65,7 @@
                Reply reply);
   void Submit(platform::SubmitCall call, const Reply& reply);
   void Cancel(const platform::CancelCall& call, const Reply& reply);
+  void CancelKnownJob(const JobId& job, const Reply& reply);
   void QueryState(const platform::StateCall& call, const Reply& reply);
   void ReplyState(const JobId& job, const Reply& reply);
   /// @brief Whether an append would be tried in vain.
--- a/packages/service/src/job_api_test.cc
+++ b/packages/service/src/job_api_test.cc
@@ -79,6 +79,12 @@
                               refreshed();
                               handler();
                             },
+                            [this](const std::function<void(bool)>& handler) {
+                              if (log_readable) {
+                                refreshed();
+                              }
+                              handler(log_readable);
+                            },
                             [this] { return store_available; },
                             [this] { return store_unavailable_for; }});
   }
@@ -87,24 +93,39 @@
     ledger.entries[EntryName(name)] = {EntryName(name), address, {}};
   }
 
-  // Submits a job and runs the event loop until the response.
-  HttpResponse Submit() {
+  // Runs the event loop until the response.
+  HttpResponse Call(const std::string& method, const std::string& body) {
     HttpRequest request;
-    request.method = "POST";
+    request.method = method;
     request.target = "/live/0123456789abcdef";
     request.host = "host.example";
     request.authorization = "Bearer key";
-    request.body = R"({"spec":"x","steps":[{"count":1,"gpu":1}]})";
+    request.body = body;
     std::optional<HttpResponse> response;
+    context.restart();
     api->Handle(request, [&](HttpResponse it) {
       response = std::move(it);
       context.stop();
     });
-    context.restart();
-    context.run();
+    if (!response) {
+      context.run();
+    }
     return *response;
   }
 
+  HttpResponse Submit() {
+    return Call("POST", R"({"spec":"x","steps":[{"count":1,"gpu":1}]})");
+  }
+
+  HttpResponse Cancel() { return Call("DELETE", ""); }
+
+  void AddJob() {
+    workload::JobEntry& entry = ledger.jobs[JobId("0123456789abcdef")];
+    entry.job.emplace();
+    entry.job->queue = "live";
+    entry.job->steps.emplace_back();
+  }
+
   boost::asio::io_context context;
   Server store;
   Server first;
@@ -116,6 +137,7 @@
   PeerRelay peers{context, EntryName("self"), ledger, policy};
   std::optional<TimePoint> current_at = net::ReadClock();
   std::function<void()> refreshed = [] {};  // What a read of the log brings.
+  bool log_readable = true;
   bool store_available = true;
   Millis store_unavailable_for{0};
   std::optional<RecordQueue> records;
@@ -239,10 +261,8 @@
 // Guards against a caller that learns of the end of its job late, because its
 // entry has not read the newest records.
 TEST_F(JobApiTest, ReadsTheLogBeforeItReportsAnOpenState) {
+  AddJob();
   workload::JobEntry& entry = ledger.jobs[JobId("0123456789abcdef")];
-  entry.job.emplace();
-  entry.job->queue = "live";
-  entry.job->steps.emplace_back();
   refreshed = [&] {
     workload::Progress done = workload::MakeProgress(*entry.job);
     done.outcome = workload::Outcome::kCompleted;
@@ -257,6 +277,24 @@
   EXPECT_NE(body.find("completed"), std::string::npos) << body;
 }
 
+// Guards against "no such job" for a job that another entry has accepted a
+// moment ago: its caller stops cancelling it, and it runs on.
+TEST_F(JobApiTest, CancelsAJobThatWasAcceptedElsewhere) {
+  refreshed = [this] { AddJob(); };
+  EXPECT_EQ(Cancel().status, 200);
+  ASSERT_EQ(store.requests.size(), 1U);
+  EXPECT_NE(store.requests[0].body.find("c/0123456789abcdef"),
+            std::string::npos);
+}
+
+TEST_F(JobApiTest, KnowsNoJobToCancelOnlyAfterReadingTheLog) {
+  EXPECT_EQ(Cancel().status, 410);
+  log_readable = false;
+  first.status = 503;
+  second.status = 503;
+  EXPECT_EQ(Cancel().status, 503);
+}
+
 // Guards against a caller seeing a configuration take effect and then revert
 // because two entries with different versions served its requests.
 TEST_F(JobApiTest, NeverServesOlderConfigurationThanPeer) {
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -85,6 +85,9 @@
               [this](std::function<void()> handler) {
                 job_log_.Refresh(std::move(handler));
               },
+              [this](std::function<void(bool)> handler) {
+                job_log_.ReadToEnd(std::move(handler));
+              },
               [this] { return StoreAvailable(); },
               [this] { return job_log_.UnavailableFor(net::ReadClock()); }}) {}
 
