soak: lose the store with refused connections, and let no program inherit sockets (REFUSED)

The soak could not show that a stored job is answered 503: its links never refused a connection.

The programs inherited all sockets of the soak. A connection that a program held so was neither closed nor reset for its peer, and the port of a closed listener stayed taken. They inherit none now.

--- a/apps/tests/processes.cc
+++ b/apps/tests/processes.cc
@@ -89,6 +89,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that the program inherits stays open when this process closes it:
+  // neither its end nor a reset reaches the peer.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error = posix_spawn(&pid_, program.c_str(), &actions, nullptr,
                                 argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/apps/tests/soak/link_proxy.cc
+++ b/apps/tests/soak/link_proxy.cc
@@ -186,6 +186,22 @@
   }
 }
 
+void LinkProxy::SetDown(bool down) {
+  if (!down) {
+    impl_->acceptor.listen();
+    impl_->Accept();
+    return;
+  }
+  // A socket that is bound and does not listen keeps the port and refuses
+  // connections.
+  const tcp::endpoint at = impl_->acceptor.local_endpoint();
+  impl_->acceptor.close();
+  Reset();
+  impl_->acceptor.open(at.protocol());
+  impl_->acceptor.set_option(asio::socket_base::reuse_address(true));
+  impl_->acceptor.bind(at);
+}
+
 void LinkProxy::SilenceOpen() {
   for (const auto& it : std::exchange(impl_->sessions, {})) {
     it->silent = true;
--- a/apps/tests/soak/link_proxy.h
+++ b/apps/tests/soak/link_proxy.h
@@ -26,6 +26,8 @@
   void Delay(Millis delay);
   /// @brief Closes the open connections with a reset.
   void Reset();
+  /// @brief While down, the open connections are reset and new ones refused.
+  void SetDown(bool down);
   /// @brief The open connections forward nothing any more; new ones work.
   void SilenceOpen();
 
--- a/apps/tests/soak/soak.cc
+++ b/apps/tests/soak/soak.cc
@@ -2,7 +2,7 @@
 // of the platform, with faults that are injected from outside. Usage:
 //   soak [--seed=N] [--seconds=S] [--entries=E] [--agents=A]
 //        [--longest_work_ms=W] [--job_interval_ms=I] [--cancel_percent=C]
-//        [--rounds=R] [--nosevere] [--logs=FOLDER]
+//        [--rounds=R] [--store_only] [--nosevere] [--logs=FOLDER]
 
 #include <algorithm>
 #include <csignal>
@@ -34,6 +34,7 @@
 ABSL_FLAG(int, job_interval_ms, 500, "Longest time between two submissions.");
 ABSL_FLAG(int, cancel_percent, 10, "Share of the jobs that is cancelled.");
 ABSL_FLAG(int, rounds, 1, "Times with faults, each with a calm time after it.");
+ABSL_FLAG(bool, store_only, false, "All faults are losses of the store.");
 ABSL_FLAG(bool, severe, true, "With series of faults and late calls.");
 ABSL_FLAG(std::string, logs, "", "Keeps the programs' output here.");
 
@@ -52,6 +53,9 @@
 constexpr Millis kCalmTime{8'000};
 constexpr int kShortestFault = 300;
 constexpr int kLongestFault = 5'000;
+// From the first lost answer of the store to the end of its connections.
+constexpr int kShortestAnswerLoss = 5;
+constexpr int kLongestAnswerLoss = 250;
 constexpr int kShortestFreeze = 3'000;
 constexpr int kLongestFreeze = 8'000;
 // What the entries are told is shorter than most freezes and than the workers'
@@ -369,10 +373,13 @@
   }
 
   void InjectFault() {
+    if (absl::GetFlag(FLAGS_store_only)) {
+      return LoseStore();
+    }
     Member& member = Pick();
     LinkProxy& link =
         RandomInt(0, 1) == 0 ? *member.store_link : *member.other_link;
-    switch (RandomInt(0, severe_ ? 18 : 14)) {
+    switch (RandomInt(0, severe_ ? 19 : 15)) {
       case 0:
         return Signal(member, SIGKILL, "kill");
       case 1:
@@ -421,11 +428,45 @@
         return LosePower(member);
       case 14:
         return HarmAll();
+      case 15:
+        return LoseStore();
       default:
         return HarmAgent();
     }
   }
 
+  // The store carries out what it has read, and its answers are lost with the
+  // connections. New connections are refused until it is back.
+  void LoseStore() {
+    if (store_down_) {
+      return;
+    }
+    store_down_ = true;
+    for (const auto& it : members_) {
+      it->store_link->Block(false, true);
+    }
+    For("store down", "", [this] { EndStoreLoss(); });
+    After(kShortestAnswerLoss, kLongestAnswerLoss, [this] {
+      if (store_down_) {
+        for (const auto& it : members_) {
+          it->store_link->SetDown(true);
+        }
+        connections_refused_ = true;
+      }
+    });
+  }
+
+  void EndStoreLoss() {
+    store_down_ = false;
+    for (const auto& it : members_) {
+      it->store_link->Block(false, false);
+      if (connections_refused_) {
+        it->store_link->SetDown(false);
+      }
+    }
+    connections_refused_ = false;
+  }
+
   void HarmWorker() {
     const auto n = static_cast<std::size_t>(
         RandomInt(0, static_cast<int>(workers_.size()) - 1));
@@ -502,6 +543,8 @@
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::unique_ptr<WorkerServer>> workers_;
   std::unique_ptr<Callers> callers_;
+  bool store_down_ = false;
+  bool connections_refused_ = false;  ///< While the store is down.
   bool in_faults_ = true;
   TimePoint calm_since_{};  ///< Outside times with faults.
   Schedule planned_;        ///< Faults of series.
