service: tell the end of the log by its offset

FollowLoop::ReadToEnd() compared times in milliseconds, so that a page that ends before the log does could pass for the end if the page before it had reached the end in the same millisecond. It compares offsets now. Test: FollowLoopTest.ReadsOnWhenAPageEndsBeforeTheLog.

--- a/packages/service/src/follow_loop.cc
+++ b/packages/service/src/follow_loop.cc
@@ -35,6 +35,7 @@
   const TimePoint began = ReadClock();
   read_at_ = began;
   reading_ = true;
+  at_end_ = false;
   ++reads_sent_;
   const Millis timeout = response_timer_.Timeout();
   if (call.kind == joblog::FollowCall::Kind::kNewest) {
@@ -54,6 +55,8 @@
                [this, wait, began](const joblog::ReadResult& result) {
                  RecordLatency(result.status, wait, began);
                  follower_.OnRead(result, ReadClock());
+                 at_end_ = result.status == ReadStatus::kDone &&
+                           follower_.NextOffset() >= result.end_offset;
                  OnReadDone(result.status, result.detail);
                });
 }
@@ -90,7 +93,7 @@
   if (!unavailable) {
     on_page_();
     CallRefreshed();
-    CallCaughtUp(false);
+    CallEndWaiters(false);
     const Millis since_read = ReadClock() - read_at_;
     // While the newest records of the keys are paged, there is more to read.
     const bool paging =
@@ -104,7 +107,7 @@
     return;
   }
   CallRefreshed();
-  CallCaughtUp(true);
+  CallEndWaiters(true);
   ReadAfter(kRetryDelay);
 }
 
@@ -132,11 +135,8 @@
   return !refreshing_.empty() || !end_waiters_.empty();
 }
 
-void FollowLoop::CallCaughtUp(bool failed) {
-  // The follower has reached the end in the answer that has just come.
-  const bool current =
-      !failed && follower_.Loaded() && follower_.CurrentAt() >= read_at_;
-  if (!failed && !current) {
+void FollowLoop::CallEndWaiters(bool failed) {
+  if (!failed && !at_end_) {
     return;
   }
   std::vector<std::function<void(bool)>> due;
@@ -148,7 +148,7 @@
     return true;
   });
   for (const std::function<void(bool)>& it : due) {
-    it(current);
+    it(!failed);
   }
 }
 
--- a/packages/service/src/follow_loop.h
+++ b/packages/service/src/follow_loop.h
@@ -66,7 +66,7 @@
   void RecordLatency(joblog::ReadStatus status, Millis wait, TimePoint began);
   void ReadAfter(Millis delay);
   void CallRefreshed();
-  void CallCaughtUp(bool failed);
+  void CallEndWaiters(bool failed);
   bool HasCallersWaiting() const;
   void OnReadDone(joblog::ReadStatus status, const std::string& detail);
 
@@ -80,6 +80,7 @@
   bool waiting_ = false;  ///< For the interval.
   std::vector<std::function<void()>> refreshing_;
   std::vector<EndWaiter> end_waiters_;
+  bool at_end_ = false;  ///< The last answer has reached the end of the log.
   std::uint64_t reads_sent_ = 0;
   bool store_unavailable_ = false;
   TimePoint unavailable_since_{};  ///< While the store is unavailable.
--- a/packages/service/src/follow_loop_test.cc
+++ b/packages/service/src/follow_loop_test.cc
@@ -14,10 +14,13 @@
 using net::HttpRequest;
 using net::HttpResponse;
 
-// A page without records, whose log ends at offset 0.
-HttpResponse EmptyPage() {
+constexpr std::size_t kLastByteOfTheEnd = 7;
+
+// A page without records.
+HttpResponse EmptyPage(char end_offset = 0) {
   HttpResponse response;
   response.body = std::string(16, '\0');
+  response.body[kLastByteOfTheEnd] = end_offset;
   return response;
 }
 
@@ -83,6 +86,18 @@
   EXPECT_EQ(results, std::vector<bool>{true});
 }
 
+// Guards against a page that ends before the log does.
+TEST_F(FollowLoopTest, ReadsOnWhenAPageEndsBeforeTheLog) {
+  Answer(EmptyPage());
+  std::vector<bool> results;
+  loop.ReadToEnd([&](bool current) { results.push_back(current); });
+  Answer(EmptyPage(1));
+  Answer(EmptyPage(1));
+  EXPECT_TRUE(results.empty());
+  Answer(EmptyPage());
+  EXPECT_EQ(results, std::vector<bool>{true});
+}
+
 TEST_F(FollowLoopTest, TellsThatTheEndCannotBeRead) {
   Answer(EmptyPage());
   std::vector<bool> results;
