--- a/packages/service/src/follow_loop_test.cc
+++ b/packages/service/src/follow_loop_test.cc
@@ -14,13 +14,16 @@
 using net::HttpRequest;
 using net::HttpResponse;
 
-constexpr std::size_t kLastByteOfTheEnd = 7;
+// A page begins with the end and the first offset of the log, 8 bytes each, the
+// most significant byte first.
+constexpr std::size_t kHeaderBytes = 16;
+constexpr std::size_t kLowByteOfEnd = 7;
 
 // A page without records.
 HttpResponse EmptyPage(char end_offset = 0) {
   HttpResponse response;
-  response.body = std::string(16, '\0');
-  response.body[kLastByteOfTheEnd] = end_offset;
+  response.body = std::string(kHeaderBytes, '\0');
+  response.body[kLowByteOfEnd] = end_offset;
   return response;
 }
 
