--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -94,6 +94,9 @@
     });
     it.immediate_look = it.next_look;
   }
+  if (same_life && request.speed.weight > 0) {
+    it.speed = request.speed;
+  }
   // The scheduler considers a run ended when the lease of its order has
   // expired; a request may have been delayed for longer than that.
   const bool orders_valid = lease_end && now < *lease_end;
@@ -132,7 +135,9 @@
         it.silent ? WorkerState::kSilent : WorkerState::kPresent;
   }
   for (const auto& [ref, run] : it.runs) {
-    reply.runs.push_back({run.active, run.phase});
+    reply.runs.push_back(
+        {run.active, run.phase,
+         run.started_at ? AsPeerTime(*run.started_at) : PeerTime{}});
   }
   reply.ends = it.ends;
   reply.former_ends = it.former_ends;
@@ -142,6 +147,8 @@
   for (const auto& [ref, crash] : it.crashes) {
     reply.crashes.push_back(crash);
   }
+  reply.read_at = AsPeerTime(it.read_at);
+  reply.speed = it.speed;
   return reply;
 }
 
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -124,6 +124,37 @@
   EXPECT_EQ(reply.refusals[0].reason, RefusalReason::kDraining);
 }
 
+// Guards against rates that a scheduler measures from wrong times: of the reply
+// in place of the read, or of the order in place of the start.
+TEST_F(ExecutorTest, TellsWhenRunsWereStartedAndRead) {
+  Connect();
+  OrderStart();
+  subject.TakeActions(now);
+  Wait(Millis(70));
+  const TimePoint started = now;
+  subject.OnStartResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+  Wait(Millis(900));
+  const TimePoint read = now;
+  Answer(subject.WatchCall(now), View({FirstRun()}));
+  Wait(Millis(300));
+  ASSERT_THAT(Reply().runs, SizeIs(1));
+  EXPECT_EQ(Reply().runs[0].started_at, AsPeerTime(started));
+  EXPECT_EQ(Reply().read_at, AsPeerTime(read));
+}
+
+// Guards against a speed that a scheduler's successor does not hear of, and
+// against one that outlives the worker's life.
+TEST_F(ExecutorTest, KeepsTheSpeedNotedForTheWorkersLife) {
+  Connect();
+  SyncRequest request;
+  request.speed = {0.4, 20};
+  EXPECT_EQ(Sync(request).speed, request.speed);
+  EXPECT_EQ(Sync({}).speed, request.speed);
+  ++facts.life.born;
+  subject.OnHeartbeat(facts, 1, now);
+  EXPECT_EQ(Reply().speed, protocol::SpeedNote{});
+}
+
 class CrashTest : public ExecutorTest {
  protected:
   static RunRef Run(const std::string& job, int index = 0) {
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -67,6 +67,8 @@
   std::map<workload::RunRef, TrackedRun> runs;
   std::vector<workload::RunEnd> ends;
   std::vector<workload::RunEnd> former_ends;  ///< Of earlier lives.
+  protocol::SpeedNote speed;                  ///< Of the current life.
+  TimePoint read_at{};  ///< When the runs' progress was read.
   /// When the current life last answered or sent a heartbeat.
   TimePoint heard_at{};
   /// Runs of the current life whose lease has expired while it was silent.
--- a/packages/executor/src/lives.cc
+++ b/packages/executor/src/lives.cc
@@ -54,6 +54,7 @@
   lists_read = false;
   silent = false;
   clock_known = false;
+  speed = {};
   granted_lease = {};
   granted_until = {};
   MarkChanged();
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -221,6 +221,7 @@
     it.MarkChanged();
   }
   it.ApplyEnds(view.ends);
+  it.read_at = now;
   it.ApplyActiveRuns(view.active, number);
 }
 
--- a/packages/protocol/include/shallotlug/protocol/sync.h
+++ b/packages/protocol/include/shallotlug/protocol/sync.h
@@ -28,6 +28,17 @@
   bool operator==(const StartOrder&) const = default;
 };
 
+/// @brief What a scheduler has learnt about the speed of a worker's current
+/// life. The agent keeps it for the next scheduler.
+struct SpeedNote {
+  /// Natural logarithm of the time that the worker takes for a task, relative
+  /// to a worker of factor 1.
+  double log_factor = 0;
+  double weight = 0;  ///< Inverse variance of `log_factor`; 0: nothing known.
+
+  bool operator==(const SpeedNote&) const = default;
+};
+
 struct SyncRequest {
   std::uint64_t epoch = 0;
   EntryName entry;
@@ -48,6 +59,7 @@
   /// of the incarnation in `lease_from`.
   std::uint64_t known_version = 0;
   Millis wait{0};
+  SpeedNote speed;  ///< Of `worker`.
 
   bool operator==(const SyncRequest&) const = default;
 };
@@ -61,6 +73,9 @@
 struct RunReport {
   workload::ActiveRun active;
   RunPhase phase = RunPhase::kStarting;
+  /// When the worker confirmed the start to this process of the agent, by the
+  /// agent's clock; zero if it did not.
+  PeerTime started_at{};
 
   bool operator==(const RunReport&) const = default;
 };
@@ -124,6 +139,9 @@
   std::vector<workload::RunEnd> former_ends;
   /// Crashes of former lives of the worker that are not settled.
   std::vector<CrashReport> crashes;
+  /// When the progress in `runs` was read from the worker.
+  PeerTime read_at{};
+  SpeedNote speed;  ///< Of `worker`, as a scheduler noted it.
 
   bool operator==(const SyncReply&) const = default;
 };
--- a/packages/protocol/src/sync.capnp
+++ b/packages/protocol/src/sync.capnp
@@ -39,6 +39,12 @@
   knownVersion @10 :UInt64;
   wait @11 :Int64;
   leaseFromIncarnation @12 :UInt64;
+  speed @13 :SpeedNote;
+}
+
+struct SpeedNote {
+  logFactor @0 :Float64;
+  weight @1 :Float64;
 }
 
 struct RunReport {
@@ -47,6 +53,7 @@
   checkpoint @2 :Data;
   percent @3 :Int32;
   usage @4 :Int64;
+  startedAt @5 :Int64;
 }
 
 struct EndReport {
@@ -95,4 +102,6 @@
   accepted @10 :Bool;
   formerEnds @11 :List(EndReport);
   crashes @12 :List(CrashReport);
+  readAt @13 :Int64;
+  speed @14 :SpeedNote;
 }
--- a/packages/protocol/src/sync.capnp.h
+++ b/packages/protocol/src/sync.capnp.h
@@ -19,6 +19,7 @@
 CAPNP_DECLARE_SCHEMA(8d3bdcf8ae5f5924);
 CAPNP_DECLARE_SCHEMA(f7d85fd2b43c0e91);
 CAPNP_DECLARE_SCHEMA(84eae8179bcaafee);
+CAPNP_DECLARE_SCHEMA(a728883bf7ecbf64);
 CAPNP_DECLARE_SCHEMA(8ed477876e80612f);
 CAPNP_DECLARE_SCHEMA(99f3ce4c04fb40d4);
 CAPNP_DECLARE_SCHEMA(b8a1ffdc8d896163);
@@ -70,7 +71,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(84eae8179bcaafee, 8, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(84eae8179bcaafee, 8, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SpeedNote {
+  SpeedNote() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a728883bf7ecbf64, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -85,7 +101,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ed477876e80612f, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(8ed477876e80612f, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -160,7 +176,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b333a21beae983cf, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(b333a21beae983cf, 6, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -425,6 +441,9 @@
 
   inline  ::uint64_t getLeaseFromIncarnation() const;
 
+  inline bool hasSpeed() const;
+  inline  ::shallotlug::wire::SpeedNote::Reader getSpeed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -512,6 +531,13 @@
   inline  ::uint64_t getLeaseFromIncarnation();
   inline void setLeaseFromIncarnation( ::uint64_t value);
 
+  inline bool hasSpeed();
+  inline  ::shallotlug::wire::SpeedNote::Builder getSpeed();
+  inline void setSpeed( ::shallotlug::wire::SpeedNote::Reader value);
+  inline  ::shallotlug::wire::SpeedNote::Builder initSpeed();
+  inline void adoptSpeed(::capnp::Orphan< ::shallotlug::wire::SpeedNote>&& value);
+  inline ::capnp::Orphan< ::shallotlug::wire::SpeedNote> disownSpeed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -530,6 +556,88 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::shallotlug::wire::SpeedNote::Pipeline getSpeed();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SpeedNote::Reader {
+public:
+  typedef SpeedNote Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline double getLogFactor() const;
+
+  inline double getWeight() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SpeedNote::Builder {
+public:
+  typedef SpeedNote Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline double getLogFactor();
+  inline void setLogFactor(double value);
+
+  inline double getWeight();
+  inline void setWeight(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SpeedNote::Pipeline {
+public:
+  typedef SpeedNote Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -567,6 +675,8 @@
 
   inline  ::int64_t getUsage() const;
 
+  inline  ::int64_t getStartedAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -618,6 +728,9 @@
   inline  ::int64_t getUsage();
   inline void setUsage( ::int64_t value);
 
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1128,6 +1241,11 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline  ::int64_t getReadAt() const;
+
+  inline bool hasSpeed() const;
+  inline  ::shallotlug::wire::SpeedNote::Reader getSpeed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1223,6 +1341,16 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::shallotlug::wire::CrashReport,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline  ::int64_t getReadAt();
+  inline void setReadAt( ::int64_t value);
+
+  inline bool hasSpeed();
+  inline  ::shallotlug::wire::SpeedNote::Builder getSpeed();
+  inline void setSpeed( ::shallotlug::wire::SpeedNote::Reader value);
+  inline  ::shallotlug::wire::SpeedNote::Builder initSpeed();
+  inline void adoptSpeed(::capnp::Orphan< ::shallotlug::wire::SpeedNote>&& value);
+  inline ::capnp::Orphan< ::shallotlug::wire::SpeedNote> disownSpeed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1242,6 +1370,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::shallotlug::wire::WorkerReport::Pipeline getWorker();
+  inline  ::shallotlug::wire::SpeedNote::Pipeline getSpeed();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1745,6 +1874,73 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SyncRequest::Reader::hasSpeed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncRequest::Builder::hasSpeed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::shallotlug::wire::SpeedNote::Reader SyncRequest::Reader::getSpeed() const {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::shallotlug::wire::SpeedNote::Builder SyncRequest::Builder::getSpeed() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::shallotlug::wire::SpeedNote::Pipeline SyncRequest::Pipeline::getSpeed() {
+  return  ::shallotlug::wire::SpeedNote::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void SyncRequest::Builder::setSpeed( ::shallotlug::wire::SpeedNote::Reader value) {
+  ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::shallotlug::wire::SpeedNote::Builder SyncRequest::Builder::initSpeed() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void SyncRequest::Builder::adoptSpeed(
+    ::capnp::Orphan< ::shallotlug::wire::SpeedNote>&& value) {
+  ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::shallotlug::wire::SpeedNote> SyncRequest::Builder::disownSpeed() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline double SpeedNote::Reader::getLogFactor() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double SpeedNote::Builder::getLogFactor() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SpeedNote::Builder::setLogFactor(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double SpeedNote::Reader::getWeight() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double SpeedNote::Builder::getWeight() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SpeedNote::Builder::setWeight(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RunReport::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1860,6 +2056,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t RunReport::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RunReport::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RunReport::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EndReport::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2666,6 +2876,59 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t SyncReply::Reader::getReadAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SyncReply::Builder::getReadAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setReadAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SyncReply::Reader::hasSpeed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool SyncReply::Builder::hasSpeed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::shallotlug::wire::SpeedNote::Reader SyncReply::Reader::getSpeed() const {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::shallotlug::wire::SpeedNote::Builder SyncReply::Builder::getSpeed() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::shallotlug::wire::SpeedNote::Pipeline SyncReply::Pipeline::getSpeed() {
+  return  ::shallotlug::wire::SpeedNote::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void SyncReply::Builder::setSpeed( ::shallotlug::wire::SpeedNote::Reader value) {
+  ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::shallotlug::wire::SpeedNote::Builder SyncReply::Builder::initSpeed() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void SyncReply::Builder::adoptSpeed(
+    ::capnp::Orphan< ::shallotlug::wire::SpeedNote>&& value) {
+  ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::shallotlug::wire::SpeedNote> SyncReply::Builder::disownSpeed() {
+  return ::capnp::_::PointerHelpers< ::shallotlug::wire::SpeedNote>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/src/sync_codec.cc
+++ b/packages/protocol/src/sync_codec.cc
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <cstring>
 
 #include <capnp/message.h>
@@ -94,6 +95,20 @@
   return it;
 }
 
+void Write(wire::SpeedNote::Builder to, const SpeedNote& it) {
+  to.setLogFactor(it.log_factor);
+  to.setWeight(it.weight);
+}
+
+SpeedNote Read(wire::SpeedNote::Reader from) {
+  const SpeedNote it{from.getLogFactor(), from.getWeight()};
+  if (!std::isfinite(it.log_factor) || !std::isfinite(it.weight) ||
+      it.weight < 0) {
+    throw BadValue{};
+  }
+  return it;
+}
+
 std::string ToBytes(capnp::MallocMessageBuilder& message) {
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
   const auto bytes = words.asBytes();
@@ -138,6 +153,7 @@
   it.settled = ReadRuns(from.getSettled());
   it.known_version = from.getKnownVersion();
   it.wait = Millis(from.getWait());
+  it.speed = Read(from.getSpeed());
   return it;
 }
 
@@ -165,7 +181,8 @@
   for (const auto run : from.getRuns()) {
     it.runs.push_back({{Read(run.getRun()), ToString(run.getCheckpoint()),
                         run.getPercent(), run.getUsage()},
-                       ToEnum(run.getPhase(), RunPhase::kStopping)});
+                       ToEnum(run.getPhase(), RunPhase::kStopping),
+                       PeerTime(Millis(run.getStartedAt()))});
   }
   it.ends = ReadEnds(from.getEnds());
   it.former_ends = ReadEnds(from.getFormerEnds());
@@ -178,6 +195,8 @@
     it.crashes.push_back(
         {Read(crash.getRun()), crash.getEarly(), crash.getAlone()});
   }
+  it.read_at = PeerTime(Millis(from.getReadAt()));
+  it.speed = Read(from.getSpeed());
   return it;
 }
 
@@ -222,6 +241,7 @@
   WriteRuns(to.initSettled(Size(request.settled)), request.settled);
   to.setKnownVersion(request.known_version);
   to.setWait(request.wait.count());
+  Write(to.initSpeed(), request.speed);
   return ToBytes(message);
 }
 
@@ -244,6 +264,7 @@
     runs[n].setCheckpoint(ToData(it.active.checkpoint));
     runs[n].setPercent(it.active.percent);
     runs[n].setUsage(it.active.usage);
+    runs[n].setStartedAt(it.started_at.time_since_epoch().count());
   }
   WriteEnds(to.initEnds(Size(reply.ends)), reply.ends);
   WriteEnds(to.initFormerEnds(Size(reply.former_ends)), reply.former_ends);
@@ -258,6 +279,8 @@
     crashes[n].setEarly(reply.crashes[n].early);
     crashes[n].setAlone(reply.crashes[n].alone);
   }
+  to.setReadAt(reply.read_at.time_since_epoch().count());
+  Write(to.initSpeed(), reply.speed);
   return ToBytes(message);
 }
 
--- a/packages/protocol/src/sync_codec_test.cc
+++ b/packages/protocol/src/sync_codec_test.cc
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include <gtest/gtest.h>
 
 #include "shallotlug/protocol/sync.h"
@@ -23,6 +25,7 @@
   request.settled.push_back(SomeRun());
   request.known_version = 3;
   request.wait = Millis(1'000);
+  request.speed = {-0.25, 12.5};
   EXPECT_EQ(DecodeSyncRequest(Encode(request)), request);
 }
 
@@ -42,14 +45,26 @@
   reply.worker.capacity = {1, 2, 3};
   reply.worker.draining = true;
   reply.worker.remaining = Millis(900);
-  reply.runs.push_back({{SomeRun(), "saved", 41, 7}, RunPhase::kRunning});
+  reply.runs.push_back(
+      {{SomeRun(), "saved", 41, 7}, RunPhase::kRunning, PeerTime(Millis(99))});
   reply.ends.push_back({6, SomeRun(), workload::EndReason::kBroken, "saved"});
   reply.refusals.push_back({SomeRun(), RefusalReason::kLapsed});
   reply.crashes.push_back({SomeRun(), true, false});
   reply.former_ends.push_back({2, SomeRun(), workload::EndReason::kDone, ""});
+  reply.read_at = PeerTime(Millis(120));
+  reply.speed = {0.5, 3.0};
   EXPECT_EQ(DecodeSyncReply(Encode(reply)), reply);
 }
 
+// Guards against a scheduler that computes with a speed that is no number.
+TEST(SyncCodecTest, RefusesASpeedThatIsNoNumber) {
+  SyncReply reply;
+  reply.speed.log_factor = std::numeric_limits<double>::quiet_NaN();
+  EXPECT_FALSE(DecodeSyncReply(Encode(reply)));
+  reply.speed = {0, -1};
+  EXPECT_FALSE(DecodeSyncReply(Encode(reply)));
+}
+
 // Bytes from the network may be anything.
 TEST(SyncCodecTest, RefusesBytesThatAreNoMessage) {
   const std::string good = Encode(SyncReply{});
--- a/packages/scheduler/include/shallotlug/scheduler/scheduler.h
+++ b/packages/scheduler/include/shallotlug/scheduler/scheduler.h
@@ -30,6 +30,9 @@
   Millis state_retention{180'000};
   /// An agent without runs is removed after this time without contact.
   Millis agent_retention{600'000};
+  /// Places tasks by the speeds of the workers, which it learns from the
+  /// progress of their runs.
+  bool learn_speeds = false;
 };
 
 /// @brief The current time on the monotonic and on the wall clock.
@@ -106,6 +109,15 @@
   };
   Reach AgentsHeard(Millis age, Now now) const;
 
+  /// @brief Numbers of workers by their learnt speed.
+  struct SpeedCounts {
+    int unknown = 0;  ///< No run has told anything yet.
+    int faster = 0;
+    int usual = 0;
+    int slower = 0;
+  };
+  SpeedCounts CountSpeeds(Now now) const;
+
   /// @brief Takes the log lines since the last call.
   std::vector<LogLine> TakeLog();
 
--- a/packages/scheduler/src/fleet.cc
+++ b/packages/scheduler/src/fleet.cc
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallotlug::scheduler {
 
@@ -35,6 +36,11 @@
     worker.agent = &agent;
     worker.free = agent.worker.capacity;
     worker.schedulable = IsSchedulable(agent, policy, now);
+    if (state.options.learn_speeds) {
+      const double log_factor = LogFactor(state.speeds, name, now);
+      worker.time_factor = std::exp(log_factor);
+      worker.speed_class = SpeedClass(log_factor);
+    }
     while (runs != end && runs->first < name) {
       ++runs;
     }
--- a/packages/scheduler/src/fleet.h
+++ b/packages/scheduler/src/fleet.h
@@ -15,6 +15,9 @@
   const AgentRow* agent = nullptr;
   workload::Resources free;  ///< Without what is reserved for blocked units.
   bool schedulable = false;  ///< May take new runs.
+  /// Time that a task takes here, relative to a usual worker.
+  double time_factor = 1;
+  int speed_class = 0;
 };
 
 using Fleet = std::vector<FleetWorker>;
--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -277,6 +277,7 @@
     Log(state, "agent_forgotten",
         {{"agent", it.first.value}, {"address", agent.address.address}});
     drops.push_back(workload::DropAgent(it.first));
+    DropWorker(state.speeds, it.first);
     ++state.agents_version;
     return true;
   });
@@ -311,6 +312,7 @@
   }
   state.unrecorded.insert(key);
   state.open.erase(key);
+  DropOccurrence(state.speeds, key.job, key.number);
   state.guarantees_outdated = true;
   row.final_at = now;
   Log(state, "occurrence_final",
--- a/packages/scheduler/src/placement.h
+++ b/packages/scheduler/src/placement.h
@@ -19,6 +19,9 @@
   workload::Resources capacity;
   workload::Resources free;
   int limit = 0;  ///< Maximum number of tasks of this unit.
+  /// Time that a task takes, relative to a usual worker.
+  double time_factor = 1;
+  int speed_class = 0;
 };
 
 /// @brief Resources and locality that a unit requires.
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -7,6 +7,7 @@
 #include "fleet.h"
 #include "placement.h"
 #include "reserve.h"
+#include "speed_choice.h"
 #include "suspects.h"
 #include "units.h"
 #include "victims.h"
@@ -88,7 +89,8 @@
               TasksOfStepOn(placement.state, unit, *worker.name);
     }
     candidates.push_back({static_cast<int>(n), worker.agent->rack,
-                          worker.agent->worker.capacity, worker.free, limit});
+                          worker.agent->worker.capacity, worker.free, limit,
+                          worker.time_factor, worker.speed_class});
   }
   return candidates;
 }
@@ -130,6 +132,29 @@
   return near;
 }
 
+/// @brief The first of the choices of candidates that holds the demand within
+/// one rack, else the first that holds it at all.
+std::vector<int> FitChoices(const std::vector<std::vector<Candidate>>& choices,
+                            const Demand& demand,
+                            bool spread) {
+  for (const std::vector<Candidate>& it : choices) {
+    std::vector<int> workers = FitIntoRack(it, demand);
+    if (!workers.empty()) {
+      return workers;
+    }
+  }
+  for (const std::vector<Candidate>& it : choices) {
+    if (!spread) {
+      break;
+    }
+    std::vector<int> workers = FitInto(it, demand);
+    if (!workers.empty()) {
+      return workers;
+    }
+  }
+  return {};
+}
+
 std::vector<int> Fit(const State& state,
                      const Unit& unit,
                      const std::vector<Candidate>& all,
@@ -138,15 +163,12 @@
   if (demand.data_rack != kNoRack && Waited(unit, now) < kDataLocalityWait) {
     const std::vector<Candidate> near = CandidatesInRack(all, demand.data_rack);
     if (!near.empty()) {
-      return FitIntoRack(near, demand);
+      return FitChoices(ChoicesBySpeed(unit, near, now), demand, false);
     }
   }
-  std::vector<int> workers = FitIntoRack(all, demand);
-  if (workers.empty() && demand.count > 1 &&
-      MaySpreadOverRacks(state, unit, all, demand, now)) {
-    workers = FitInto(all, demand);
-  }
-  return workers;
+  const bool spread =
+      demand.count > 1 && MaySpreadOverRacks(state, unit, all, demand, now);
+  return FitChoices(ChoicesBySpeed(unit, all, now), demand, spread);
 }
 
 /// @brief Whether all tasks of the demand fit into the eligible workers, with
@@ -182,6 +204,7 @@
   row.urgent = unit.Priority() == 0;
   row.placed_at = placement.now.local;
   row.checkpoint = progress.checkpoint;
+  row.resumed = !row.checkpoint.empty();
   on.free -= row.need;
   placement.state.runs.Put(task, std::move(row));
   Log(placement.state, "run_placed",
@@ -192,6 +215,7 @@
        {"worker", on.agent->worker.life.id},
        {"queue", unit.row->job->queue},
        {"guaranteed", unit.guaranteed ? "true" : "false"},
+       {"time_factor", FactorText(on.time_factor)},
        {"waited_ms", std::to_string(Waited(unit, placement.now).count())},
        Age("report_age_ms", on.agent->heard_at, placement.now.local)});
 }
@@ -214,6 +238,7 @@
   state.reservations.erase(unit.key);
   state.reserve_wait_since.erase(unit.key);
   state.preemption_failed_at.erase(unit.key);
+  state.speed_wait_since.erase(unit.key);
   state.isolation_wait_since.erase(unit.key);
   if (unit.suspect) {
     CloseWorkers(state, placement.fleet, unit, workers, placement.now.local);
@@ -382,15 +407,25 @@
         return WaitReason::kNotAlone;
       }
     }
-    if (may_fit && PlaceTasks(placement, unit, demand, candidates)) {
+    std::vector<Candidate> in_time =
+        CandidatesInTime(unit, candidates, demand, placement.now);
+    const bool choosy = in_time.size() < candidates.size() &&
+                        MayWaitForSpeed(state, unit, placement.now.local);
+    if (!choosy) {
+      in_time = candidates;
+    }
+    if (may_fit && PlaceTasks(placement, unit, demand, in_time)) {
       return std::nullopt;
     }
     if (may_preempt) {
-      ExcludeReservedWorkers(state, unit, candidates, placement.now);
-      if (Preempt(placement, unit, candidates, demand)) {
+      ExcludeReservedWorkers(state, unit, in_time, placement.now);
+      if (Preempt(placement, unit, in_time, demand)) {
         return WaitReason::kStopsPending;
       }
     }
+    if (choosy && !state.reservations.contains(unit.key)) {
+      return WaitReason::kNoneInTime;
+    }
   }
   const auto reservation = state.reservations.find(unit.key);
   if (reservation == state.reservations.end()) {
@@ -411,6 +446,7 @@
   };
   std::erase_if(state.reserve_wait_since, is_final);
   std::erase_if(state.preemption_failed_at, is_final);
+  std::erase_if(state.speed_wait_since, is_final);
 }
 
 }  // namespace
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "crash_counts.h"
+#include "rates.h"
 #include "waits.h"
 
 namespace shallotlug::scheduler {
@@ -207,6 +208,7 @@
                      AgentRow& agent,
                      const SyncReply& reply,
                      TimePoint now) {
+  const ReadTimes times(reply, now);
   const bool had_orphans = !agent.orphans.empty();
   agent.orphans.clear();
   std::set<RunRef> reported;
@@ -221,6 +223,7 @@
     reported.insert(run);
     ApplyRunReport(state, *row, it, now);
     ApplyCheckpoint(state, it, *row);
+    MeasureRate(state, it, *row, times);
   }
   if (had_orphans && agent.orphans.empty()) {
     state.placement_outdated = true;
@@ -319,6 +322,7 @@
       reply.worker != agent.worker) {
     state.placement_outdated = true;
   }
+  NoteLife(state.speeds, agent.address.agent, reply.worker.life, reply.speed);
   const bool announced = agent.worker.draining;
   agent.worker_state = reply.worker_state;
   agent.worker = reply.worker;
--- a/packages/scheduler/src/reserve.cc
+++ b/packages/scheduler/src/reserve.cc
@@ -1,6 +1,7 @@
 #include "reserve.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace shallotlug::scheduler {
 
@@ -73,7 +74,8 @@
   return static_cast<std::size_t>((expected + each - 1) / each);
 }
 
-/// @brief Removes the workers with the most free accelerators from the list.
+/// @brief Removes the workers with the most free accelerators from the list,
+/// the faster ones first.
 void ExcludeEmptiestWorkers(const UrgentDemand& urgent,
                             std::vector<Candidate>& candidates,
                             TimePoint now) {
@@ -89,7 +91,8 @@
       known ? std::min(most, WorkersExpected(urgent, candidates)) : most;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const Candidate& a, const Candidate& b) {
-                     return a.free.accelerators > b.free.accelerators;
+                     return std::tie(b.free.accelerators, a.speed_class) <
+                            std::tie(a.free.accelerators, b.speed_class);
                    });
   candidates.erase(candidates.begin(),
                    candidates.begin() + static_cast<std::ptrdiff_t>(n));
--- a/packages/scheduler/src/run_table.h
+++ b/packages/scheduler/src/run_table.h
@@ -20,6 +20,12 @@
   kRunning,
 };
 
+/// @brief Progress of a run when its worker was read.
+struct ProgressRead {
+  TimePoint at{};  ///< Zero: not read yet.
+  int percent = 0;
+};
+
 /// @brief A run that may exist on a worker. `on`, `need` and `urgent` do not
 /// change while the row is in a RunTable.
 struct RunRow {
@@ -36,8 +42,15 @@
   TimePoint placed_at{};
   TimePoint running_since{};
   std::string checkpoint;
+  bool resumed = false;  ///< Maybe started from a checkpoint.
   int percent = 0;
   TimePoint advanced_at{};  ///< When its progress last increased.
+  /// When the worker confirmed the start, as far as the agent knows.
+  TimePoint started_at{};
+  /// Progress and time since which its rate is measured, and the latest ones
+  /// that the rate contains.
+  ProgressRead measured_from;
+  ProgressRead measured_to;
 };
 
 /// @brief The runs of one agent, and the resources that they occupy.
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "rates.h"
 #include "state.h"
 #include "units.h"
 
@@ -94,6 +95,7 @@
       run.ordered_before = true;
       run.placed_at = now.local;
       run.checkpoint = tasks[n].checkpoint;
+      run.resumed = !run.checkpoint.empty();
       run.urgent = row.job->terms.priority == 0;
       state.runs.Put(
           {key.job, key.number, static_cast<int>(step), static_cast<int>(n)},
@@ -188,6 +190,7 @@
   State& state = impl_->state;
   ApplyPolicy(state, policy);
   ExpireLeases(state, now.local);
+  LearnSpeeds(state, now.local);
   DecideOutcomes(state, policy, now.local);
   PlaceUnits(state, policy, now);
   impl_->batch_ends.clear();
@@ -352,6 +355,8 @@
   agent.noted_sent = agent.noted_ends;
   request.settled = std::exchange(agent.settled, {});
   request.stops = agent.orphans;
+  const Belief speed = SpeedOf(state.speeds, name);
+  request.speed = {speed.mean, speed.weight};
   ExtendLease(state, agent, request, now.local);
   AddOrders(state, name, request, now.local);
   return request;
@@ -415,6 +420,23 @@
   return reach;
 }
 
+Scheduler::SpeedCounts Scheduler::CountSpeeds(Now now) const {
+  const State& state = impl_->state;
+  SpeedCounts counts;
+  for (const auto& [name, agent] : state.agents) {
+    const int speed_class =
+        SpeedClass(LogFactor(state.speeds, name, now.local));
+    if (SpeedOf(state.speeds, name).weight <= 0) {
+      ++counts.unknown;
+    } else {
+      ++(speed_class < 0   ? counts.faster
+         : speed_class > 0 ? counts.slower
+                           : counts.usual);
+    }
+  }
+  return counts;
+}
+
 std::vector<LogLine> Scheduler::TakeLog() {
   return std::exchange(impl_->state.log, {});
 }
--- /dev/null
+++ b/packages/scheduler/src/speed_choice.cc
@@ -0,0 +1,117 @@
+#include "speed_choice.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace shallotlug::scheduler {
+
+namespace {
+
+// An unguaranteed urgent unit waits this long at most for fast workers; a job
+// must not wait for longer in a pool that is not busy.
+constexpr Millis kMaxSpeedWait{1'500};
+// A guaranteed unit waits for this fraction of the time within which it has to
+// start.
+constexpr int kWaitShareOfReclaim = 8;
+
+/// @brief Whether the unit would end within its objective on such a worker, by
+/// its estimate.
+bool MeetsObjective(const Unit& unit, double time_factor, Now now) {
+  const auto needed =
+      std::chrono::duration_cast<Millis>(time_factor * unit.step->estimate);
+  return now.wall + needed <= unit.objective;
+}
+
+template <class Predicate>
+std::vector<Candidate> Filter(const std::vector<Candidate>& candidates,
+                              Predicate predicate) {
+  std::vector<Candidate> kept;
+  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(kept),
+               predicate);
+  return kept;
+}
+
+std::set<int> Classes(const std::vector<Candidate>& candidates) {
+  std::set<int> classes;
+  for (const Candidate& it : candidates) {
+    classes.insert(it.speed_class);
+  }
+  return classes;
+}
+
+bool CanHold(const std::vector<Candidate>& candidates, const Demand& demand) {
+  if (demand.same_rack) {
+    return AnyRackCanHold(candidates, demand);
+  }
+  std::int64_t slots = 0;
+  for (const Candidate& it : candidates) {
+    slots += Slots(it.capacity, demand.need, it.limit);
+  }
+  return slots >= demand.count;
+}
+
+void AddFastestFirst(const std::vector<Candidate>& candidates,
+                     std::vector<std::vector<Candidate>>& choices) {
+  for (const int limit : Classes(candidates)) {
+    choices.push_back(Filter(candidates, [&](const Candidate& it) {
+      return it.speed_class <= limit;
+    }));
+  }
+}
+
+void AddSlowestFirst(const std::vector<Candidate>& candidates,
+                     std::vector<std::vector<Candidate>>& choices) {
+  const std::set<int> classes = Classes(candidates);
+  for (auto limit = classes.rbegin(); limit != classes.rend(); ++limit) {
+    choices.push_back(Filter(candidates, [&](const Candidate& it) {
+      return it.speed_class >= *limit;
+    }));
+  }
+}
+
+}  // namespace
+
+std::vector<std::vector<Candidate>> ChoicesBySpeed(
+    const Unit& unit,
+    const std::vector<Candidate>& candidates,
+    Now now) {
+  std::vector<std::vector<Candidate>> choices;
+  if (Classes(candidates).size() <= 1) {
+    choices.push_back(candidates);
+    return choices;
+  }
+  if (unit.Priority() > 0) {
+    AddSlowestFirst(Filter(candidates,
+                           [&](const Candidate& it) {
+                             return MeetsObjective(unit, it.time_factor, now);
+                           }),
+                    choices);
+  }
+  AddFastestFirst(candidates, choices);
+  return choices;
+}
+
+std::vector<Candidate> CandidatesInTime(
+    const Unit& unit,
+    const std::vector<Candidate>& candidates,
+    const Demand& demand,
+    Now now) {
+  if (unit.Priority() > 0 || unit.step->lasting) {
+    return candidates;
+  }
+  std::vector<Candidate> in_time = Filter(candidates, [&](const Candidate& it) {
+    return MeetsObjective(unit, it.time_factor, now);
+  });
+  return CanHold(in_time, demand) ? in_time : candidates;
+}
+
+bool MayWaitForSpeed(State& state, const Unit& unit, TimePoint now) {
+  const auto since = state.speed_wait_since.try_emplace(unit.key, now).first;
+  const Millis limit = unit.guaranteed
+                           ? state.options.reclaim / kWaitShareOfReclaim
+                           : kMaxSpeedWait;
+  return now - since->second < limit;
+}
+
+}  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -11,6 +11,7 @@
 
 #include "run_table.h"
 #include "shallotlug/scheduler/scheduler.h"
+#include "speeds.h"
 
 /// State tables of the scheduler, and the planning passes that update them.
 namespace shallotlug::scheduler {
@@ -153,9 +154,13 @@
   std::map<UnitKey, TimePoint> isolation_wait_since;
   /// When no runs were found that make room for an urgent unit.
   std::map<UnitKey, TimePoint> preemption_failed_at;
+  /// Urgent units that wait for workers fast enough for their objectives, and
+  /// since when.
+  std::map<UnitKey, TimePoint> speed_wait_since;
   UrgentDemand urgent;
   /// Workers on which a task has failed; its next run goes elsewhere.
   std::map<workload::TaskRef, std::set<AgentName>> failed_on;
+  SpeedTable speeds;
   TimePoint authority_confirmed{};
   std::vector<LogLine> log;
 };
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -2,6 +2,7 @@
 #define SHALLOTLUG_SCHEDULER_SRC_TEST_SCHEDULER_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,7 +14,8 @@
 
 class TestScheduler {
  public:
-  TestScheduler();
+  /// @param learn_speeds As the scheduler's option of this name.
+  explicit TestScheduler(bool learn_speeds = false);
 
   void AddWorker(const std::string& agent,
                  const std::string& rack,
@@ -105,6 +107,18 @@
     agents_.at(agent).percent = percent;
   }
 
+  /// @brief From now on each task of the job ends after this work, which takes
+  /// a worker of factor 1 as long.
+  void SetWork(const std::string& job, Millis work) {
+    work_[JobId(job)] = work;
+  }
+  /// @brief The worker takes this multiple of its tasks' work from now on.
+  void SetFactor(const std::string& agent, double factor) {
+    agents_.at(agent).factor = factor;
+  }
+  /// @brief When the job's last task ended; nothing while it has not.
+  std::optional<TimePoint> EndOf(const std::string& job) const;
+
   /// @brief Sets the newest checkpoint of the worker's tasks.
   void SaveCheckpoint(const std::string& agent, const std::string& checkpoint) {
     agents_.at(agent).checkpoint = checkpoint;
@@ -130,6 +144,10 @@
   struct Agent {
     workload::WorkerFacts facts;
     std::map<workload::RunRef, bool> runs;  ///< Value: stop requested.
+    std::map<workload::RunRef, TimePoint> started;
+    std::map<workload::RunRef, Millis> worked;  ///< Of jobs with set work.
+    double factor = 1;
+    protocol::SpeedNote speed;
     std::vector<workload::RunEnd> ends;
     std::vector<protocol::CrashReport> crashes;
     std::uint64_t next_end = 1;
@@ -144,15 +162,20 @@
   };
 
   void Call(const std::string& name, Agent& agent);
-  static protocol::SyncReply ReplyOf(const std::string& name,
-                                     const Agent& agent);
+  /// @brief Advances the tasks of jobs with set work, and ends those done.
+  void Work(Millis time);
+  protocol::SyncReply ReplyOf(const std::string& name,
+                              const Agent& agent) const;
 
+  bool learn_speeds_;
   Now now_{TimePoint(Millis(100'000)), workload::WallTime(Millis(100'000))};
   workload::Policy policy_;
   Scheduler scheduler_;
   std::map<std::string, Agent> agents_;
   std::map<std::string, std::string> log_;
   std::map<JobId, workload::JobEntry> submitted_;
+  std::map<JobId, Millis> work_;
+  std::map<JobId, TimePoint> ended_;
   std::set<workload::TaskRef> deadly_;
   std::map<workload::TaskRef, std::vector<std::string>> starts_;
   int lost_to_others_ = 0;
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -16,17 +16,19 @@
                 : protocol::WorkerState::kPresent;
 }
 
-SchedulerOptions Options() {
+SchedulerOptions Options(bool learn_speeds) {
   SchedulerOptions options;
   options.entry = EntryName("entry");
   options.epoch = 1;
+  options.learn_speeds = learn_speeds;
   return options;
 }
 
 }  // namespace
 
-TestScheduler::TestScheduler()
-    : scheduler_(Options(), workload::Ledger{}, now_) {
+TestScheduler::TestScheduler(bool learn_speeds)
+    : learn_speeds_(learn_speeds),
+      scheduler_(Options(learn_speeds), workload::Ledger{}, now_) {
   policy_.version = 1;
 }
 
@@ -96,14 +98,17 @@
   for (const auto& [name, agent] : agents_) {
     ledger.agents[AgentName(name)] = {AgentName(name), name, Incarnation{1}};
   }
-  SchedulerOptions options = Options();
+  SchedulerOptions options = Options(learn_speeds_);
   ++options.epoch;
   scheduler_ = Scheduler(options, ledger, now_);
 }
 
 protocol::SyncReply TestScheduler::ReplyOf(const std::string& name,
-                                           const Agent& agent) {
+                                           const Agent& agent) const {
   protocol::SyncReply reply;
+  reply.clock = AsPeerTime(now_.local);
+  reply.read_at = reply.clock;
+  reply.speed = agent.speed;
   reply.agent = AgentName(name);
   reply.incarnation = agent.incarnation;
   reply.accepted = true;
@@ -119,6 +124,12 @@
     report.active.percent = agent.percent;
     report.active.checkpoint = agent.checkpoint;
     report.phase = protocol::RunPhase::kRunning;
+    report.started_at = AsPeerTime(agent.started.at(run));
+    const auto worked = agent.worked.find(run);
+    if (worked != agent.worked.end()) {
+      report.active.percent = static_cast<int>(std::min<std::int64_t>(
+          100, 100 * worked->second / work_.at(run.task.job)));
+    }
     reply.runs.push_back(report);
   }
   reply.ends = agent.ends;
@@ -142,9 +153,13 @@
     std::erase_if(agent.crashes,
                   [&](const auto& crash) { return crash.run == it; });
   }
+  if (request.speed.weight > 0) {
+    agent.speed = request.speed;
+  }
   bool crashes = false;
   for (const protocol::StartOrder& it : request.starts) {
     if (agent.runs.try_emplace(it.run, false).second) {
+      agent.started[it.run] = now_.local;
       starts_[it.run.task].push_back(name);
       crashes = crashes || deadly_.contains(it.run.task);
     }
@@ -191,6 +206,7 @@
   agent.ends.clear();
   agent.next_end = 1;
   ++agent.facts.life.born;
+  agent.speed = {};
   ++agent.version;
 }
 
@@ -204,6 +220,7 @@
   for (int n = 0; n < rounds; ++n) {
     now_.local += kRound;
     now_.wall += kRound;
+    Work(kRound);
     CallAgents();
     for (const workload::RawRecord& it : scheduler_.Plan(policy_, now_)) {
       log_[it.key] = it.value;
@@ -215,6 +232,51 @@
   }
 }
 
+void TestScheduler::Work(Millis time) {
+  // Tasks of a gang work together, once all of them are present.
+  std::map<JobId, std::size_t> present;
+  for (const auto& [name, agent] : agents_) {
+    for (const auto& [run, stopping] : agent.runs) {
+      ++present[run.task.job];
+    }
+  }
+  std::map<JobId, std::vector<workload::TaskRef>> done;
+  for (auto& [name, agent] : agents_) {
+    for (const auto& [run, stopping] : agent.runs) {
+      const JobId& job = run.task.job;
+      const auto work = work_.find(job);
+      const workload::Step& step = submitted_.at(job).job->steps[0];
+      if (work == work_.end() ||
+          (step.gang && present[job] < static_cast<std::size_t>(step.count))) {
+        continue;
+      }
+      Millis& worked = agent.worked[run];
+      worked += Millis(static_cast<std::int64_t>(
+          static_cast<double>(time.count()) / agent.factor));
+      if (worked >= work->second) {
+        done[job].push_back(run.task);
+      }
+    }
+  }
+  for (const auto& [job, tasks] : done) {
+    const workload::Step& step = submitted_.at(job).job->steps[0];
+    if (step.gang && tasks.size() < static_cast<std::size_t>(step.count)) {
+      continue;
+    }
+    for (const workload::TaskRef& it : tasks) {
+      End(it, workload::EndReason::kDone);
+    }
+    if (tasks.size() == present[job]) {
+      ended_[job] = now_.local;
+    }
+  }
+}
+
+std::optional<TimePoint> TestScheduler::EndOf(const std::string& job) const {
+  const auto it = ended_.find(JobId(job));
+  return it != ended_.end() ? std::optional(it->second) : std::nullopt;
+}
+
 void TestScheduler::Drain(const std::string& agent,
                           Millis remaining,
                           int percent) {
--- a/packages/scheduler/src/waits.cc
+++ b/packages/scheduler/src/waits.cc
@@ -15,6 +15,8 @@
       return "stops_pending";
     case WaitReason::kNothingToPreempt:
       return "nothing_to_preempt";
+    case WaitReason::kNoneInTime:
+      return "none_in_time";
     case WaitReason::kNotAlone:
       return "not_alone";
   }
--- a/packages/scheduler/src/waits.h
+++ b/packages/scheduler/src/waits.h
@@ -12,6 +12,7 @@
 enum class WaitReason {
   kStopsPending,      ///< Runs were preempted for it and have not ended.
   kNothingToPreempt,  ///< No set of runs makes room at a justified cost.
+  kNoneInTime,        ///< The free workers are too slow for its objective.
   kNotAlone,          ///< A suspect waits for a worker without other jobs.
 };
 
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -182,6 +182,14 @@
     const scheduler::Scheduler::Reach reach = host_.AgentsHeard();
     SetGauge("shallotlug_scheduler_agents", reach.known, {{"state", "known"}});
     SetGauge("shallotlug_scheduler_agents", reach.heard, {{"state", "heard"}});
+    const scheduler::Scheduler::SpeedCounts speeds = host_.CountSpeeds();
+    const auto set_workers = [&](const char* speed, int count) {
+      SetGauge("shallotlug_scheduler_workers", count, {{"speed", speed}});
+    };
+    set_workers("unknown", speeds.unknown);
+    set_workers("faster", speeds.faster);
+    set_workers("usual", speeds.usual);
+    set_workers("slower", speeds.slower);
     return counters_.ToPrometheusText() + histograms_.ToPrometheusText();
   }
 
--- a/packages/service/src/scheduler_host.cc
+++ b/packages/service/src/scheduler_host.cc
@@ -32,6 +32,7 @@
   options.lease = timing.longest_lease * kLeasePercentOfMax / 100;
   options.reclaim = timing.reclaim;
   options.stop_timeout = timing.stop_timeout;
+  options.learn_speeds = settings.scheduling.learn_speeds;
   options.state_retention =
       kRetentionMargin +
       Millis(static_cast<std::int64_t>(timing.state_retention_s * 1'000));
@@ -177,6 +178,12 @@
   }
 }
 
+scheduler::Scheduler::SpeedCounts SchedulerHost::CountSpeeds() {
+  const scheduler::Scheduler* scheduler = role_.Active();
+  return scheduler == nullptr ? scheduler::Scheduler::SpeedCounts{}
+                              : scheduler->CountSpeeds(ReadBothClocks());
+}
+
 scheduler::Scheduler::Reach SchedulerHost::AgentsHeard() {
   scheduler::Scheduler* scheduler = role_.Active();
   return scheduler == nullptr
--- a/packages/service/src/scheduler_host.h
+++ b/packages/service/src/scheduler_host.h
@@ -46,6 +46,9 @@
   /// @brief Agents known and lately heard; 0 while this entry is not the
   /// scheduler.
   scheduler::Scheduler::Reach AgentsHeard();
+  /// @brief Workers by learnt speed; none while this entry is not the
+  /// scheduler.
+  scheduler::Scheduler::SpeedCounts CountSpeeds();
 
  private:
   void Step();
--- a/packages/settings/include/shallotlug/settings/job_settings.h
+++ b/packages/settings/include/shallotlug/settings/job_settings.h
@@ -19,6 +19,13 @@
   double state_retention_s = 180.0;  ///< How long job states can be queried.
 };
 
+/// @brief What the scheduler takes into account, beyond the configuration.
+struct SchedulingSettings {
+  /// Workers may differ in speed: their speeds are learnt from the progress of
+  /// their runs.
+  bool learn_speeds = false;
+};
+
 /// @brief Settings of `shallotlug serve-jobs`. Addresses are `ip:port`.
 struct JobEntrySettings {
   std::string name;
@@ -33,6 +40,7 @@
   double processor_cores = 1.0;
   HttpLimits http;
   JobTiming timing;
+  SchedulingSettings scheduling;
   LogSettings log;
 };
 
--- a/packages/settings/src/job_settings.cc
+++ b/packages/settings/src/job_settings.cc
@@ -36,6 +36,19 @@
   reader.Finish();
 }
 
+void ReadScheduling(ObjectReader& parent,
+                    const std::string& file,
+                    SchedulingSettings& to,
+                    Findings& findings) {
+  const JsonNode* node = parent.Find("scheduling");
+  if (!node) {
+    return;
+  }
+  ObjectReader reader(*node, "/scheduling", file, findings);
+  reader.Optional("learn_speeds", to.learn_speeds);
+  reader.Finish();
+}
+
 JobEntrySettings ReadEntry(ObjectReader& reader,
                            const std::string& file,
                            Findings& findings) {
@@ -50,6 +63,7 @@
   reader.Optional("processor_cores", to.processor_cores, kMinCores, kMaxCores);
   ReadHttp(reader, file, to.http, findings);
   ReadTiming(reader, file, to.timing, findings);
+  ReadScheduling(reader, file, to.scheduling, findings);
   ReadLog(reader, file, to.log, findings);
   return to;
 }
