--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -488,6 +488,21 @@
   EXPECT_THAT(subject.TakeActions(now), IsEmpty());
 }
 
+// Guards against a scheduler that waits for a run that will never be there: its
+// predecessor had not recorded the refusal.
+TEST_F(ExecutorTest, AnswersAnOrderForASettledRefusal) {
+  Connect();
+  OrderStart();
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kNoRoom, {}, ""}, now);
+  SyncRequest settles;
+  settles.settled.push_back(FirstRun());
+  ASSERT_THAT(Sync(settles).refusals, IsEmpty());
+  ASSERT_THAT(OrderStart(true).refusals, SizeIs(1));
+  EXPECT_EQ(Reply().refusals[0].run, FirstRun());
+  EXPECT_THAT(Sync(settles).refusals, IsEmpty());
+}
+
 // Guards against a scheduler that waits for the first answer of a new process
 // whose version happens to equal the former one's.
 TEST_F(ExecutorTest, DoesNotTakeAFormerIncarnationsVersionForItsOwn) {
--- a/packages/executor/src/orders.cc
+++ b/packages/executor/src/orders.cc
@@ -103,11 +103,15 @@
   const RunRef& ref = order.run;
   // Until the worker's lists are read, the run may already be there. The
   // scheduler repeats the order.
-  if (runs.contains(ref) || refusals.contains(ref) ||
-      settled_refusals.contains(ref) || HasEnded(ref) ||
+  if (runs.contains(ref) || refusals.contains(ref) || HasEnded(ref) ||
       (!lists_read && !departed)) {
     return;
   }
+  // A scheduler that sends it anew waits for an answer.
+  if (settled_refusals.contains(ref)) {
+    Refuse(ref, RefusalReason::kSuperseded);
+    return;
+  }
   if (!facts || departed) {
     Refuse(ref, RefusalReason::kOtherLife);
     return;
--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -165,6 +165,29 @@
   EXPECT_THAT(settled(), testing::ElementsAre(run));
 }
 
+// Guards against a task that no scheduler starts again: the agent has forgotten
+// that it refused the run, and the scheduler was lost before it recorded that.
+TEST_F(OutcomesTest, SettlesRefusalsOnlyWhenTheyAreRecorded) {
+  const AgentName agent("a1");
+  scheduler.Submit(scheduler.Job("j", "batch", "acme", 1, 8));
+  scheduler.Run(2);
+  const workload::RunRef run{{JobId("j"), 0, 0, 0}, 1};
+  protocol::SyncReply reply = scheduler.Report("a1");
+  reply.runs.clear();
+  reply.refusals = {{run, protocol::RefusalReason::kNoRoom}};
+  const auto settled = [&] {
+    return scheduler.Get()
+        .MakeSync(agent, Millis{0}, scheduler.Clock())
+        .settled;
+  };
+  scheduler.Get().OnReply(agent, Incarnation{1}, reply, scheduler.Clock());
+  EXPECT_THAT(settled(), testing::IsEmpty());
+  scheduler.Get().Plan(scheduler.Policy(), scheduler.Clock());
+  EXPECT_THAT(settled(), testing::IsEmpty());
+  scheduler.Get().Commit();
+  EXPECT_THAT(settled(), testing::ElementsAre(run));
+}
+
 // Guards against an agent that is ignored for good because its first reply
 // could not be told from one of a former process.
 TEST_F(OutcomesTest, AcceptsANewAgentProcessAfterAnIgnoredReply) {
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -154,8 +154,10 @@
                   TimePoint now) {
   const TaskRef& task = refusal.run.task;
   const RunRow* run = state.runs.Find(task);
-  agent.settled.push_back(refusal.run);
-  state.news.insert(agent.address.agent);
+  // The agent may forget the refusal once the end of the run is recorded: a
+  // successor that still reads the run as placed orders it again.
+  agent.unsettled.insert(refusal.run);
+  state.unsettled.insert(agent.address.agent);
   if (run == nullptr || run->run != refusal.run.run ||
       run->on.agent != agent.address.agent) {
     return;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -69,7 +69,8 @@
   /// Last run ends that the batch in flight records.
   std::map<AgentName, BatchEnds> batch_ends;
   std::vector<TaskRef> batch_runs;
-  /// Crashes and ends of former lives that the batch in flight records.
+  /// Crashes, refusals and ends of former lives that the batch in flight
+  /// records.
   std::map<AgentName, std::set<workload::RunRef>> batch_settled;
   TimePoint swept_at{};  ///< When all agents were last checked for news.
 
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -68,9 +68,9 @@
   std::uint64_t noted_ends = 0;      ///< Durable.
   std::uint64_t noted_sent = 0;
   TimePoint noted_at{};  ///< When `noted_ends` last passed `noted_sent`.
-  std::vector<workload::RunRef> settled;  ///< Refusals to acknowledge.
-  /// Runs with reported crashes, or ends in former lives, that no batch
-  /// contains yet.
+  std::vector<workload::RunRef> settled;  ///< Recorded, to be acknowledged.
+  /// Runs with reported crashes, refusals or ends in former lives, that no
+  /// batch contains yet.
   std::set<workload::RunRef> unsettled;
   /// Reported runs whose task is unknown, or whose run number or agent is not
   /// the one in `runs`.
