--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet_reach.h"
 #include "shallotlug/joblog/authority.h"
 #include "shallotlug/joblog/response_timer.h"
 
@@ -15,9 +16,11 @@
 namespace {
 
 constexpr Millis kAppendRetry{50};
-// A scheduler that hears less than half of its agents for this long resigns.
+// A scheduler that hears too few agents for this long resigns.
 constexpr Millis kAgentsLostAfter{1'500};
 constexpr Millis kAgentHeardWithin{2'500};
+// A changed number of heard agents is recorded after at most this time.
+constexpr Millis kReachInterval{5'000};
 // A scheduler that can append but has not read the log to its end for this long
 // places nothing, and hands its role over to a stronger entry: it knows neither
 // the newest jobs nor the newest cancels.
@@ -52,7 +55,10 @@
   /// Start of the latest sequence of appends that all succeeded.
   TimePoint appending_since{};
   bool resigning = false;
-  bool behind = false;  ///< It resigns because it is behind the log.
+  bool behind = false;       ///< It resigns because it is behind the log.
+  bool agents_lost = false;  ///< It resigns because it hears too few agents.
+  int agents_heard = 0;
+  TimePoint reach_recorded_at{};
   std::optional<TimePoint> agents_lost_since;
 };
 
@@ -84,6 +90,7 @@
   workload::Ledger& ledger;
   const workload::Policy& policy;
   joblog::AuthorityView authority;
+  FleetReach fleet_reach;
   std::uint64_t lowest_epoch = 1;  ///< Raised when the store fences a claim.
   std::optional<std::uint64_t> claim_at;  ///< A claim is due at this offset.
   std::optional<PendingClaim> claiming;
@@ -108,6 +115,8 @@
   void BeginTerm(const SchedulerClaim& claim, Now now);
   void StepDown(const std::string& reason, TimePoint now);
   void CheckAgents(Now now);
+  /// @brief Adds the claim to the batch, with the number of heard agents.
+  void AddClaimIfDue(TimePoint now);
   void CheckLogLag(Now now);
   std::optional<RoleAppend> AppendClaim(std::uint64_t nonce, TimePoint now);
   RoleAppend Send(TimePoint now);
@@ -130,6 +139,7 @@
   if (workload::IsSchedulersRecord(key)) {
     it.authority.heard_at = now.local;
     it.authority.claim = it.ledger.claim;
+    NoteClaim(it.fleet_reach, it.ledger.claim, now.local);
     if (it.ledger.claim.behind) {
       it.handed_over_at = now.local;
     }
@@ -226,19 +236,35 @@
     claim.entry = it.options.entry;
     claim.resigned = true;
     claim.behind = term.behind;
+    claim.agents_lost = term.agents_lost;
+    claim.agents_heard = term.agents_heard;
     it.batch = {workload::Encode(claim)};
     return it.Send(now.local);
   }
   it.batch = term.scheduler.Plan(it.policy, now);
-  if (!it.batch.empty()) {
-    return it.Send(now.local);
+  if (it.batch.empty()) {
+    term.scheduler.Commit();
   }
-  term.scheduler.Commit();
-  if (now.local - term.appended_at >= joblog::kAuthorityInterval) {
-    it.batch = {workload::Encode(it.ledger.claim)};
-    return it.Send(now.local);
+  it.AddClaimIfDue(now.local);
+  if (it.batch.empty()) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return it.Send(now.local);
+}
+
+// A batch of other records shows as well that the scheduler lives, but not how
+// many agents it hears.
+void Role::Impl::AddClaimIfDue(TimePoint now) {
+  const bool silent = now - term->appended_at >= joblog::kAuthorityInterval;
+  const bool outdated = term->agents_heard != ledger.claim.agents_heard &&
+                        now - term->reach_recorded_at >= kReachInterval;
+  if (!(batch.empty() ? silent : outdated)) {
+    return;
+  }
+  SchedulerClaim claim = ledger.claim;
+  claim.agents_heard = term->agents_heard;
+  term->reach_recorded_at = now;
+  batch.push_back(workload::Encode(claim));
 }
 
 std::optional<RoleAppend> Role::Impl::AppendClaim(std::uint64_t nonce,
@@ -371,11 +397,13 @@
 }
 
 void Role::Impl::CheckAgents(Now now) {
+  const auto reach = term->scheduler.AgentsHeard(kAgentHeardWithin, now);
+  term->agents_heard = reach.heard;
   if (now.local - term->began < kAgentContactGrace) {
     return;
   }
-  const auto reach = term->scheduler.AgentsHeard(kAgentHeardWithin, now);
-  if (reach.known == 0 || reach.heard * 2 >= reach.known) {
+  if (!HearsTooFew(fleet_reach, reach.heard, reach.known, now.local)) {
+    NoteHeard(fleet_reach, reach.heard, now.local);
     term->agents_lost_since.reset();
     return;
   }
@@ -388,7 +416,9 @@
                    {{"reason", "agents_lost"},
                     {"heard", std::to_string(reach.heard)},
                     {"known", std::to_string(reach.known)},
+                    {"heard_of_late", std::to_string(fleet_reach.peak)},
                     {"epoch", std::to_string(term->epoch)}}});
+    term->agents_lost = true;
     term->resigning = true;
   }
 }
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -1,5 +1,8 @@
 #include "shallotlug/scheduler/role.h"
 
+#include <set>
+#include <string>
+
 #include <gtest/gtest.h>
 
 #include "shallotlug/joblog/authority.h"
@@ -190,6 +193,118 @@
   EXPECT_TRUE(ledger.jobs.empty());
 }
 
+class AgentReachTest : public RoleTest {
+ protected:
+  AgentReachTest() {
+    for (int n = 0; n < kAgents; ++n) {
+      present.insert("a" + std::to_string(n));
+    }
+  }
+
+  // Registers the agents that are there, and has this entry claim the role.
+  void BeginTerm() {
+    for (const std::string& it : present) {
+      Register(it);
+    }
+    for (Millis passed{0}; passed < Millis(5'000) && role.Epoch() == 0;
+         passed += Millis(100)) {
+      now.local += Millis(100);
+      Read({});
+      if (const auto claim = role.NextAppend(kNonce, now)) {
+        role.OnAppended(Appended(claim->options.at.value()), now);
+        ++end;
+      }
+    }
+  }
+
+  void Register(const std::string& name) {
+    Read({workload::Encode(workload::AgentAddress{
+        AgentName(name), "127.0.0.1:1", Incarnation{1}})});
+  }
+
+  // Others' claims that say how many agents their schedulers heard.
+  void Claim(std::uint64_t epoch, bool agents_lost, int heard) {
+    Read({workload::Encode(workload::SchedulerClaim{epoch, EntryName("other"),
+                                                    3, agents_lost, false,
+                                                    agents_lost, heard})});
+  }
+
+  // The agents that are there and reached answer; whether the role is kept.
+  bool Pass(Millis time) {
+    for (Millis passed{0}; passed < time && role.Epoch() != 0;
+         passed += Millis(100)) {
+      now.local += Millis(100);
+      now.wall += Millis(100);
+      for (const std::string& it : present) {
+        protocol::SyncReply reply;
+        reply.agent = AgentName(it);
+        reply.incarnation = Incarnation{1};
+        reply.accepted = true;
+        reply.version = ++version;
+        role.Active()->OnReply(reply.agent, Incarnation{1}, reply, now);
+      }
+      Read({});
+      if (const auto append = role.NextAppend(kNonce, now)) {
+        role.OnAppended(Appended(end++), now);
+      }
+    }
+    return role.Epoch() != 0;
+  }
+
+  static constexpr int kAgents = 11;
+  std::set<std::string> present;
+  std::uint64_t version = 1;
+};
+
+// Guards against schedulers that all resign after 4.5 s, because most machines
+// of the last ten minutes were replaced one by one (review/2).
+TEST_F(AgentReachTest, KeepsTheRoleWhileMachinesAreReplaced) {
+  BeginTerm();
+  ASSERT_TRUE(Pass(Millis(5'000)));
+  for (int n = 0; n < 2 * kAgents; ++n) {
+    present.erase(present.begin());
+    present.insert("b" + std::to_string(n));
+    Register("b" + std::to_string(n));
+    ASSERT_TRUE(Pass(Millis(2'200))) << n;
+  }
+}
+
+// The same for a successor, which knows how many agents its predecessor heard.
+TEST_F(AgentReachTest, SucceedsAfterMachinesWereReplaced) {
+  for (int n = 0; n < 3 * kAgents; ++n) {
+    Register("gone" + std::to_string(n));
+  }
+  Claim(1, false, kAgents);
+  BeginTerm();
+  ASSERT_EQ(role.Epoch(), 2U);
+  EXPECT_TRUE(Pass(Millis(10'000)));
+}
+
+// Guards against a scheduler that is cut off from most agents and keeps the
+// role.
+TEST_F(AgentReachTest, ResignsWhenItHearsFewOfTheAgentsHeardOfLate) {
+  BeginTerm();
+  ASSERT_TRUE(Pass(Millis(5'000)));
+  present = {"a0", "a1"};
+  EXPECT_FALSE(Pass(Millis(8'000)));
+}
+
+// Guards against a role that goes round for ever after most machines were lost
+// at once.
+TEST_F(AgentReachTest, StaysAfterTwoOthersHeardNoMore) {
+  Claim(1, false, kAgents);
+  Claim(2, true, 3);
+  Claim(3, true, 2);
+  for (int n = 3; n < kAgents; ++n) {
+    present.erase("a" + std::to_string(n));
+    Register("a" + std::to_string(n));
+  }
+  present.erase("a10");
+  BeginTerm();
+  ASSERT_EQ(role.Epoch(), 4U);
+  EXPECT_TRUE(Pass(Millis(10'000)));
+}
+
 class LogLagTest : public RoleTest {
  protected:
   LogLagTest() {
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -37,6 +37,9 @@
   std::uint64_t nonce = 0;  ///< Identifies the claimant's own record.
   bool resigned = false;
   bool behind = false;  ///< It has resigned because it was behind the log.
+  /// It has resigned because it heard too few agents.
+  bool agents_lost = false;
+  std::int64_t agents_heard = 0;  ///< Agents that the scheduler hears.
 };
 
 /// @brief Listening address of an agent.
--- a/packages/workload/src/ledger_test.cc
+++ b/packages/workload/src/ledger_test.cc
@@ -63,7 +63,13 @@
     EXPECT_EQ(claim.epoch, 7U);
     EXPECT_TRUE(claim.resigned);
     EXPECT_EQ(claim.behind, behind);
+    EXPECT_FALSE(claim.agents_lost);
   }
+  const RawRecord raw =
+      Encode(SchedulerClaim{7, EntryName("e"), 5, true, false, true, 14'000});
+  const auto claim = std::get<SchedulerClaim>(*Decode(raw.key, raw.value));
+  EXPECT_TRUE(claim.agents_lost);
+  EXPECT_EQ(claim.agents_heard, 14'000);
 }
 
 // The topic may contain records of other writers.
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -26,6 +26,7 @@
 // Of runs, failures and attempts of one task.
 constexpr std::int64_t kMaxRuns = 1'000'000'000;
 constexpr double kMaxSlackFactor = 1e6;
+constexpr std::int64_t kMaxAgents = 1'000'000;
 
 json::object EncodeStep(const Step& it) {
   json::object to{{"count", it.count},
@@ -328,7 +329,10 @@
     return SchedulerClaim{static_cast<std::uint64_t>(GetAmount(from, "epoch")),
                           EntryName(GetString(from, "entry")),
                           static_cast<std::uint64_t>(GetInt(from, "nonce")),
-                          GetBool(from, "resigned"), GetBool(from, "behind")};
+                          GetBool(from, "resigned"),
+                          GetBool(from, "behind"),
+                          GetBool(from, "agents_lost"),
+                          GetAmount(from, "agents", kMaxAgents)};
   }
   throw std::invalid_argument("unknown record key");
 }
@@ -397,6 +401,12 @@
   if (it.behind) {
     to["behind"] = true;
   }
+  if (it.agents_lost) {
+    to["agents_lost"] = true;
+  }
+  if (it.agents_heard > 0) {
+    to["agents"] = it.agents_heard;
+  }
   return {std::string(kClaimKey), json::serialize(to)};
 }
 
