net, service: bound what clients outside the limits can hold of a process

Operators saw a process end for want of memory: trailers without end behind a chunked body, bodies far over the limit.

Cause: the parser keeps trailers and chunk extensions whole in its read buffer, which had no bound, and memory was bounded by request, not by process. With all connections in use, new callers were refused while idle connections were kept.

Change: bounded read buffers in server and client; RequestMemory, shared by the listeners of a process, whose oldest incomplete request gives way; a connection without a complete request is closed for a new one; fewer connections for peers, probes and agents, and half of the descriptors for callers.

RefusesConnectionsBeyondItsLimit had an idle connection in the way, which is closed now; it checks connections that wait for a response.

Not covered: a fuzzer of the parser's feed with trailers.

--- a/apps/tests/processes.cc
+++ b/apps/tests/processes.cc
@@ -133,6 +133,26 @@
   return !ended_;
 }
 
+Process::Memory Process::ReadMemory() const {
+  constexpr std::size_t kKibibyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  Memory memory;
+  for (std::string word; status >> word;) {
+    if (word == "VmRSS:") {
+      status >> memory.now_bytes;
+    } else if (word == "VmHWM:") {
+      status >> memory.peak_bytes;
+    }
+  }
+  return {memory.now_bytes * kKibibyte, memory.peak_bytes * kKibibyte};
+}
+
+std::size_t Process::Descriptors() const {
+  const std::filesystem::directory_iterator files("/proc/" +
+                                                  std::to_string(pid_) + "/fd");
+  return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 std::string Process::Log() const {
   return ReadFile(log_);
 }
--- a/apps/tests/processes.h
+++ b/apps/tests/processes.h
@@ -59,6 +59,15 @@
 
   bool Running();
 
+  /// @brief Memory that it holds, and the most that it has held.
+  struct Memory {
+    std::size_t now_bytes = 0;
+    std::size_t peak_bytes = 0;
+  };
+  Memory ReadMemory() const;
+  /// @brief Number of its open descriptors.
+  std::size_t Descriptors() const;
+
   /// @brief What it has written.
   std::string Log() const;
 
--- a/packages/net/include/shallotlug/net/http_server.h
+++ b/packages/net/include/shallotlug/net/http_server.h
@@ -11,6 +11,7 @@
 
 #include "shallotlug/base/clock.h"
 #include "shallotlug/net/http_message.h"
+#include "shallotlug/net/request_memory.h"
 
 namespace shallotlug::net {
 
@@ -23,19 +24,23 @@
   std::size_t connections = 1024;
   Millis read_timeout{10'000};  ///< For one whole request.
   Millis idle_timeout{60'000};  ///< Between requests of a connection.
+  /// Shared by the listeners of a process; one of its own if there is none.
+  std::shared_ptr<RequestMemory> memory{};
 };
 
 struct HttpServerHandlers {
   std::function<void(ExchangeId, HttpRequest)> on_request;
   /// The caller closed its connection before the response; may be empty.
   std::function<void(ExchangeId)> on_gone;
-  /// A request was answered by the server itself, for the reason named.
+  /// A request was answered by the server itself, or its connection closed, for
+  /// the reason named.
   std::function<void(const std::string& reason)> on_rejected;
 };
 
 /// @brief An HTTP/1.1 server with keep-alive on the thread of its context.
 /// Requests that are truncated, slow, malformed or too large are answered with
-/// an error and never reach the handler.
+/// an error and never reach the handler. With all of its connections in use it
+/// closes one without a complete request to take a new one.
 class HttpServer {
  public:
   /// @brief Binds and starts to accept; errors are those of the socket.
--- a/packages/net/include/shallotlug/net/role_loop.h
+++ b/packages/net/include/shallotlug/net/role_loop.h
@@ -2,6 +2,7 @@
 #define SHALLOTLUG_NET_ROLE_LOOP_H_
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -87,9 +88,12 @@
 /// memory while it runs.
 class MetricsServer {
  public:
-  boost::outcome_v2::std_result<void> Listen(boost::asio::io_context& context,
-                                             const std::string& address,
-                                             MetricsSources sources);
+  /// @param memory Shared by the listeners of the process; may be null.
+  boost::outcome_v2::std_result<void> Listen(
+      boost::asio::io_context& context,
+      const std::string& address,
+      MetricsSources sources,
+      std::shared_ptr<RequestMemory> memory = nullptr);
 
  private:
   HttpResponse Answer(const HttpRequest& request) const;
--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -21,6 +21,10 @@
 
 namespace {
 
+// Bound of the read buffer, which holds a header, the trailers or a chunk's
+// extensions as a whole until they are complete.
+constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+
 class FetchCategoryImpl : public std::error_category {
  public:
   const char* name() const noexcept override { return "shallotlug.fetch"; }
@@ -66,7 +70,7 @@
   tcp::endpoint endpoint;
   std::string address;
   std::size_t response_bytes = 0;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   http::request<http::string_body> request;
   std::optional<http::response_parser<http::string_body>> parser;
   FetchHandler handler;
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -1,5 +1,8 @@
 #include "shallotlug/net/http_server.h"
 
+#include <array>
+#include <chrono>
+#include <list>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -25,12 +28,20 @@
 
 constexpr std::uint32_t kHeaderBytes = 16 * 1024;
 constexpr std::size_t kReadAheadBytes = 4096;
+// Bound of the read buffer, which holds a header, the trailers or a chunk's
+// extensions as a whole until they are complete.
+constexpr std::size_t kMaxBufferedBytes = 32 * 1024;
+// Bound of what the system holds of a connection that is not read.
+constexpr int kReceiveBufferBytes = 64 * 1024;
 // A response that is not taken within this time is given up.
 constexpr Millis kWriteTimeout{30'000};
 // After an error the rest of the request is read and dropped for this long,
 // because closing with unread data resets the connection and can destroy the
 // error on its way.
 constexpr Millis kLingerTimeout{1'000};
+// A caller that does not take its response for this long gives way to a new
+// connection when there is none left.
+constexpr Millis kStalledWrite{5'000};
 // Connections beyond the limit that are kept for as long as their error takes.
 constexpr std::size_t kRejectedConnections = 64;
 // Pause after a failed accept, for instance without free file descriptors.
@@ -46,12 +57,13 @@
                              std::to_string(body_bytes) +
                              " bytes; send a smaller one");
   }
-  if (ec == http::error::header_limit) {
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
     reason = "header_too_large";
     return ErrorResponse(431, "invalid", reason,
                          "the header is larger than " +
                              std::to_string(kHeaderBytes) +
-                             " bytes; send fewer or shorter fields");
+                             " bytes, or the trailers or extensions of a "
+                             "chunk are as large; send fewer or shorter ones");
   }
   if (ec == http::error::partial_message || ec == asio::error::eof) {
     reason = "truncated";
@@ -74,10 +86,25 @@
       : context(io),
         acceptor(std::move(socket)),
         accept_timer(io),
-        options(std::move(settings)) {}
+        options(std::move(settings)) {
+    if (!options.memory) {
+      options.memory = std::make_shared<RequestMemory>();
+    }
+  }
 
   void Accept();
+  void OnAcceptFailed();
   void Close();
+  void Rejected(const std::string& reason) const;
+  std::size_t Open() const;
+  /// @brief Closes the connection that others need least: the one that is idle
+  /// for longest, else the request that was begun first and is not complete,
+  /// else the response that was not taken for longest.
+  bool CloseOne();
+
+  enum class State { kIdle, kReading, kHandling, kWriting, kClosed };
+  static constexpr std::size_t kStates = 5;
+  using SessionList = std::list<Session*>;
 
   asio::io_context& context;
   tcp::acceptor acceptor;
@@ -87,6 +114,9 @@
   std::uint64_t next_exchange = 1;
   bool draining = false;
   std::size_t rejected = 0;
+  /// Connections within the limit, in the order in which they came into their
+  /// state.
+  std::array<SessionList, kStates> by_state;
   std::unordered_map<Session*, std::weak_ptr<Session>> sessions;
   std::unordered_map<std::uint64_t, std::shared_ptr<Session>> waiting;
 };
@@ -98,13 +128,18 @@
       : server_(std::move(server)),
         socket_(std::move(socket)),
         timer_(server_->context),
-        reject_(reject) {}
+        reject_(reject),
+        buffer_(kMaxBufferedBytes) {
+    auto& list = server_->by_state[static_cast<std::size_t>(state_)];
+    place_ = reject_ ? list.end() : list.insert(list.end(), this);
+  }
 
   ~Session() {
     if (reject_) {
       --server_->rejected;
     } else {
       server_->sessions.erase(this);
+      server_->by_state[static_cast<std::size_t>(state_)].erase(place_);
     }
   }
 
@@ -114,6 +149,11 @@
   void Start() {
     error_code ec;
     socket_.set_option(tcp::no_delay(true), ec);
+    share_ = server_->options.memory->Open([self = this->weak_from_this()] {
+      if (const auto session = self.lock()) {
+        session->GiveWay();
+      }
+    });
     if (reject_) {
       WriteError("too_many_connections",
                  ErrorResponse(503, "not_run", "too_many_connections",
@@ -137,21 +177,41 @@
     }
   }
 
+  /// @brief How long the connection has been in its state.
+  Millis SinceChange() const {
+    return std::chrono::duration_cast<Millis>(std::chrono::steady_clock::now() -
+                                              changed_at_);
+  }
+
   void Close() {
-    state_ = State::kClosed;
+    Enter(State::kClosed);
     timer_.cancel();
     error_code ec;
     socket_.close(ec);
   }
 
  private:
-  enum class State { kIdle, kReading, kHandling, kWriting, kClosed };
+  void Enter(State state) {
+    if (!reject_) {
+      auto& from = server_->by_state[static_cast<std::size_t>(state_)];
+      auto& to = server_->by_state[static_cast<std::size_t>(state)];
+      to.splice(to.end(), from, place_);
+    }
+    state_ = state;
+    changed_at_ = std::chrono::steady_clock::now();
+  }
 
   void WaitForRequest() {
     if (state_ == State::kClosed) {
       return;
     }
-    state_ = State::kIdle;
+    Enter(State::kIdle);
+    share_.Release();
+    parser_.reset();
+    response_.reset();
+    if (buffer_.size() == 0 && !filling_) {
+      buffer_.shrink_to_fit();
+    }
     if (server_->draining && buffer_.size() == 0) {
       Close();
       return;
@@ -217,12 +277,16 @@
   }
 
   void ReadRequest() {
-    state_ = State::kReading;
+    Enter(State::kReading);
     timed_out_ = false;
     parser_.emplace();
+    parser_->eager(true);
     parser_->header_limit(kHeaderBytes);
     parser_->body_limit(server_->options.body_bytes);
     SetTimer(server_->options.read_timeout, &Session::OnReadTimeout);
+    if (!HoldWhatWasRead()) {
+      return;
+    }
     http::async_read_header(
         socket_, buffer_, *parser_,
         [self = this->shared_from_this()](error_code ec, std::size_t) {
@@ -236,8 +300,35 @@
     socket_.cancel(ec);
   }
 
+  // Another connection needs the memory; the pending read ends with an error.
+  void GiveWay() {
+    if (state_ == State::kReading) {
+      gave_way_ = true;
+      error_code ec;
+      socket_.cancel(ec);
+    }
+  }
+
+  /// @brief Whether the memory has room for what was read of the request; it is
+  /// refused otherwise.
+  bool HoldWhatWasRead() {
+    if (share_.Hold(buffer_.capacity() + parser_->get().body().size())) {
+      return true;
+    }
+    RefuseForMemory();
+    return false;
+  }
+
+  void RefuseForMemory() {
+    timer_.cancel();
+    WriteError("memory_limit",
+               ErrorResponse(503, "not_run", "memory_limit",
+                             "other requests need the memory of this process; "
+                             "nothing was done, try again later"));
+  }
+
   void OnHeader(error_code ec) {
-    if (ec || state_ != State::kReading) {
+    if (ec || gave_way_ || state_ != State::kReading || parser_->is_done()) {
       OnRequest(ec);
       return;
     }
@@ -259,9 +350,18 @@
   }
 
   void ReadBody() {
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = this->shared_from_this()](
-                         error_code ec, std::size_t) { self->OnRequest(ec); });
+    if (state_ != State::kReading || !HoldWhatWasRead()) {
+      return;
+    }
+    http::async_read_some(
+        socket_, buffer_, *parser_,
+        [self = this->shared_from_this()](error_code ec, std::size_t) {
+          if (ec || self->gave_way_ || self->parser_->is_done()) {
+            self->OnRequest(ec);
+          } else {
+            self->ReadBody();
+          }
+        });
   }
 
   void OnRequest(error_code ec) {
@@ -269,6 +369,10 @@
       return;
     }
     timer_.cancel();
+    if (gave_way_) {
+      RefuseForMemory();
+      return;
+    }
     if (timed_out_) {
       WriteError("read_timeout",
                  ErrorResponse(
@@ -299,7 +403,8 @@
     request.host = std::string(message[http::field::host]);
     request.authorization = std::string(message[http::field::authorization]);
     request.body = std::move(message.body());
-    state_ = State::kHandling;
+    share_.Complete();
+    Enter(State::kHandling);
     exchange_ = server_->next_exchange++;
     server_->waiting[exchange_] = this->shared_from_this();
     ReadAhead();
@@ -307,15 +412,15 @@
   }
 
   void WriteError(const std::string& reason, HttpResponse response) {
-    if (server_->handlers.on_rejected) {
-      server_->handlers.on_rejected(reason);
-    }
+    server_->Rejected(reason);
     linger_ = true;
+    parser_.reset();
+    share_.Release();
     Write(std::move(response), false);
   }
 
   void Write(HttpResponse response, bool keep_alive) {
-    state_ = State::kWriting;
+    Enter(State::kWriting);
     response_.emplace();
     response_->version(11);
     response_->result(static_cast<unsigned>(response.status));
@@ -382,6 +487,11 @@
   asio::steady_timer timer_;
   bool reject_;
   State state_ = State::kIdle;
+  SessionList::iterator place_;
+  std::chrono::steady_clock::time_point changed_at_ =
+      std::chrono::steady_clock::now();
+  RequestMemory::Share share_;
+  bool gave_way_ = false;
   bool filling_ = false;
   bool timed_out_ = false;
   bool keep_alive_ = false;
@@ -399,15 +509,11 @@
           return;
         }
         if (ec) {
-          self->accept_timer.expires_after(kAcceptRetry);
-          self->accept_timer.async_wait([self](error_code error) {
-            if (!error) {
-              self->Accept();
-            }
-          });
+          self->OnAcceptFailed();
           return;
         }
-        const bool reject = self->sessions.size() >= self->options.connections;
+        const bool reject =
+            self->Open() >= self->options.connections && !self->CloseOne();
         if (!reject || self->rejected < kRejectedConnections) {
           const auto session =
               std::make_shared<Session>(self, std::move(socket), reject);
@@ -422,6 +528,50 @@
       });
 }
 
+// The process may have no free descriptor.
+void HttpServer::Impl::OnAcceptFailed() {
+  CloseOne();
+  accept_timer.expires_after(kAcceptRetry);
+  accept_timer.async_wait([self = shared_from_this()](error_code ec) {
+    if (!ec) {
+      self->Accept();
+    }
+  });
+}
+
+void HttpServer::Impl::Rejected(const std::string& reason) const {
+  if (handlers.on_rejected) {
+    handlers.on_rejected(reason);
+  }
+}
+
+std::size_t HttpServer::Impl::Open() const {
+  std::size_t n = 0;
+  for (const State it :
+       {State::kIdle, State::kReading, State::kHandling, State::kWriting}) {
+    n += by_state[static_cast<std::size_t>(it)].size();
+  }
+  return n;
+}
+
+bool HttpServer::Impl::CloseOne() {
+  for (const State it : {State::kIdle, State::kReading, State::kWriting}) {
+    const SessionList& list = by_state[static_cast<std::size_t>(it)];
+    if (list.empty() || (it == State::kWriting &&
+                         list.front()->SinceChange() < kStalledWrite)) {
+      continue;
+    }
+    Rejected("connection_closed");
+    // It may be destroyed when it is closed.
+    const auto session = sessions.at(list.front()).lock();
+    if (session) {
+      session->Close();
+    }
+    return session != nullptr;
+  }
+  return false;
+}
+
 void HttpServer::Impl::Close() {
   error_code ec;
   acceptor.close(ec);
@@ -452,6 +602,9 @@
     const HttpServerOptions& options,
     HttpServerHandlers handlers) {
   BOOST_OUTCOME_TRY(auto acceptor, OpenAcceptor(context, options.address));
+  error_code ignored;
+  acceptor.set_option(
+      asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
   auto impl = std::make_shared<Impl>(context, std::move(acceptor), options);
   impl->handlers = std::move(handlers);
   impl->Accept();
--- a/packages/net/src/http_test.cc
+++ b/packages/net/src/http_test.cc
@@ -1,7 +1,11 @@
+#include <array>
 #include <atomic>
 #include <chrono>
+#include <memory>
+#include <string>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <boost/asio/connect.hpp>
@@ -147,20 +151,104 @@
             std::string::npos);
 }
 
-// Guards against more connections than the machine has room for.
+// Guards against more connections than the machine has room for, while each of
+// those open waits for its response.
 TEST_F(HttpTest, RefusesConnectionsBeyondItsLimit) {
   HttpServerOptions options;
   options.connections = 1;
   Start(options);
   tcp::socket first = Connect();
-  asio::write(first, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
-  std::array<char, 1> byte{};
-  asio::read(first, asio::buffer(byte));
+  asio::write(first, asio::buffer(std::string("GET /hold HTTP/1.1\r\n\r\n")));
+  while (requests == 0) {
+    std::this_thread::sleep_for(Millis(1));
+  }
   tcp::socket second = Connect();
   const std::string reply = ReadAll(second);
   EXPECT_NE(reply.find("too_many_connections"), std::string::npos) << reply;
 }
 
+// Guards against callers who are refused because others hold connections that
+// they do not use.
+TEST_F(HttpTest, ClosesAnIdleConnectionForANewCaller) {
+  HttpServerOptions options;
+  options.connections = 1;
+  Start(options);
+  tcp::socket first = Connect();
+  asio::write(first, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  std::array<char, 1> byte{};
+  asio::read(first, asio::buffer(byte));
+  const std::string reply =
+      Exchange("GET / HTTP/1.1\r\nConnection: close\r\n\r\n", false);
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 200")) << reply;
+}
+
+// Guards against memory without bound: one buffer holds all trailers, or the
+// extensions of a chunk, until they are complete.
+TEST_F(HttpTest, RefusesTrailersAndExtensionsWithoutEnd) {
+  Start();
+  const std::string begin =
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string trailers = begin + "1\r\nx\r\n0\r\nField: ";
+  for (const std::string& it : {trailers, begin + "1;extension="}) {
+    const std::string reply = Exchange(it + std::string(100'000, 'v'), false);
+    EXPECT_TRUE(reply.starts_with("HTTP/1.1 431")) << reply;
+  }
+  EXPECT_EQ(requests, 0);
+}
+
+// Guards against incomplete bodies that take the memory which a complete
+// request needs: the oldest gives way, and is told that nothing was done.
+TEST_F(HttpTest, RefusesTheOldestIncompleteBodyBeyondTheMemory) {
+  constexpr std::size_t kBody = 100'000;
+  HttpServerOptions options;
+  options.memory = std::make_shared<RequestMemory>(3 * kBody);
+  Start(options);
+  const std::string begin = std::string(kPost) + "Connection: close\r\n" +
+                            "Content-Length: " + std::to_string(kBody) +
+                            "\r\n\r\n";
+  const std::string incomplete = begin + std::string(kBody - 1, 'b');
+  std::vector<tcp::socket> sockets;
+  for (int n = 0; n < 3; ++n) {
+    sockets.push_back(Connect());
+    asio::write(sockets.back(), asio::buffer(incomplete));
+  }
+  const std::string refusal = ReadAll(sockets.front());
+  EXPECT_NE(refusal.find("memory_limit"), std::string::npos) << refusal;
+  EXPECT_NE(refusal.find("not_run"), std::string::npos) << refusal;
+  const std::string reply = Exchange(incomplete + "b", false);
+  EXPECT_TRUE(reply.starts_with("HTTP/1.1 200")) << reply.substr(0, 100);
+}
+
+// Guards against a server whose trailers, or extensions of a chunk, fill the
+// memory of the client.
+TEST_F(HttpTest, ClientGivesUpOnTrailersAndExtensionsWithoutEnd) {
+  const std::string begin =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& it :
+       {begin + "1\r\nx\r\n0\r\nField: ", begin + "1;extension="}) {
+    tcp::acceptor acceptor(client_context, {asio::ip::tcp::v4(), 0});
+    std::size_t taken = 0;
+    std::thread server([&] {
+      tcp::socket socket = acceptor.accept();
+      boost::system::error_code ec;
+      asio::write(socket, asio::buffer(it), ec);
+      const std::string more(4'096, 'v');
+      while (!ec) {
+        taken += asio::write(socket, asio::buffer(more), ec);
+      }
+    });
+    HttpFetchOptions options;
+    options.address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const auto result = Fetch(options);
+    server.join();
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error(), FetchError::kOutcomeUnknown);
+    // What the system's buffers of the connection hold, and some more.
+    EXPECT_LT(taken, 16U << 20);
+  }
+}
+
 // Guards against requests of one connection that are answered out of order or
 // only once.
 TEST_F(HttpTest, KeepsAConnectionForPipelinedRequests) {
--- a/packages/net/src/role_loop.cc
+++ b/packages/net/src/role_loop.cc
@@ -22,6 +22,8 @@
 constexpr Millis kFlushTimeout{5'000};
 // Scrapes and probes come from few places.
 constexpr std::size_t kMetricsConnections = 64;
+// Their requests have no body.
+constexpr std::size_t kMetricsBodyBytes = 4'096;
 
 Millis clock_offset{0};
 
@@ -157,11 +159,14 @@
 boost::outcome_v2::std_result<void> MetricsServer::Listen(
     asio::io_context& context,
     const std::string& address,
-    MetricsSources sources) {
+    MetricsSources sources,
+    std::shared_ptr<RequestMemory> memory) {
   sources_ = std::move(sources);
   HttpServerOptions options;
   options.address = address;
   options.connections = kMetricsConnections;
+  options.body_bytes = kMetricsBodyBytes;
+  options.memory = std::move(memory);
   HttpServerHandlers handlers;
   handlers.on_request = [this](ExchangeId id, const HttpRequest& request) {
     server_->Reply(id, Answer(request));
--- a/packages/service/src/job_agent.cc
+++ b/packages/service/src/job_agent.cc
@@ -1,5 +1,6 @@
 #include "shallotlug/service/job_agent.h"
 
+#include <algorithm>
 #include <csignal>
 #include <map>
 #include <memory>
@@ -47,7 +48,11 @@
 constexpr Millis kTickInterval{100};
 constexpr Millis kRegistrationDeadline{60'000};
 constexpr Millis kMaxSyncWait{5'000};
-constexpr std::size_t kMaxSyncBodyBytes = 16 << 20;
+// All orders to one worker, with their payloads.
+constexpr std::size_t kMaxSyncBodyBytes = 4 << 20;
+constexpr std::size_t kMaxHeartbeatBytes = 64 << 10;
+// Of one worker, or of the entries that schedule in turn.
+constexpr std::size_t kConnections = 256;
 
 /// @brief A long poll of the scheduler that waits for a state change.
 struct PendingSync {
@@ -77,10 +82,11 @@
 
   int Run() {
     if (!OpenServer(heartbeat_server_, settings_.heartbeats_listen,
+                    kMaxHeartbeatBytes,
                     [this](ExchangeId id, const HttpRequest& request) {
                       OnHeartbeatCall(id, request);
                     }) ||
-        !OpenServer(sync_server_, settings_.scheduler_listen,
+        !OpenServer(sync_server_, settings_.scheduler_listen, kMaxSyncBodyBytes,
                     [this](ExchangeId id, const HttpRequest& request) {
                       OnSyncCall(id, request);
                     }) ||
@@ -90,7 +96,7 @@
                                histograms_.ToPrometheusText();
                       },
                       [] { return true; }},
-                     metrics_)) {
+                     memory_, metrics_)) {
       return 1;
     }
     WriteLog({LogLevel::kInfo,
@@ -109,10 +115,12 @@
  private:
   bool OpenServer(std::optional<HttpServer>& server,
                   const std::string& address,
+                  std::size_t body_bytes,
                   std::function<void(ExchangeId, const HttpRequest&)> handler) {
-    net::HttpServerOptions options;
+    net::HttpServerOptions options = OptionsOf(settings_.http, memory_);
     options.address = address;
-    options.body_bytes = kMaxSyncBodyBytes;
+    options.body_bytes = body_bytes;
+    options.connections = std::min(options.connections, kConnections);
     return OpenListener(context_, options, counters_, std::move(handler),
                         server);
   }
@@ -338,6 +346,8 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer poll_timer_;
   CounterTable counters_;
+  std::shared_ptr<net::RequestMemory> memory_ =
+      std::make_shared<net::RequestMemory>(settings_.http.memory_bytes);
   HistogramTable histograms_;
   RecordQueue records_;
   Incarnation incarnation_;
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -1,5 +1,6 @@
 #include "shallotlug/service/job_entry.h"
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <optional>
@@ -51,6 +52,16 @@
 // Keys of malformed records that are logged, each once.
 constexpr std::size_t kMaxLoggedKeys = 100;
 
+// Other entries hand over single requests; the balancer probes once a second.
+constexpr std::size_t kPeerConnections = 256;
+constexpr std::size_t kReadinessConnections = 64;
+
+// The other half of the descriptors is for the agents, the store, the other
+// listeners and files.
+std::size_t MaxCallerConnections() {
+  return std::max<std::size_t>(DescriptorLimit() / 2, 1);
+}
+
 HttpResponse ReadinessResponse(bool ready) {
   HttpResponse response;
   response.status = ready ? 200 : 503;
@@ -93,12 +104,13 @@
 
   int Run() {
     if (!OpenServer(caller_server_, settings_.callers_listen,
+                    MaxCallerConnections(),
                     [this](ExchangeId id, const HttpRequest& request) {
                       api_.Handle(request, [this, id](HttpResponse response) {
                         caller_server_->Reply(id, std::move(response));
                       });
                     }) ||
-        !OpenServer(peer_server_, settings_.peers_listen,
+        !OpenServer(peer_server_, settings_.peers_listen, kPeerConnections,
                     [this](ExchangeId id, const HttpRequest& request) {
                       api_.HandleForPeer(
                           request, [this, id](HttpResponse response) {
@@ -106,13 +118,14 @@
                           });
                     }) ||
         !OpenServer(readiness_server_, settings_.readiness_listen,
+                    kReadinessConnections,
                     [this](ExchangeId id, const HttpRequest&) {
                       readiness_server_->Reply(id, ReadinessResponse(Ready()));
                     }) ||
         !OpenMetrics(
             context_, settings_.metrics_listen,
             {[this] { return MetricsText(); }, [this] { return Ready(); }},
-            metrics_)) {
+            memory_, metrics_)) {
       return 1;
     }
     WriteLog({LogLevel::kInfo,
@@ -130,13 +143,11 @@
  private:
   bool OpenServer(std::optional<HttpServer>& server,
                   const std::string& address,
+                  std::size_t connections,
                   std::function<void(ExchangeId, const HttpRequest&)> handler) {
-    net::HttpServerOptions options;
+    net::HttpServerOptions options = OptionsOf(settings_.http, memory_);
     options.address = address;
-    options.body_bytes = settings_.http.body_bytes;
-    options.connections = settings_.http.connections;
-    options.read_timeout = settings_.http.read_timeout;
-    options.idle_timeout = settings_.http.idle_timeout;
+    options.connections = std::min(options.connections, connections);
     return OpenListener(context_, options, counters_, std::move(handler),
                         server);
   }
@@ -353,6 +364,8 @@
   boost::asio::steady_timer shutdown_timer_;
   boost::asio::steady_timer registration_timer_;
   CounterTable counters_;
+  std::shared_ptr<net::RequestMemory> memory_ =
+      std::make_shared<net::RequestMemory>(settings_.http.memory_bytes);
   HistogramTable histograms_;
   workload::Ledger ledger_;
   workload::Policy policy_;
--- a/packages/service/src/listener.h
+++ b/packages/service/src/listener.h
@@ -2,6 +2,7 @@
 #define SHALLOTLUG_SERVICE_SRC_LISTENER_H_
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
@@ -10,10 +11,19 @@
 #include "shallotlug/base/histograms.h"
 #include "shallotlug/net/http_server.h"
 #include "shallotlug/net/role_loop.h"
+#include "shallotlug/settings/settings.h"
 
 namespace shallotlug::service {
 
-/// @brief Opens an HTTP listener; logs the reason on failure.
+/// @brief Options of a listener with these limits.
+net::HttpServerOptions OptionsOf(const settings::HttpLimits& limits,
+                                 std::shared_ptr<net::RequestMemory> memory);
+
+/// @brief Descriptors that this process may open.
+std::size_t DescriptorLimit();
+
+/// @brief Opens an HTTP listener; logs the reason on failure. Refused requests
+/// and closed connections are counted, and logged at most once a second.
 bool OpenListener(
     boost::asio::io_context& context,
     const net::HttpServerOptions& options,
@@ -25,6 +35,7 @@
 bool OpenMetrics(boost::asio::io_context& context,
                  const std::string& address,
                  net::MetricsSources sources,
+                 std::shared_ptr<net::RequestMemory> memory,
                  net::MetricsServer& server);
 
 }  // namespace shallotlug::service
--- a/packages/settings/include/shallotlug/settings/job_settings.h
+++ b/packages/settings/include/shallotlug/settings/job_settings.h
@@ -38,6 +38,8 @@
   /// Processor time that the machine gives this process, in cores. Entries with
   /// more of it take the scheduler role first.
   double processor_cores = 1.0;
+  /// Memory that the machine gives this process, in MB; 0: unknown.
+  double machine_memory_mb = 0;
   HttpLimits http;
   JobTiming timing;
   SchedulingSettings scheduling;
@@ -53,6 +55,8 @@
   std::string metrics_listen;
   std::string worker;
   std::string store;
+  double machine_memory_mb = 0;  ///< As for an entry.
+  HttpLimits http;
   Millis longest_lease{10'000};  ///< The worker caps leases at this.
   LogSettings log;
 };
--- a/packages/settings/include/shallotlug/settings/settings.h
+++ b/packages/settings/include/shallotlug/settings/settings.h
@@ -28,6 +28,8 @@
   std::size_t connections = 1024;
   Millis read_timeout{10'000};  ///< For one whole request.
   Millis idle_timeout{60'000};  ///< Between requests of a connection.
+  /// What all connections of the process hold for incomplete requests.
+  std::size_t memory_bytes = 16 << 20;
 };
 
 /// @brief Settings of `shallotlug serve`. Addresses are `ip:port`.
--- a/packages/settings/src/fields.cc
+++ b/packages/settings/src/fields.cc
@@ -80,6 +80,10 @@
   reader.Optional("connections", to.connections, {1, 100'000});
   reader.Optional("read_timeout_ms", to.read_timeout, Millis(1));
   reader.Optional("idle_timeout_ms", to.idle_timeout, Millis(1));
+  reader.Optional("memory_bytes", to.memory_bytes, {64 << 10, 1 << 30});
+  if (to.memory_bytes < to.body_bytes) {
+    reader.Fault("memory_bytes", "must hold one body of http.body_bytes");
+  }
   reader.Finish();
 }
 
--- a/packages/settings/src/job_settings.cc
+++ b/packages/settings/src/job_settings.cc
@@ -16,6 +16,20 @@
 constexpr double kMinCores = 0.001;
 constexpr double kMaxCores = 4'096.0;
 
+constexpr double kMaxMachineMemoryMb = 16'777'216;
+constexpr double kBytesPerMegabyte = 1'000'000;
+
+/// @brief Reads the machine's memory, and checks that requests take no more
+/// than half of it: the process needs the rest for the jobs.
+void ReadMemory(ObjectReader& reader, const HttpLimits& http, double& to) {
+  reader.Optional("machine_memory_mb", to, 0.0, kMaxMachineMemoryMb);
+  if (to > 0 &&
+      2 * static_cast<double>(http.memory_bytes) > to * kBytesPerMegabyte) {
+    reader.Fault("machine_memory_mb",
+                 "must be at least twice http.memory_bytes; lower that");
+  }
+}
+
 void ReadLongestLease(ObjectReader& timing, Millis& to) {
   timing.Optional("longest_lease_ms", to, Millis(1'000));
 }
@@ -62,6 +76,7 @@
   ReadAddress(reader, "store", to.store);
   reader.Optional("processor_cores", to.processor_cores, kMinCores, kMaxCores);
   ReadHttp(reader, file, to.http, findings);
+  ReadMemory(reader, to.http, to.machine_memory_mb);
   ReadTiming(reader, file, to.timing, findings);
   ReadScheduling(reader, file, to.scheduling, findings);
   ReadLog(reader, file, to.log, findings);
@@ -79,6 +94,8 @@
   ReadAddress(reader, "metrics_listen", to.metrics_listen);
   ReadAddress(reader, "worker", to.worker);
   ReadAddress(reader, "store", to.store);
+  ReadHttp(reader, file, to.http, findings);
+  ReadMemory(reader, to.http, to.machine_memory_mb);
   if (const JsonNode* node = reader.Find("timing")) {
     ObjectReader timing(*node, "/timing", file, findings);
     ReadLongestLease(timing, to.longest_lease);
