scheduler, executor, protocol: mend what the review of learnt speeds and of the fleet's count found

Also: beliefs keyed by agent (sums no longer depend on addresses), one pass over workers for a plan.

Left as it is: each placed task tries the choices anew, as it copied the candidates before.

--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -74,11 +74,12 @@
   if (lease_end) {
     it.lease_until = std::max(it.lease_until, *lease_end);
   }
-  std::erase_if(it.settled_refusals,
-                [&](const auto& settled) { return settled.second <= now; });
+  std::erase_if(it.settled_refusals, [&](const auto& settled) {
+    return settled.second.until <= now;
+  });
   for (const RunRef& ref : request.settled) {
-    if (it.refusals.erase(ref) > 0) {
-      it.settled_refusals[ref] = now + kLateOrderLimit;
+    if (const auto refusal = it.refusals.extract(ref)) {
+      it.settled_refusals[ref] = {refusal.mapped(), now + kLateOrderLimit};
     }
     it.crashes.erase(ref);
     std::erase_if(it.former_ends,
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -36,6 +36,11 @@
   std::uint64_t first_look_after_start = 0;
 };
 
+struct SettledRefusal {
+  protocol::RefusalReason reason = protocol::RefusalReason::kNoRoom;
+  TimePoint until{};  ///< An order that was sent before may still arrive.
+};
+
 /// @brief Whether the run is on the worker, or a start of it was sent.
 bool MayBePresent(const TrackedRun& run);
 
@@ -76,9 +81,8 @@
   std::map<workload::RunRef, protocol::CrashReport>
       crashes;  ///< Of earlier lives.
   std::map<workload::RunRef, protocol::RefusalReason> refusals;
-  /// Refusals that the scheduler has recorded, and until when an order that was
-  /// sent before may still arrive.
-  std::map<workload::RunRef, TimePoint> settled_refusals;
+  /// Refusals that the scheduler has recorded.
+  std::map<workload::RunRef, SettledRefusal> settled_refusals;
   /// When starts that may yet be carried out were found to have no answer.
   std::map<workload::RunRef, TimePoint> unanswered_starts;
   std::uint64_t noted_ends = 0;
--- a/packages/executor/src/orders.cc
+++ b/packages/executor/src/orders.cc
@@ -108,8 +108,9 @@
     return;
   }
   // A scheduler that sends it anew waits for an answer.
-  if (settled_refusals.contains(ref)) {
-    Refuse(ref, RefusalReason::kSuperseded);
+  const auto settled = settled_refusals.find(ref);
+  if (settled != settled_refusals.end()) {
+    Refuse(ref, settled->second.reason);
     return;
   }
   if (!facts || departed) {
--- a/packages/protocol/src/sync_codec.cc
+++ b/packages/protocol/src/sync_codec.cc
@@ -23,6 +23,10 @@
 constexpr std::uint64_t kTraversalFloorWords = 4096;
 constexpr int kNestingLimit = 8;
 
+// No worker differs by more from a usual one, and no evidence is stronger.
+constexpr double kMaxLogFactor = 10;
+constexpr double kMaxSpeedWeight = 1e6;
+
 struct BadValue {};
 
 template <class Enum>
@@ -102,8 +106,10 @@
 
 SpeedNote Read(wire::SpeedNote::Reader from) {
   const SpeedNote it{from.getLogFactor(), from.getWeight()};
-  if (!std::isfinite(it.log_factor) || !std::isfinite(it.weight) ||
-      it.weight < 0) {
+  // Written so that it is false for what is no number.
+  const bool valid = std::abs(it.log_factor) <= kMaxLogFactor &&
+                     it.weight >= 0 && it.weight <= kMaxSpeedWeight;
+  if (!valid) {
     throw BadValue{};
   }
   return it;
--- a/packages/protocol/src/sync_codec_test.cc
+++ b/packages/protocol/src/sync_codec_test.cc
@@ -56,11 +56,15 @@
   EXPECT_EQ(DecodeSyncReply(Encode(reply)), reply);
 }
 
-// Guards against a scheduler that computes with a speed that is no number.
-TEST(SyncCodecTest, RefusesASpeedThatIsNoNumber) {
+// Guards against a scheduler that computes with a speed that no worker has.
+TEST(SyncCodecTest, RefusesASpeedThatCannotBe) {
   SyncReply reply;
   reply.speed.log_factor = std::numeric_limits<double>::quiet_NaN();
   EXPECT_FALSE(DecodeSyncReply(Encode(reply)));
+  reply.speed = {1e308, 1};
+  EXPECT_FALSE(DecodeSyncReply(Encode(reply)));
+  reply.speed = {0, 1e308};
+  EXPECT_FALSE(DecodeSyncReply(Encode(reply)));
   reply.speed = {0, -1};
   EXPECT_FALSE(DecodeSyncReply(Encode(reply)));
 }
--- a/packages/scheduler/src/fleet.cc
+++ b/packages/scheduler/src/fleet.cc
@@ -27,17 +27,21 @@
                 TimePoint now) {
   Fleet fleet;
   fleet.reserve(state.agents.size());
-  // Both tables are in order of the agents' names.
+  // All tables are in order of the agents' names.
   auto runs = state.runs.ByAgent().begin();
   const auto end = state.runs.ByAgent().end();
+  auto speed = state.speeds.workers.begin();
   for (const auto& [name, agent] : state.agents) {
     FleetWorker worker;
     worker.name = &name;
     worker.agent = &agent;
     worker.free = agent.worker.capacity;
     worker.schedulable = IsSchedulable(agent, policy, now);
-    if (state.options.learn_speeds) {
-      const double log_factor = LogFactor(state.speeds, name, now);
+    while (speed != state.speeds.workers.end() && speed->first < name) {
+      ++speed;
+    }
+    if (speed != state.speeds.workers.end() && speed->first == name) {
+      const double log_factor = LogFactor(speed->second, now);
       worker.time_factor = std::exp(log_factor);
       worker.speed_class = SpeedClass(log_factor);
     }
--- a/packages/scheduler/src/fleet_reach.h
+++ b/packages/scheduler/src/fleet_reach.h
@@ -1,7 +1,11 @@
 #ifndef SHALLOTLUG_SCHEDULER_SRC_FLEET_REACH_H_
 #define SHALLOTLUG_SCHEDULER_SRC_FLEET_REACH_H_
 
+#include <cstddef>
+#include <set>
+
 #include "shallotlug/base/clock.h"
+#include "shallotlug/base/ids.h"
 #include "shallotlug/workload/record.h"
 
 /// Whether a scheduler hears enough agents to go on. What counts as the fleet
@@ -12,26 +16,39 @@
 struct FleetReach {
   int peak = 0;  ///< Most agents that a scheduler has heard of late.
   TimePoint peak_at{};
-  /// Schedulers that have resigned of late because they heard too few agents,
-  /// and the most that one of them heard.
-  int resigned = 0;
+  /// Other entries that have resigned of late because they heard too few
+  /// agents, and the most that one of them heard.
+  std::set<EntryName> resigned;
   int heard_by_resigned = 0;
   TimePoint resigned_at{};
 };
 
-/// @brief Notes that a scheduler has heard this many agents.
+/// @brief What a scheduler knows of its agents.
+struct AgentCounts {
+  int heard = 0;
+  int known = 0;                  ///< Registered; counts where no claim tells.
+  std::size_t other_entries = 0;  ///< That could schedule as well.
+};
+
+enum class ReachVerdict {
+  kEnough,
+  /// Too few, but so many others have resigned that heard no more that the
+  /// agents are gone.
+  kNoneHearMore,
+  kTooFew,  ///< Another entry is likely to hear more.
+};
+
+/// @brief Notes the number of agents that a scheduler hears, which are enough.
 void NoteHeard(FleetReach& reach, int heard, TimePoint now);
 
-/// @brief Notes a claim that was read from the log.
+/// @brief Notes a new claim of another entry.
 void NoteClaim(FleetReach& reach,
                const workload::SchedulerClaim& claim,
                TimePoint now);
 
-/// @brief Whether another scheduler is likely to hear more agents than this
-/// one: it hears less than half of those heard of late, and no two others have
-/// resigned of late that heard no more.
-/// @param known Number of registered agents; counts where no claim tells.
-bool HearsTooFew(const FleetReach& reach, int heard, int known, TimePoint now);
+ReachVerdict JudgeReach(const FleetReach& reach,
+                        const AgentCounts& agents,
+                        TimePoint now);
 
 }  // namespace shallotlug::scheduler
 
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -132,29 +132,6 @@
   return near;
 }
 
-/// @brief The first of the choices of candidates that holds the demand within
-/// one rack, else the first that holds it at all.
-std::vector<int> FitChoices(const std::vector<std::vector<Candidate>>& choices,
-                            const Demand& demand,
-                            bool spread) {
-  for (const std::vector<Candidate>& it : choices) {
-    std::vector<int> workers = FitIntoRack(it, demand);
-    if (!workers.empty()) {
-      return workers;
-    }
-  }
-  for (const std::vector<Candidate>& it : choices) {
-    if (!spread) {
-      break;
-    }
-    std::vector<int> workers = FitInto(it, demand);
-    if (!workers.empty()) {
-      return workers;
-    }
-  }
-  return {};
-}
-
 std::vector<int> Fit(const State& state,
                      const Unit& unit,
                      const std::vector<Candidate>& all,
@@ -163,12 +140,24 @@
   if (demand.data_rack != kNoRack && Waited(unit, now) < kDataLocalityWait) {
     const std::vector<Candidate> near = CandidatesInRack(all, demand.data_rack);
     if (!near.empty()) {
-      return FitChoices(ChoicesBySpeed(unit, near, now), demand, false);
+      return FirstFit(unit, near, now, [&](const auto& choice) {
+        return FitIntoRack(choice, demand);
+      });
     }
   }
-  const bool spread =
-      demand.count > 1 && MaySpreadOverRacks(state, unit, all, demand, now);
-  return FitChoices(ChoicesBySpeed(unit, all, now), demand, spread);
+  // Tasks of a gang without a rack run as fast over several.
+  const bool anywhere = demand.count > 1 && !demand.same_rack;
+  std::vector<int> workers = FirstFit(unit, all, now, [&](const auto& choice) {
+    std::vector<int> fit = FitIntoRack(choice, demand);
+    return fit.empty() && anywhere ? FitInto(choice, demand) : fit;
+  });
+  if (workers.empty() && demand.same_rack && demand.count > 1 &&
+      MaySpreadOverRacks(state, unit, all, demand, now)) {
+    workers = FirstFit(unit, all, now, [&](const auto& choice) {
+      return FitInto(choice, demand);
+    });
+  }
+  return workers;
 }
 
 /// @brief Whether all tasks of the demand fit into the eligible workers, with
@@ -238,7 +227,6 @@
   state.reservations.erase(unit.key);
   state.reserve_wait_since.erase(unit.key);
   state.preemption_failed_at.erase(unit.key);
-  state.speed_wait_since.erase(unit.key);
   state.isolation_wait_since.erase(unit.key);
   if (unit.suspect) {
     CloseWorkers(state, placement.fleet, unit, workers, placement.now.local);
@@ -409,8 +397,10 @@
     }
     std::vector<Candidate> in_time =
         CandidatesInTime(unit, candidates, demand, placement.now);
+    // Runs that are being stopped for the unit would be stopped in vain.
     const bool choosy = in_time.size() < candidates.size() &&
-                        MayWaitForSpeed(state, unit, placement.now.local);
+                        (MayWaitForSpeed(state, unit, placement.now.local) ||
+                         AwaitsStops(state, unit));
     if (!choosy) {
       in_time = candidates;
     }
--- a/packages/scheduler/src/rates.cc
+++ b/packages/scheduler/src/rates.cc
@@ -16,6 +16,8 @@
 // A worker is slowed down when a run that has a rate advances by less than this
 // share of what its rate promises.
 constexpr double kSlowedShare = 0.5;
+// Such slowdowns last for seconds; the run tells if it goes on.
+constexpr Millis kSlowdownTime{3'000};
 // A run that has come to its end waits there for the other members of its gang.
 constexpr int kAllPercent = 100;
 
@@ -57,6 +59,34 @@
              : 0;
 }
 
+/// @brief Whether the run's latest progress is part of its rate from now on. It
+/// waits until enough of it has come together, and is left out while the worker
+/// is slowed down.
+bool Extend(State& state, RunRow& run, const ProgressRead& read) {
+  const int before = run.measured_to.percent - run.measured_from.percent;
+  if (before < kMinPercent) {
+    return read.percent - run.measured_from.percent >= kMinPercent;
+  }
+  const Millis passed = read.at - run.measured_to.at;
+  const int gained = read.percent - run.measured_to.percent;
+  const double expected = Rate(run.measured_from, run.measured_to) *
+                          static_cast<double>(passed.count());
+  if (expected < kMinPercent) {
+    return false;
+  }
+  if (gained >= kSlowedShare * expected) {
+    EndSlowdown(state.speeds, run.on.agent);
+    return true;
+  }
+  run.measured_from.at += passed;
+  run.measured_from.percent += gained;
+  run.measured_to = read;
+  NoteSlowdown(state.speeds, run.on.agent,
+               std::log(expected / std::max(gained, 1)),
+               read.at + std::max(kSlowdownTime, 2 * passed));
+  return false;
+}
+
 }  // namespace
 
 void MeasureRate(State& state,
@@ -65,8 +95,8 @@
                  const ReadTimes& times) {
   const TaskRef& task = report.active.run.task;
   const OccurrenceRow* row = FindOccurrence(state, task);
-  if (row == nullptr || !state.open.contains(KeyOf(task)) ||
-      StepOf(*row, task.step).lasting ||
+  if (!state.options.learn_speeds || row == nullptr ||
+      !state.open.contains(KeyOf(task)) || StepOf(*row, task.step).lasting ||
       report.phase != protocol::RunPhase::kRunning) {
     return;
   }
@@ -81,29 +111,7 @@
     run.measured_from = FirstRead(state, task, run, read);
     run.measured_to = run.measured_from;
   }
-  if (read.at <= run.measured_to.at) {
-    return;
-  }
-  const int gained = read.percent - run.measured_to.percent;
-  const int before = run.measured_to.percent - run.measured_from.percent;
-  if (before >= kMinPercent) {
-    const double expected =
-        Rate(run.measured_from, run.measured_to) *
-        static_cast<double>((read.at - run.measured_to.at).count());
-    if (expected < kMinPercent) {
-      return;
-    }
-    if (gained < kSlowedShare * expected) {
-      run.measured_from.at += read.at - run.measured_to.at;
-      run.measured_from.percent += gained;
-      run.measured_to = read;
-      NoteSlowdown(state.speeds, run.on.agent,
-                   std::log(expected / std::max(gained, 1)), read.at);
-      return;
-    }
-    EndSlowdown(state.speeds, run.on.agent);
-  }
-  if (read.percent - run.measured_from.percent < kMinPercent) {
+  if (read.at <= run.measured_to.at || !Extend(state, run, read)) {
     return;
   }
   run.measured_to = read;
@@ -114,11 +122,11 @@
 }
 
 void LearnSpeeds(State& state, TimePoint now) {
-  if (!UpdateSpeeds(state.speeds, now)) {
+  if (!state.options.learn_speeds || !UpdateSpeeds(state.speeds, now)) {
     return;
   }
   for (auto& [agent, worker] : state.speeds.workers) {
-    const double log_factor = LogFactor(state.speeds, agent, now);
+    const double log_factor = LogFactor(worker, now);
     const int speed_class = SpeedClass(log_factor);
     if (std::exchange(worker.logged_class, speed_class) != speed_class) {
       Log(state, "worker_speed",
@@ -131,15 +139,4 @@
   }
 }
 
-std::optional<Millis> MeasuredTimeLeft(const RunRow& run, TimePoint now) {
-  const double rate = Rate(run.measured_from, run.measured_to);
-  if (rate <= 0) {
-    return std::nullopt;
-  }
-  const double left = (kAllPercent - run.measured_to.percent) / rate;
-  return std::max(
-      run.measured_to.at + Millis(static_cast<std::int64_t>(left)) - now,
-      Millis{0});
-}
-
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/rates.h
+++ b/packages/scheduler/src/rates.h
@@ -1,8 +1,6 @@
 #ifndef SHALLOTLUG_SCHEDULER_SRC_RATES_H_
 #define SHALLOTLUG_SCHEDULER_SRC_RATES_H_
 
-#include <optional>
-
 #include "state.h"
 
 /// Measures how fast runs progress, from the reports of their agents.
@@ -41,9 +39,6 @@
 /// last call, and logs each worker whose speed class has changed.
 void LearnSpeeds(State& state, TimePoint now);
 
-/// @brief Remaining time of a run by its measured rate.
-std::optional<Millis> MeasuredTimeLeft(const RunRow& run, TimePoint now);
-
 }  // namespace shallotlug::scheduler
 
 #endif  // SHALLOTLUG_SCHEDULER_SRC_RATES_H_
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -324,7 +324,9 @@
       reply.worker != agent.worker) {
     state.placement_outdated = true;
   }
-  NoteLife(state.speeds, agent.address.agent, reply.worker.life, reply.speed);
+  if (state.options.learn_speeds) {
+    NoteLife(state.speeds, agent.address.agent, reply.worker.life, reply.speed);
+  }
   const bool announced = agent.worker.draining;
   agent.worker_state = reply.worker_state;
   agent.worker = reply.worker;
--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -19,6 +19,9 @@
 // A scheduler that hears too few agents for this long resigns.
 constexpr Millis kAgentsLostAfter{1'500};
 constexpr Millis kAgentHeardWithin{2'500};
+// A scheduler that hears few agents, as others did, takes these for the fleet
+// after this time: less than for how long resignations are remembered.
+constexpr Millis kFewAgentsTime{20'000};
 // A changed number of heard agents is recorded after at most this time.
 constexpr Millis kReachInterval{5'000};
 // A scheduler that can append but has not read the log to its end for this long
@@ -57,7 +60,8 @@
   bool resigning = false;
   bool behind = false;       ///< It resigns because it is behind the log.
   bool agents_lost = false;  ///< It resigns because it hears too few agents.
-  int agents_heard = 0;
+  int agents_heard = 0;      ///< While these are enough; or as it resigned.
+  std::optional<TimePoint> few_agents_since;  ///< None hear more.
   TimePoint reach_recorded_at{};
   std::optional<TimePoint> agents_lost_since;
 };
@@ -115,6 +119,7 @@
   void BeginTerm(const SchedulerClaim& claim, Now now);
   void StepDown(const std::string& reason, TimePoint now);
   void CheckAgents(Now now);
+  void NoteAgents(ReachVerdict verdict, int heard, TimePoint now);
   /// @brief Adds the claim to the batch, with the number of heard agents.
   void AddClaimIfDue(TimePoint now);
   void CheckLogLag(Now now);
@@ -139,7 +144,11 @@
   if (workload::IsSchedulersRecord(key)) {
     it.authority.heard_at = now.local;
     it.authority.claim = it.ledger.claim;
-    NoteClaim(it.fleet_reach, it.ledger.claim, now.local);
+    // Claims from before this process followed the log say nothing of now.
+    if (workload::IsClaim(key) && it.current_at != TimePoint{} &&
+        it.ledger.claim.entry != it.options.entry) {
+      NoteClaim(it.fleet_reach, it.ledger.claim, now.local);
+    }
     if (it.ledger.claim.behind) {
       it.handed_over_at = now.local;
     }
@@ -397,14 +406,17 @@
 }
 
 void Role::Impl::CheckAgents(Now now) {
-  const auto reach = term->scheduler.AgentsHeard(kAgentHeardWithin, now);
-  term->agents_heard = reach.heard;
   if (now.local - term->began < kAgentContactGrace) {
     return;
   }
-  if (!HearsTooFew(fleet_reach, reach.heard, reach.known, now.local)) {
-    NoteHeard(fleet_reach, reach.heard, now.local);
+  const auto reach = term->scheduler.AgentsHeard(kAgentHeardWithin, now);
+  const std::size_t others =
+      ledger.entries.size() - ledger.entries.count(options.entry);
+  const ReachVerdict verdict =
+      JudgeReach(fleet_reach, {reach.heard, reach.known, others}, now.local);
+  if (verdict != ReachVerdict::kTooFew) {
     term->agents_lost_since.reset();
+    NoteAgents(verdict, reach.heard, now.local);
     return;
   }
   if (!term->agents_lost_since) {
@@ -418,11 +430,28 @@
                     {"known", std::to_string(reach.known)},
                     {"heard_of_late", std::to_string(fleet_reach.peak)},
                     {"epoch", std::to_string(term->epoch)}}});
+    term->agents_heard = reach.heard;
     term->agents_lost = true;
     term->resigning = true;
   }
 }
 
+// The agents that no entry hears any more leave the fleet in the end.
+void Role::Impl::NoteAgents(ReachVerdict verdict, int heard, TimePoint now) {
+  if (verdict == ReachVerdict::kEnough) {
+    term->few_agents_since.reset();
+    term->agents_heard = heard;
+    NoteHeard(fleet_reach, heard, now);
+    return;
+  }
+  if (!term->few_agents_since) {
+    term->few_agents_since = now;
+  }
+  if (now - *term->few_agents_since >= kFewAgentsTime) {
+    fleet_reach = {heard, now, {}, 0, {}};
+  }
+}
+
 void Role::Impl::CheckLogLag(Now now) {
   // While the store is away, reads fail as appends do.
   const Millis lag = now.local - std::max(current_at, term->appending_since);
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include "fleet_reach.h"
 #include "shallotlug/joblog/authority.h"
 
 namespace shallotlug::scheduler {
@@ -245,7 +246,10 @@
       }
       Read({});
       if (const auto append = role.NextAppend(kNonce, now)) {
-        role.OnAppended(Appended(end++), now);
+        const std::vector<workload::RawRecord> records = append->records;
+        role.OnAppended(Appended(end), now);
+        // The entry reads its own records back as well.
+        Read(records);
       }
     }
     return role.Epoch() != 0;
@@ -289,20 +293,58 @@
   EXPECT_FALSE(Pass(Millis(8'000)));
 }
 
+// Guards against a cut-off scheduler that takes the few agents that it hears
+// for the fleet, because no claim of late tells of more.
+TEST_F(AgentReachTest, ResignsWhenItHearsFewOfTheRegisteredAgents) {
+  BeginTerm();
+  present = {"a0", "a1"};
+  EXPECT_FALSE(Pass(Millis(60'000)));
+}
+
+// Most of the agents were lost, and these entries have resigned for it.
+class AgentsGoneTest : public AgentReachTest {
+ protected:
+  void LoseAgents(const std::vector<std::string>& resigned) {
+    for (const char* it : {"self", "e1", "e2", "e3", "e4"}) {
+      ledger.entries[EntryName(it)] = {EntryName(it), "127.0.0.1:1", {}, 100};
+    }
+    std::uint64_t epoch = 1;
+    Claim(epoch++, false, kAgents);
+    for (const std::string& it : resigned) {
+      Read({workload::Encode(workload::SchedulerClaim{epoch++, EntryName(it), 3,
+                                                      true, false, true, 3})});
+    }
+    for (const std::string& it : present) {
+      Register(it);
+    }
+    present = {"a0", "a1", "a2"};
+    BeginTerm();
+  }
+};
+
 // Guards against a role that goes round for ever after most machines were lost
 // at once.
-TEST_F(AgentReachTest, StaysAfterTwoOthersHeardNoMore) {
-  Claim(1, false, kAgents);
-  Claim(2, true, 3);
-  Claim(3, true, 2);
-  for (int n = 3; n < kAgents; ++n) {
-    present.erase("a" + std::to_string(n));
-    Register("a" + std::to_string(n));
+TEST_F(AgentsGoneTest, StaysAfterThreeOthersHeardNoMore) {
+  LoseAgents({"e1", "e2", "e3"});
+  EXPECT_TRUE(Pass(Millis(100'000)));
+}
+
+// Guards against a cut-off scheduler that keeps the role before entries
+// elsewhere had their turn.
+TEST_F(AgentsGoneTest, ResignsAfterOneOtherHeardNoMore) {
+  LoseAgents({"e1", "e1", "e1"});
+  EXPECT_FALSE(Pass(Millis(10'000)));
+}
+
+// Guards against a chain of resignations while agents go on failing.
+TEST_F(AgentsGoneTest, StaysWithSlightlyFewerAgentsThanTheOthers) {
+  FleetReach reach;
+  for (const char* it : {"e1", "e2", "e3"}) {
+    NoteClaim(reach, {1, EntryName(it), 3, true, false, true, 100}, now.local);
   }
-  present.erase("a10");
-  BeginTerm();
-  ASSERT_EQ(role.Epoch(), 4U);
-  EXPECT_TRUE(Pass(Millis(10'000)));
+  EXPECT_EQ(JudgeReach(reach, {95, 300, 4}, now.local),
+            ReachVerdict::kNoneHearMore);
+  EXPECT_EQ(JudgeReach(reach, {50, 300, 4}, now.local), ReachVerdict::kTooFew);
 }
 
 class LogLagTest : public RoleTest {
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -356,7 +356,7 @@
   agent.noted_sent = agent.noted_ends;
   request.settled = std::exchange(agent.settled, {});
   request.stops = agent.orphans;
-  const Belief speed = SpeedOf(state.speeds, name);
+  const Belief speed = NoteOf(state.speeds, name);
   request.speed = {speed.mean, speed.weight};
   ExtendLease(state, agent, request, now.local);
   AddOrders(state, name, request, now.local);
@@ -425,15 +425,15 @@
   const State& state = impl_->state;
   SpeedCounts counts;
   for (const auto& [name, agent] : state.agents) {
-    const int speed_class =
-        SpeedClass(LogFactor(state.speeds, name, now.local));
-    if (SpeedOf(state.speeds, name).weight <= 0) {
+    const auto worker = state.speeds.workers.find(name);
+    if (worker == state.speeds.workers.end() || worker->second.weight <= 0) {
       ++counts.unknown;
-    } else {
-      ++(speed_class < 0   ? counts.faster
-         : speed_class > 0 ? counts.slower
-                           : counts.usual);
+      continue;
     }
+    const int speed_class = SpeedClass(LogFactor(worker->second, now.local));
+    ++(speed_class < 0   ? counts.faster
+       : speed_class > 0 ? counts.slower
+                         : counts.usual);
   }
   return counts;
 }
--- a/packages/scheduler/src/speed_choice.cc
+++ b/packages/scheduler/src/speed_choice.cc
@@ -20,7 +20,7 @@
 bool MeetsObjective(const Unit& unit, double time_factor, Now now) {
   const auto needed =
       std::chrono::duration_cast<Millis>(time_factor * unit.step->estimate);
-  return now.wall + needed <= unit.objective;
+  return now.wall + needed + unit.time_behind <= unit.objective;
 }
 
 template <class Predicate>
@@ -51,45 +51,60 @@
   return slots >= demand.count;
 }
 
-void AddFastestFirst(const std::vector<Candidate>& candidates,
-                     std::vector<std::vector<Candidate>>& choices) {
+/// @brief Tries the fastest candidates, then also the next class, and so on.
+std::vector<int> FitFastest(const std::vector<Candidate>& candidates,
+                            const FitFunction& fit) {
   for (const int limit : Classes(candidates)) {
-    choices.push_back(Filter(candidates, [&](const Candidate& it) {
-      return it.speed_class <= limit;
-    }));
+    std::vector<int> workers = fit(Filter(
+        candidates, [&](const auto& it) { return it.speed_class <= limit; }));
+    if (!workers.empty()) {
+      return workers;
+    }
   }
+  return {};
 }
 
-void AddSlowestFirst(const std::vector<Candidate>& candidates,
-                     std::vector<std::vector<Candidate>>& choices) {
+std::vector<int> FitSlowest(const std::vector<Candidate>& candidates,
+                            const FitFunction& fit) {
   const std::set<int> classes = Classes(candidates);
   for (auto limit = classes.rbegin(); limit != classes.rend(); ++limit) {
-    choices.push_back(Filter(candidates, [&](const Candidate& it) {
-      return it.speed_class >= *limit;
-    }));
+    std::vector<int> workers = fit(Filter(
+        candidates, [&](const auto& it) { return it.speed_class >= *limit; }));
+    if (!workers.empty()) {
+      return workers;
+    }
   }
+  return {};
+}
+
+bool AreAlike(const std::vector<Candidate>& candidates) {
+  return std::all_of(candidates.begin(), candidates.end(),
+                     [&](const Candidate& it) {
+                       return it.speed_class == candidates.front().speed_class;
+                     });
 }
 
 }  // namespace
 
-std::vector<std::vector<Candidate>> ChoicesBySpeed(
-    const Unit& unit,
-    const std::vector<Candidate>& candidates,
-    Now now) {
-  std::vector<std::vector<Candidate>> choices;
-  if (Classes(candidates).size() <= 1) {
-    choices.push_back(candidates);
-    return choices;
+std::vector<int> FirstFit(const Unit& unit,
+                          const std::vector<Candidate>& candidates,
+                          Now now,
+                          const FitFunction& fit) {
+  if (unit.step->lasting || AreAlike(candidates)) {
+    return fit(candidates);
   }
   if (unit.Priority() > 0) {
-    AddSlowestFirst(Filter(candidates,
-                           [&](const Candidate& it) {
-                             return MeetsObjective(unit, it.time_factor, now);
-                           }),
-                    choices);
+    std::vector<int> workers =
+        FitSlowest(Filter(candidates,
+                          [&](const Candidate& it) {
+                            return MeetsObjective(unit, it.time_factor, now);
+                          }),
+                   fit);
+    if (!workers.empty()) {
+      return workers;
+    }
   }
-  AddFastestFirst(candidates, choices);
-  return choices;
+  return FitFastest(candidates, fit);
 }
 
 std::vector<Candidate> CandidatesInTime(
--- a/packages/scheduler/src/speed_choice.h
+++ b/packages/scheduler/src/speed_choice.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_SCHEDULER_SRC_SPEED_CHOICE_H_
 #define SHALLOTLUG_SCHEDULER_SRC_SPEED_CHOICE_H_
 
+#include <functional>
 #include <vector>
 
 #include "placement.h"
@@ -11,13 +12,18 @@
 /// has time for slow workers.
 namespace shallotlug::scheduler {
 
-/// @brief Candidates to try, the best choice first. An urgent unit takes the
-/// fastest workers; another one the slowest on which it meets its objective, so
-/// that the faster ones stay free, or the fastest if it meets it nowhere.
-std::vector<std::vector<Candidate>> ChoicesBySpeed(
-    const Unit& unit,
-    const std::vector<Candidate>& candidates,
-    Now now);
+/// @brief Workers for a demand among these candidates; none if it does not fit.
+using FitFunction =
+    std::function<std::vector<int>(const std::vector<Candidate>&)>;
+
+/// @brief Tries choices of the candidates, the best one first, until one fits.
+/// An urgent unit takes the fastest workers; another one the slowest on which
+/// it meets its objective, so that the faster ones stay free, or the fastest if
+/// it meets it nowhere.
+std::vector<int> FirstFit(const Unit& unit,
+                          const std::vector<Candidate>& candidates,
+                          Now now,
+                          const FitFunction& fit);
 
 /// @brief The candidates on which an urgent unit that starts now meets its
 /// objective; all of them if those cannot hold it even when they are empty, or
--- a/packages/scheduler/src/speed_choice_test.cc
+++ b/packages/scheduler/src/speed_choice_test.cc
@@ -124,8 +124,8 @@
 }
 
 // Guards against urgent gangs that end late because of one slow worker, while
-// fast ones are free. A scheduler that began without knowledge serves nine
-// tenths of what one with all speeds serves, from its first ten seconds on.
+// fast ones are free. After its first ten seconds a scheduler that began
+// without knowledge serves nine tenths of what one with all speeds serves.
 TEST(SpeedChoiceTest, ServesUrgentGangsInTimeOnUnevenWorkers) {
   const Served not_used = PlayUrgentGangs(Knowledge::kNotUsed);
   const Served learnt = PlayUrgentGangs(Knowledge::kLearnt);
@@ -203,6 +203,89 @@
   EXPECT_EQ(fleet.scheduler.Running("live").size(), 8U);
 }
 
+// Guards against an urgent unit that is stopped for in vain: its runs are
+// placed on slow workers while those on fast ones are still being stopped.
+TEST(SpeedChoiceTest, WaitsForTheStopsOnFastWorkers) {
+  Racks fleet(24, Knowledge::kKnown);
+  fleet.scheduler.AddCustomer("sure", 64);
+  workload::Job batch = fleet.scheduler.Job("batch", "batch", "acme", 16, 8);
+  batch.steps[0].estimate = Millis(60'000);
+  batch.steps[0].saves_checkpoints = true;
+  batch.accepted_at -= Millis(1'000'000);
+  fleet.scheduler.Submit(batch);
+  fleet.scheduler.Run(5);
+  for (const std::string& it : fleet.names) {
+    fleet.scheduler.HoldStops(it, true);
+  }
+  workload::Job live = fleet.scheduler.Job("live", "urgent", "sure", 2, 8);
+  live.steps[0].gang = true;
+  fleet.scheduler.Submit(live);
+  fleet.scheduler.Run(14);
+  EXPECT_TRUE(fleet.scheduler.Running("live").empty());
+  for (const std::string& it : fleet.names) {
+    fleet.scheduler.HoldStops(it, false);
+  }
+  fleet.scheduler.Run(4);
+  EXPECT_EQ(fleet.scheduler.Running("live").size(), 2U);
+  EXPECT_TRUE(fleet.SlowOnes("live").empty());
+}
+
+// Guards against a wide guaranteed step that waits anew for fast workers with
+// each task that was placed on one.
+TEST(SpeedChoiceTest, WaitsOnceForAllTasksOfAStep) {
+  Racks fleet(24, Knowledge::kKnown);
+  fleet.scheduler.AddCustomer("sure", 200);
+  fleet.Submit("long", "urgent", 16, 8, Millis(600'000), Millis(60'000));
+  fleet.scheduler.Run(5);
+  workload::Job live = fleet.scheduler.Job("live", "urgent", "sure", 8, 8);
+  live.steps[0].estimate = Millis(10'000);
+  fleet.scheduler.SetWork("live", Millis(600'000));
+  fleet.scheduler.Submit(live);
+  fleet.scheduler.Run(20);
+  EXPECT_EQ(fleet.scheduler.Running("live").size(), 8U);
+}
+
+// Guards against a chain of batch steps that spends all of its time on the slow
+// workers of the first ones.
+TEST(SpeedChoiceTest, LeavesTimeForTheStepsBehind) {
+  Racks fleet(24, Knowledge::kKnown);
+  workload::Job job = fleet.scheduler.Job("chain", "batch", "acme", 2, 8);
+  job.steps[0].estimate = Millis(10'000);
+  job.steps.push_back(job.steps[0]);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].depends_on = {0};
+  job.steps[2].depends_on = {1};
+  // Of the 90 s for the chain, 31 s are left.
+  job.accepted_at -= Millis(59'250);
+  fleet.scheduler.Submit(job);
+  fleet.scheduler.Run(5);
+  EXPECT_EQ(fleet.scheduler.Running("chain").size(), 2U);
+  EXPECT_TRUE(fleet.SlowOnes("chain").empty());
+}
+
+// Guards against a gang that takes slow workers of one rack although it may run
+// over several.
+TEST(SpeedChoiceTest, SpreadsAGangThatNeedsNoRackOverFastWorkers) {
+  Racks fleet(24, Knowledge::kKnown);
+  workload::Job job = fleet.scheduler.Job("live", "urgent", "acme", 8, 8);
+  job.steps[0].gang = true;
+  fleet.scheduler.Submit(job);
+  fleet.scheduler.Run(4);
+  EXPECT_EQ(fleet.scheduler.Running("live").size(), 8U);
+  EXPECT_TRUE(fleet.SlowOnes("live").empty());
+}
+
+// Guards against work, log lines and notes where speeds are not to be learnt.
+TEST(SpeedChoiceTest, LearnsNothingWhenSwitchedOff) {
+  Racks fleet(6, Knowledge::kNotUsed);
+  fleet.Know();
+  const auto counts =
+      fleet.scheduler.Get().CountSpeeds(fleet.scheduler.Clock());
+  EXPECT_EQ(counts.unknown, 6);
+  EXPECT_EQ(fleet.scheduler.Report(fleet.names[0]).speed,
+            protocol::SpeedNote{});
+}
+
 // Guards against a scheduler that begins from nothing when it takes over.
 TEST(SpeedChoiceTest, KnowsWhatItsPredecessorHasLearnt) {
   Racks fleet(24, Knowledge::kKnown);
--- a/packages/scheduler/src/speeds.cc
+++ b/packages/scheduler/src/speeds.cc
@@ -23,16 +23,14 @@
 // With each step that ends, what earlier ones told counts less, so that some
 // five steps decide and a change is learnt.
 constexpr double kFormerShare = 0.8;
-// Outages of this kind last for seconds; a run on the worker tells if it goes
-// on.
-constexpr Millis kSlowdownTime{3'000};
-// A slowdown that comes to a stand counts as one by this factor.
+// Logarithm by which a worker that stands still counts as slower.
 constexpr double kMaxSlowdown = 2.5;
 // A step with new rates is solved again at this interval: a solution looks at
 // all of its runs.
 constexpr Millis kSolveInterval{250};
 // Logarithmic width of a speed class.
 constexpr double kClassWidth = 0.15;
+constexpr int kMaxClass = 20;
 
 /// @brief The belief in a worker's factor, with the prior.
 Belief FactorOf(double weighted_sum, double weight) {
@@ -40,10 +38,6 @@
   return {weighted_sum / total, total};
 }
 
-double Mean(const WorkerSpeed& it) {
-  return FactorOf(it.weighted_sum, it.weight).mean;
-}
-
 void Add(WorkerSpeed& worker, const Belief& it) {
   worker.weighted_sum += it.mean * it.weight;
   worker.weight += it.weight;
@@ -65,6 +59,7 @@
 /// @brief Mean rate of a step's runs on one worker, and what is known of the
 /// worker from elsewhere.
 struct Member {
+  WorkerSpeed* worker = nullptr;
   Belief rate;
   Belief factor;  ///< With the prior.
 
@@ -75,18 +70,21 @@
   }
 };
 
-std::map<WorkerSpeed*, Member> MembersOf(const StepKey& key,
-                                         const StepRates& rates) {
-  std::map<WorkerSpeed*, Member> members;
+std::map<AgentName, Member> MembersOf(SpeedTable& table,
+                                      const StepKey& key,
+                                      const StepRates& rates) {
+  std::map<AgentName, Member> members;
   for (const auto& [run, it] : rates.runs) {
-    Member& member = members[it.worker];
+    Member& member = members[it.agent];
     member.rate = Sum(member.rate, {it.log_rate, it.weight});
   }
-  for (auto& [worker, member] : members) {
-    const auto found = worker->steps.find(key);
-    const Belief own = found != worker->steps.end() ? found->second : Belief{};
-    member.factor = FactorOf(worker->weighted_sum - own.mean * own.weight,
-                             worker->weight - own.weight);
+  for (auto& [agent, member] : members) {
+    WorkerSpeed& worker = table.workers.at(agent);
+    const auto found = worker.steps.find(key);
+    const Belief own = found != worker.steps.end() ? found->second : Belief{};
+    member.worker = &worker;
+    member.factor = FactorOf(worker.weighted_sum - own.mean * own.weight,
+                             worker.weight - own.weight);
   }
   return members;
 }
@@ -101,31 +99,32 @@
 /// @brief Derives what the step tells of each of its workers: the rate of the
 /// step on a worker of factor 1 follows from its estimate and from the other
 /// members, and the worker's factor from its own rate against that.
-void Solve(const StepKey& key, const StepRates& rates) {
-  const std::map<WorkerSpeed*, Member> members = MembersOf(key, rates);
+void Solve(SpeedTable& table, const StepKey& key, const StepRates& rates) {
+  const std::map<AgentName, Member> members = MembersOf(table, key, rates);
   double sum = 0;
   double weight = Weight(kEstimateDeviation);
-  for (const auto& [worker, it] : members) {
+  for (const auto& [agent, it] : members) {
     sum += it.UsualRate() * it.UsualWeight();
     weight += it.UsualWeight();
   }
-  for (const auto& [worker, it] : members) {
+  for (const auto& [agent, it] : members) {
     const double others_weight = weight - it.UsualWeight();
     const double others =
         (sum - it.UsualRate() * it.UsualWeight()) / others_weight;
-    SetBelief(*worker, key,
+    SetBelief(*it.worker, key,
               {others - it.rate.mean,
                1.0 / (1.0 / it.rate.weight + 1.0 / others_weight)});
   }
 }
 
-void ForgetLife(SpeedTable& table, WorkerSpeed& worker) {
+void ForgetLife(SpeedTable& table,
+                const AgentName& agent,
+                WorkerSpeed& worker) {
   for (const auto& [key, belief] : worker.steps) {
     const auto step = table.steps.find(key);
     if (step != table.steps.end()) {
-      std::erase_if(step->second.runs, [&](const auto& it) {
-        return it.second.worker == &worker;
-      });
+      std::erase_if(step->second.runs,
+                    [&](const auto& it) { return it.second.agent == agent; });
     }
   }
   worker = {};
@@ -137,9 +136,13 @@
               const AgentName& agent,
               const workload::WorkerLife& life,
               const protocol::SpeedNote& note) {
+  // A new process of the agent has not heard of its worker yet.
+  if (life == workload::WorkerLife{}) {
+    return;
+  }
   WorkerSpeed& worker = table.workers[agent];
   if (worker.life != life) {
-    ForgetLife(table, worker);
+    ForgetLife(table, agent, worker);
     worker.life = life;
   }
   if (worker.weight <= 0 && note.weight > 0) {
@@ -160,13 +163,13 @@
   const double read_error =
       kPercentError / progress.percent + kReadErrorMs / ms;
   RunRate rate;
-  rate.worker = &table.workers[agent];
+  rate.agent = agent;
   rate.log_rate = std::log(progress.percent / 100.0 *
                            static_cast<double>(estimate.count()) / ms);
   rate.weight =
       1.0 / (kTaskDeviation * kTaskDeviation + read_error * read_error);
   const StepKey key = StepKeyOf(run.task);
-  rate.worker->steps.try_emplace(key);
+  table.workers[agent].steps.try_emplace(key);
   table.steps[key].runs[{run.task.index, run.run}] = rate;
   table.changed.insert(key);
 }
@@ -174,9 +177,9 @@
 void NoteSlowdown(SpeedTable& table,
                   const AgentName& agent,
                   double slowdown,
-                  TimePoint now) {
+                  TimePoint until) {
   WorkerSpeed& worker = table.workers[agent];
-  worker.slow_until = now + kSlowdownTime;
+  worker.slow_until = until;
   worker.slowdown = std::clamp(slowdown, 0.0, kMaxSlowdown);
 }
 
@@ -189,10 +192,10 @@
   const auto last = table.steps.lower_bound({job, occurrence + 1, 0});
   for (auto it = first; it != last; ++it) {
     if (table.changed.erase(it->first) > 0) {
-      Solve(it->first, it->second);
+      Solve(table, it->first, it->second);
     }
     for (const auto& [run, rate] : it->second.runs) {
-      WorkerSpeed& worker = *rate.worker;
+      WorkerSpeed& worker = table.workers.at(rate.agent);
       const auto told = worker.steps.find(it->first);
       if (told == worker.steps.end()) {
         continue;
@@ -211,7 +214,7 @@
 void DropWorker(SpeedTable& table, const AgentName& agent) {
   const auto it = table.workers.find(agent);
   if (it != table.workers.end()) {
-    ForgetLife(table, it->second);
+    ForgetLife(table, agent, it->second);
     table.workers.erase(it);
   }
 }
@@ -226,32 +229,31 @@
              return false;
            }
            step->second.solved_at = now;
-           Solve(key, step->second);
+           Solve(table, key, step->second);
            return true;
          }) > 0;
 }
 
-Belief SpeedOf(const SpeedTable& table, const AgentName& agent) {
+Belief NoteOf(const SpeedTable& table, const AgentName& agent) {
   const auto it = table.workers.find(agent);
-  if (it == table.workers.end()) {
-    return {};
-  }
-  return {Mean(it->second), it->second.weight};
+  return it == table.workers.end() ? Belief{} : it->second.former;
+}
+
+double LogFactor(const WorkerSpeed& worker, TimePoint now) {
+  const double slowdown = now < worker.slow_until ? worker.slowdown : 0;
+  return FactorOf(worker.weighted_sum, worker.weight).mean + slowdown;
 }
 
 double LogFactor(const SpeedTable& table,
                  const AgentName& agent,
                  TimePoint now) {
   const auto it = table.workers.find(agent);
-  if (it == table.workers.end()) {
-    return 0;
-  }
-  const bool slow = now < it->second.slow_until;
-  return Mean(it->second) + (slow ? it->second.slowdown : 0);
+  return it == table.workers.end() ? 0 : LogFactor(it->second, now);
 }
 
 int SpeedClass(double log_factor) {
-  return static_cast<int>(log_factor / kClassWidth);
+  return std::clamp(static_cast<int>(log_factor / kClassWidth), -kMaxClass,
+                    kMaxClass);
 }
 
 std::string FactorText(double factor) {
--- a/packages/scheduler/src/speeds.h
+++ b/packages/scheduler/src/speeds.h
@@ -58,7 +58,7 @@
 /// @brief Rate of one run: the logarithm of its progress, relative to its
 /// estimate.
 struct RunRate {
-  WorkerSpeed* worker = nullptr;
+  AgentName agent;
   double log_rate = 0;
   double weight = 0;
 };
@@ -98,11 +98,11 @@
                   const Progress& progress);
 
 /// @brief Notes that a worker is slower than before by the factor whose
-/// logarithm is `slowdown`. Forgotten unless it is noted again.
+/// logarithm is `slowdown`. Forgotten after `until` unless it is noted again.
 void NoteSlowdown(SpeedTable& table,
                   const AgentName& agent,
                   double slowdown,
-                  TimePoint now);
+                  TimePoint until);
 
 /// @brief Notes that the worker is as fast as before.
 void EndSlowdown(SpeedTable& table, const AgentName& agent);
@@ -118,18 +118,20 @@
 /// @return Whether any belief may have changed.
 bool UpdateSpeeds(SpeedTable& table, TimePoint now);
 
-/// @brief The lasting factor of a worker, as a logarithm; its weight does not
-/// contain the prior.
-Belief SpeedOf(const SpeedTable& table, const AgentName& agent);
+/// @brief What a successor should know of a worker: the belief from steps that
+/// are over, without the prior. Steps in progress are measured again.
+Belief NoteOf(const SpeedTable& table, const AgentName& agent);
 
 /// @brief Logarithm of the time factor to plan with, including a present
 /// slowdown.
+double LogFactor(const WorkerSpeed& worker, TimePoint now);
+/// @brief The same; 0 for an unknown worker.
 double LogFactor(const SpeedTable& table,
                  const AgentName& agent,
                  TimePoint now);
 
 /// @brief Workers of the same class differ too little to be told apart.
-/// @return 0 for a usual worker, less for a faster one.
+/// @return 0 for a worker within 15 % of a usual one, less for a faster one.
 int SpeedClass(double log_factor);
 
 /// @brief Text for logs, with two decimals.
--- a/packages/scheduler/src/speeds_test.cc
+++ b/packages/scheduler/src/speeds_test.cc
@@ -71,7 +71,7 @@
 // Guards against choices by nothing: a worker without evidence is a usual one.
 TEST_F(SpeedsTest, TakesAnUnknownWorkerForAUsualOne) {
   EXPECT_EQ(LogFactor(table, Agent(0), now), 0);
-  EXPECT_EQ(SpeedOf(table, Agent(0)).weight, 0);
+  EXPECT_EQ(NoteOf(table, Agent(0)).weight, 0);
 }
 
 // Guards against workers that are told apart where they are alike, because the
@@ -126,7 +126,7 @@
                {50, Millis(8'500)});
   NoteLife(table, Agent(2), {"w2", 2}, {});
   UpdateSpeeds(table, now);
-  EXPECT_EQ(SpeedOf(table, Agent(2)).weight, 0);
+  EXPECT_EQ(table.workers.at(Agent(2)).weight, 0);
 }
 
 // Guards against a successor that begins from nothing, and against a note that
@@ -138,13 +138,38 @@
   EXPECT_GT(Learnt(0), 1.5);
 }
 
+// Guards against a belief that is drawn towards a usual worker with each change
+// of the scheduler.
+TEST_F(SpeedsTest, KeepsItsBeliefOverChangesOfTheScheduler) {
+  Measure({0, 1, 2}, 1);
+  const double learnt = Learnt(2);
+  for (int n = 0; n < 3; ++n) {
+    const Belief note = NoteOf(table, Agent(2));
+    table = {};
+    NoteLife(table, Agent(2), {"w", 1}, {note.mean, note.weight});
+  }
+  EXPECT_NEAR(Learnt(2), learnt, 1e-9);
+}
+
+// Guards against a new process of an agent that has the scheduler forget what
+// it knows of the worker.
+TEST_F(SpeedsTest, KeepsItsBeliefWhileTheAgentKnowsNoWorker) {
+  NoteLife(table, Agent(2), {"w", 1}, {});
+  Measure({0, 1, 2}, 1);
+  const double learnt = Learnt(2);
+  NoteLife(table, Agent(2), {}, {});
+  NoteLife(table, Agent(2), {"w", 1}, {});
+  EXPECT_EQ(Learnt(2), learnt);
+}
+
 // Guards against a slowdown of seconds that is taken for the worker's speed.
 TEST_F(SpeedsTest, ForgetsASlowdownThatIsNotNotedAgain) {
-  NoteSlowdown(table, Agent(0), std::log(5), now);
+  const TimePoint until = now + Millis(3'000);
+  NoteSlowdown(table, Agent(0), std::log(5), until);
   EXPECT_NEAR(Learnt(0), 5, 0.1);
   EndSlowdown(table, Agent(0));
   EXPECT_EQ(Learnt(0), 1);
-  NoteSlowdown(table, Agent(0), std::log(5), now);
+  NoteSlowdown(table, Agent(0), std::log(5), until);
   now += Millis(4'000);
   EXPECT_EQ(Learnt(0), 1);
 }
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -71,9 +71,10 @@
     agents_.at(agent).left = true;
   }
 
-  /// @brief From now on the worker answers, but its runs do not stop.
-  void HoldStops(const std::string& agent) {
-    agents_.at(agent).holds_stops = true;
+  /// @brief From now on the worker answers, but its runs do not stop while
+  /// `holds` is set.
+  void HoldStops(const std::string& agent, bool holds = true) {
+    agents_.at(agent).holds_stops = holds;
   }
 
   /// @brief The worker ends without notice and starts again under its id.
--- a/packages/scheduler/src/units.cc
+++ b/packages/scheduler/src/units.cc
@@ -32,6 +32,18 @@
   return longest;
 }
 
+/// @brief Estimated duration of the longest chain of steps behind this one.
+Millis TimeBehind(const workload::Job& job, int step) {
+  std::vector<Millis> behind(job.steps.size(), Millis{0});
+  for (std::size_t n = job.steps.size(); n-- > 0;) {
+    for (const int it : job.steps[n].depends_on) {
+      Millis& before = behind[static_cast<std::size_t>(it)];
+      before = std::max(before, job.steps[n].estimate + behind[n]);
+    }
+  }
+  return behind[static_cast<std::size_t>(step)];
+}
+
 std::int64_t LargestStep(const workload::Job& job) {
   std::int64_t largest = 0;
   for (const Step& it : job.steps) {
@@ -52,6 +64,7 @@
   Unit unit = base;
   unit.step = &StepOf(*base.row, waiting.step);
   unit.key.step = waiting.step;
+  unit.time_behind = TimeBehind(*base.row->job, waiting.step);
   const auto is_suspect = [&](int it) {
     return IsSuspect(ProgressOf(*unit.row, TaskOf(unit, it)));
   };
--- a/packages/scheduler/src/units.h
+++ b/packages/scheduler/src/units.h
@@ -19,6 +19,7 @@
   bool suspect = false;            ///< A worker may have crashed because of it.
   workload::WallTime objective{};  ///< Latest end that earns full credit.
   workload::WallTime zero_credit_after{};
+  Millis time_behind{0};  ///< Longest chain of steps that wait for this one.
 
   int Priority() const { return row->terms.priority; }
 };
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -98,6 +98,9 @@
 /// @brief Whether only the scheduler writes records of this key.
 bool IsSchedulersRecord(std::string_view key);
 
+/// @brief Whether records of this key are claims of schedulers.
+bool IsClaim(std::string_view key);
+
 /// @brief Decodes a record; nullopt if it is malformed or of another writer.
 std::optional<Record> Decode(const std::string& key, std::string_view value);
 
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -443,6 +443,10 @@
   return drops;
 }
 
+bool IsClaim(std::string_view key) {
+  return key == kClaimKey;
+}
+
 bool IsSchedulersRecord(std::string_view key) {
   return key == kClaimKey || key.starts_with(kProgressPrefix);
 }
