cli, workload, platform: check a configuration before it is sent

Cause: nothing reads the platform's configuration before an operator writes it to the store. The entries drop a malformed one without saying where, and serve one whose queues hide each other, name no pool or share a key.

Change: `shallotlug check-config FILE [--in_force=FILE] [--accelerators=N]` prints all findings at once, each with its line, path and what to do. CheckPolicy and ComparePolicies are pure functions over Policy with typed findings. ReadConfiguration of platform/ reads the form strictly and maps places to the platform's paths; the main program passes it to the command, so that cli does not depend on the adapter. Values that could not be read get no second finding. Keys are counted, never printed.

Exit codes: 0 without warnings and errors, 3 with errors, as `check` has it, and a new 6 with warnings only. 1 and 2 would have said "warning" and "error", but mean a wrong command line and a refusal for every other command. Notes of differences do not count.

Ruled out: a dependency of cli on platform/, which is below it in the layers; findings with text places made in workload, which would need the platform's names there; DecodeConfiguration for the check, which stops at the first fault and knows no lines; the limits of requests as a part of Policy, which no role reads. `--in-force` with a hyphen is no name that the flags library takes.

--- a/apps/src/shallotlug_main.cc
+++ b/apps/src/shallotlug_main.cc
@@ -2,6 +2,7 @@
 
 #include "serve.h"
 #include "shallotlug/cli/cli.h"
+#include "shallotlug/platform/configuration_reader.h"
 
 int main(int argc, char** argv) {
   if (argc > 1 && std::string_view(argv[1]) == "serve") {
@@ -10,5 +11,6 @@
   if (argc > 1 && std::string_view(argv[1]) == "serve-jobs") {
     return shallotlug::ServeJobEntry(argc, argv);
   }
-  return shallotlug::cli::Run(argc, argv);
+  return shallotlug::cli::Run(argc, argv,
+                              shallotlug::platform::ReadConfiguration);
 }
--- a/packages/cli/src/cli_test.cc
+++ b/packages/cli/src/cli_test.cc
@@ -111,6 +111,7 @@
   EXPECT_NE(HelpText({}).find("serve"), std::string::npos);
   EXPECT_EQ(HelpText({"target"}).find("report burn"), std::string::npos);
   EXPECT_NE(HelpText({"target", "set"}).find("--guarantee"), std::string::npos);
+  EXPECT_NE(HelpText({"check-config"}).find("--in_force"), std::string::npos);
   EXPECT_EQ(FindCommand({"target", "sett"}), nullptr);
 }
 
--- a/packages/cli/src/command.h
+++ b/packages/cli/src/command.h
@@ -1,13 +1,16 @@
 #ifndef SHALLOTLUG_CLI_SRC_COMMAND_H_
 #define SHALLOTLUG_CLI_SRC_COMMAND_H_
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "shallotlug/base/clock.h"
+#include "shallotlug/workload/policy_check.h"
 
 namespace shallotlug::cli {
 
@@ -25,10 +28,13 @@
   Millis finish_within{};
   double objective = 0.999;
   int accelerators = 1;
+  /// That all workers have; empty: not stated.
+  std::optional<std::int64_t> fleet_accelerators;
   std::string guarantee;
   std::int64_t base_version = -1;  ///< -1: the current version is looked up.
   std::string change_id;           ///< Empty: one is drawn.
   bool remove = false;
+  std::string in_force;  ///< File; empty: nothing is compared.
 };
 
 enum class FetchStatus { kOk, kNotSent, kUnknown };
@@ -59,6 +65,8 @@
   Fetch fetch;
   std::ostream& out;
   std::ostream& err;
+  /// Reads configurations of the platform; replaced in tests.
+  workload::ReadPolicyDocument read_policy = {};
 };
 
 /// @brief One command of the program.
@@ -89,6 +97,7 @@
 int RunStatus(Context& context);
 int RunReportBurn(Context& context);
 int RunCheck(Context& context);
+int RunCheckConfig(Context& context);
 int RunExplain(Context& context);
 
 }  // namespace shallotlug::cli
--- a/packages/cli/src/help.cc
+++ b/packages/cli/src/help.cc
@@ -18,7 +18,7 @@
 constexpr std::string_view kExitCodes =
     "Exit codes: 0 done; 1 wrong command line; 2 refused by the system;\n"
     "3 findings in a file; 4 no entry reached, nothing changed;\n"
-    "5 outcome unknown.\n";
+    "5 outcome unknown; 6 warnings only (check-config).\n";
 
 constexpr std::string_view kTargetSetHelp =
     "Sets the target of a class of work.\n\n"
@@ -46,6 +46,15 @@
     "name\n"
     "of the process.\n";
 
+constexpr std::string_view kCheckConfigHelp =
+    "Checks a configuration of the platform before it is sent: its form,\n"
+    "entries without effect, and limits that contradict each other. Asks no\n"
+    "entry and sends nothing; keys are counted, never printed.\n\n"
+    "  --in_force=FILE         configuration in force: prints what differs\n"
+    "  --accelerators=N        that all workers have together: the "
+    "guarantees\n"
+    "                          must not add up to more\n";
+
 bool StartsWith(const std::vector<std::string>& arguments,
                 std::string_view words) {
   std::size_t n = 0;
@@ -94,6 +103,8 @@
       {"check", "FILE...", "checks settings files",
        "Prints every finding with its file, line and path. Starts nothing.\n",
        RunCheck},
+      {"check-config", "FILE", "checks a configuration of the platform",
+       kCheckConfigHelp, RunCheckConfig},
       {"explain", "JOB [FILE...]",
        "tells the life of a job from the logs of all processes", kExplainHelp,
        RunExplain},
--- a/packages/cli/src/run.cc
+++ b/packages/cli/src/run.cc
@@ -37,7 +37,15 @@
           objective,
           0.999,
           "target set: share that must finish in time");
-ABSL_FLAG(int, accelerators, 1, "target set: for each live request");
+ABSL_FLAG(std::optional<int>,
+          accelerators,
+          std::nullopt,
+          "target set: for each live request (1); check-config: that all "
+          "workers have together");
+ABSL_FLAG(std::string,
+          in_force,
+          "",
+          "check-config: file with the configuration in force");
 ABSL_FLAG(std::string,
           guarantee,
           "",
@@ -91,7 +99,11 @@
   options.finish_within =
       absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_finish_within));
   options.objective = absl::GetFlag(FLAGS_objective);
-  options.accelerators = absl::GetFlag(FLAGS_accelerators);
+  options.in_force = absl::GetFlag(FLAGS_in_force);
+  if (const auto n = absl::GetFlag(FLAGS_accelerators)) {
+    options.accelerators = *n;
+    options.fleet_accelerators = *n;
+  }
   options.guarantee = absl::GetFlag(FLAGS_guarantee);
   options.base_version = absl::GetFlag(FLAGS_base_version);
   options.change_id = absl::GetFlag(FLAGS_change_id);
@@ -151,7 +163,9 @@
 
 }  // namespace
 
-int Run(int argc, char** argv) {
+int Run(int argc,
+        char** argv,
+        const workload::ReadPolicyDocument& read_policy) {
   if (WantsHelp(argc, argv)) {
     std::cout << HelpText(WordsBeforeFlags(argc, argv));
     return kExitOk;
@@ -167,8 +181,8 @@
     std::cerr << HelpText(words);
     return kExitUsage;
   }
-  Context context{
-      OptionsFromFlags(), {}, FetchOverNetwork, std::cout, std::cerr};
+  Context context{OptionsFromFlags(), {},        FetchOverNetwork,
+                  std::cout,          std::cerr, read_policy};
   context.arguments.assign(words.begin() + CountWords(command->words),
                            words.end());
   const auto output = ParseOutput(absl::GetFlag(FLAGS_output));
