scheduler: weigh what callers lose when there is too little room

Cause: units went by their earliest objective, so that in a burst each job waited for one that was late already; and an urgent job beyond its guarantee could stop no more than 100 core-seconds of work, which on large workers is one task of a second, whether anybody loses by it or not.

Ruled out: shortest first (large jobs starve), a value for each core-second (the configuration states none), refusing what will be late (a late answer is worth something); docs/design/too-little-room.md.

Change: triage.h says what a start or a stop is worth to callers. Jobs that can be in time go first; runs that can be repeated in time yield first, up to the work that an urgent job needs itself. run_preempted tells whether its caller loses credit. Switched on by scheduling.weigh_lateness.

--- a/packages/scheduler/include/shallotlug/scheduler/scheduler.h
+++ b/packages/scheduler/include/shallotlug/scheduler/scheduler.h
@@ -33,6 +33,10 @@
   /// Places tasks by the speeds of the workers, which it learns from the
   /// progress of their runs.
   bool learn_speeds = false;
+  /// When there is too little room, weighs what callers lose: jobs that can
+  /// still meet their objectives go first, and runs that can be repeated in
+  /// time yield first.
+  bool weigh_lateness = false;
 };
 
 /// @brief The current time on the monotonic and on the wall clock.
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -267,6 +267,17 @@
   });
 }
 
+const char* LosesCreditNow(State& state,
+                           const TaskRef& task,
+                           const RunRow& run,
+                           Now now) {
+  const OccurrenceRow& row = *FindOccurrence(state, task);
+  return LosesCredit(DeadlinesOf(row), OutlookOf(row, task, run, now.local),
+                     now.wall)
+             ? "true"
+             : "false";
+}
+
 /// @brief Preempts runs for a unit that does not fit.
 /// @return Whether runs were found whose stop makes room for it.
 bool Preempt(Placement& placement,
@@ -277,7 +288,7 @@
   const Now now = placement.now;
   const bool spread = MaySpreadOverRacks(state, unit, candidates, demand, now);
   const std::optional<PreemptionPlan> preemption = FindPreemption(
-      state, placement.fleet, unit, candidates, demand, spread, now.local);
+      state, placement.fleet, unit, candidates, demand, spread, now);
   if (!preemption) {
     state.preemption_failed_at[unit.key] = now.local;
     return false;
@@ -293,6 +304,7 @@
            {"task", workload::ToString(it)},
            {"run", std::to_string(run.run)},
            {"for_job", unit.key.occurrence.job.value},
+           {"loses_credit", LosesCreditNow(state, it, run, now)},
            {"agent", run.on.agent.value},
            Age("running_ms", run.placed_at, now.local)});
     }
--- a/packages/scheduler/src/rates.cc
+++ b/packages/scheduler/src/rates.cc
@@ -125,8 +125,10 @@
   if (!state.options.learn_speeds || !UpdateSpeeds(state.speeds, now)) {
     return;
   }
+  state.fastest_factor = 1;
   for (auto& [agent, worker] : state.speeds.workers) {
     const double log_factor = LogFactor(worker, now);
+    state.fastest_factor = std::min(state.fastest_factor, std::exp(log_factor));
     const int speed_class = SpeedClass(log_factor);
     if (std::exchange(worker.logged_class, speed_class) != speed_class) {
       Log(state, "worker_speed",
--- a/packages/scheduler/src/speed_choice_test.cc
+++ b/packages/scheduler/src/speed_choice_test.cc
@@ -23,7 +23,7 @@
 class Racks {
  public:
   Racks(int workers, Knowledge knowledge)
-      : scheduler(knowledge != Knowledge::kNotUsed) {
+      : scheduler({knowledge != Knowledge::kNotUsed, false}) {
     scheduler.AddQueue("urgent", 0);
     scheduler.AddQueue("batch", 1);
     for (workload::Queue& it : scheduler.Policy().queues) {
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -161,6 +161,7 @@
   /// Workers on which a task has failed; its next run goes elsewhere.
   std::map<workload::TaskRef, std::set<AgentName>> failed_on;
   SpeedTable speeds;
+  double fastest_factor = 1;  ///< Time factor of the fastest worker.
   TimePoint authority_confirmed{};
   std::vector<LogLine> log;
 };
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -14,8 +14,13 @@
 
 class TestScheduler {
  public:
-  /// @param learn_speeds As the scheduler's option of this name.
-  explicit TestScheduler(bool learn_speeds = false);
+  /// @brief Parts of the scheduler that settings switch on.
+  struct Switches {
+    bool learn_speeds = false;
+    bool weigh_lateness = false;
+  };
+  TestScheduler() : TestScheduler(Switches{}) {}
+  explicit TestScheduler(const Switches& switches);
 
   void AddWorker(const std::string& agent,
                  const std::string& rack,
@@ -168,7 +173,7 @@
   protocol::SyncReply ReplyOf(const std::string& name,
                               const Agent& agent) const;
 
-  bool learn_speeds_;
+  Switches switches_;
   Now now_{TimePoint(Millis(100'000)), workload::WallTime(Millis(100'000))};
   workload::Policy policy_;
   Scheduler scheduler_;
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -16,19 +16,20 @@
                 : protocol::WorkerState::kPresent;
 }
 
-SchedulerOptions Options(bool learn_speeds) {
+SchedulerOptions Options(const TestScheduler::Switches& switches) {
   SchedulerOptions options;
   options.entry = EntryName("entry");
   options.epoch = 1;
-  options.learn_speeds = learn_speeds;
+  options.learn_speeds = switches.learn_speeds;
+  options.weigh_lateness = switches.weigh_lateness;
   return options;
 }
 
 }  // namespace
 
-TestScheduler::TestScheduler(bool learn_speeds)
-    : learn_speeds_(learn_speeds),
-      scheduler_(Options(learn_speeds), workload::Ledger{}, now_) {
+TestScheduler::TestScheduler(const Switches& switches)
+    : switches_(switches),
+      scheduler_(Options(switches), workload::Ledger{}, now_) {
   policy_.version = 1;
 }
 
@@ -98,7 +99,7 @@
   for (const auto& [name, agent] : agents_) {
     ledger.agents[AgentName(name)] = {AgentName(name), name, Incarnation{1}};
   }
-  SchedulerOptions options = Options(learn_speeds_);
+  SchedulerOptions options = Options(switches_);
   ++options.epoch;
   scheduler_ = Scheduler(options, ledger, now_);
 }
--- a/packages/scheduler/src/units.cc
+++ b/packages/scheduler/src/units.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "suspects.h"
+#include "triage.h"
 #include "waits.h"
 
 namespace shallotlug::scheduler {
@@ -14,9 +15,6 @@
 
 namespace {
 
-// A job earns no credit after this multiple of its objective.
-constexpr int kZeroCreditFactor = 3;
-
 /// @brief Estimated duration of the critical path.
 Millis LongestChain(const workload::Job& job) {
   std::vector<Millis> ends(job.steps.size(), Millis{0});
@@ -32,18 +30,6 @@
   return longest;
 }
 
-/// @brief Estimated duration of the longest chain of steps behind this one.
-Millis TimeBehind(const workload::Job& job, int step) {
-  std::vector<Millis> behind(job.steps.size(), Millis{0});
-  for (std::size_t n = job.steps.size(); n-- > 0;) {
-    for (const int it : job.steps[n].depends_on) {
-      Millis& before = behind[static_cast<std::size_t>(it)];
-      before = std::max(before, job.steps[n].estimate + behind[n]);
-    }
-  }
-  return behind[static_cast<std::size_t>(step)];
-}
-
 std::int64_t LargestStep(const workload::Job& job) {
   std::int64_t largest = 0;
   for (const Step& it : job.steps) {
@@ -56,15 +42,27 @@
   return !ProgressOf(row, task).crashes.empty();
 }
 
+/// @brief What the unit's job can still earn. Without weighing by lateness a
+/// job counts as late when it earns nothing any more.
+Credit CreditOf(const State& state, const Unit& unit, WallTime now) {
+  if (state.options.weigh_lateness) {
+    return CreditIfStarted(*unit.row, unit.key.step, state.fastest_factor, now);
+  }
+  return now > DeadlinesOf(*unit.row).zero_credit_after ? Credit::kNone
+                                                        : Credit::kFull;
+}
+
 // Tasks that have failed are kept apart, as each avoids other workers.
 void AddUnits(const State& state,
               const Unit& base,
               const WaitingStep& waiting,
+              WallTime now,
               std::vector<Unit>& units) {
   Unit unit = base;
   unit.step = &StepOf(*base.row, waiting.step);
   unit.key.step = waiting.step;
   unit.time_behind = TimeBehind(*base.row->job, waiting.step);
+  unit.credit = CreditOf(state, unit, now);
   const auto is_suspect = [&](int it) {
     return IsSuspect(ProgressOf(*unit.row, TaskOf(unit, it)));
   };
@@ -156,21 +154,20 @@
     Unit base;
     base.key = {it, 0, -1};
     base.row = &row;
-    base.objective = row.due + row.objective_span;
-    base.zero_credit_after = row.due + kZeroCreditFactor * row.objective_span;
+    base.objective = DeadlinesOf(row).objective;
     base.guaranteed = state.guaranteed.contains(it);
     for (const WaitingStep& step : row.waiting) {
-      AddUnits(state, base, step, units);
+      AddUnits(state, base, step, now.wall, units);
     }
   }
-  std::stable_sort(
-      units.begin(), units.end(), [&](const Unit& a, const Unit& b) {
-        const auto rank = [&](const Unit& it) {
-          return std::make_tuple(!it.guaranteed, it.Priority(),
-                                 now.wall > it.zero_credit_after, it.objective);
-        };
-        return rank(a) < rank(b);
-      });
+  std::stable_sort(units.begin(), units.end(),
+                   [&](const Unit& a, const Unit& b) {
+                     const auto rank = [&](const Unit& it) {
+                       return std::make_tuple(!it.guaranteed, it.Priority(),
+                                              it.credit, it.objective);
+                     };
+                     return rank(a) < rank(b);
+                   });
   return units;
 }
 
--- a/packages/scheduler/src/units.h
+++ b/packages/scheduler/src/units.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "state.h"
+#include "triage.h"
 
 /// Queue of the units that wait for placement, in priority order.
 namespace shallotlug::scheduler {
@@ -18,7 +19,7 @@
   bool guaranteed = false;         ///< Within its customer's guarantee.
   bool suspect = false;            ///< A worker may have crashed because of it.
   workload::WallTime objective{};  ///< Latest end that earns full credit.
-  workload::WallTime zero_credit_after{};
+  Credit credit = Credit::kFull;   ///< What its job can still earn.
   Millis time_behind{0};  ///< Longest chain of steps that wait for this one.
 
   int Priority() const { return row->terms.priority; }
--- a/packages/scheduler/src/victims.cc
+++ b/packages/scheduler/src/victims.cc
@@ -9,6 +9,8 @@
 #include <tuple>
 #include <utility>
 
+#include "triage.h"
+
 namespace shallotlug::scheduler {
 
 using workload::CoreEquivalents;
@@ -28,6 +30,9 @@
 // Time for a stop order and the report of the end, in addition to the time that
 // the worker may take.
 constexpr Millis kStopReportTime{600};
+// Added to the cost of runs whose callers lose credit when they are stopped, so
+// that others yield first.
+constexpr double kHarmPenalty = 10'000.0;
 // Added to the cost of urgent runs beyond their guarantee, so that runs of
 // lower priority are preempted first.
 constexpr double kUrgentVictimPenalty = 1'000'000.0;
@@ -43,7 +48,10 @@
 struct VictimGroup {
   std::vector<Victim> runs;
   double lost_work = 0;
-  double cost = 0;  ///< Includes the restart.
+  bool harms = false;  ///< Its job's caller loses credit.
+  double cost = 0;     ///< Includes the restart.
+
+  double HarmfulWork() const { return harms ? lost_work : 0; }
 };
 
 double LostWork(const RunRow& run, bool saves, TimePoint now) {
@@ -71,7 +79,7 @@
 std::vector<VictimGroup> Groups(const State& state,
                                 const Fleet& fleet,
                                 const Unit& unit,
-                                TimePoint now) {
+                                Now now) {
   std::vector<VictimGroup> groups;
   std::optional<OccurrenceKey> key;
   const OccurrenceRow* row = nullptr;
@@ -97,12 +105,18 @@
     }
     VictimGroup& group = groups.back();
     group.runs.push_back({&task, worker, run.need});
-    const double lost = LostWork(run, facts.saves_checkpoints, now);
+    const double lost = LostWork(run, facts.saves_checkpoints, now.local);
     group.lost_work += lost;
     group.cost += lost + kRestartSeconds * CoreEquivalents(run.need);
     if (row->terms.priority <= unit.Priority()) {
       group.cost += kUrgentVictimPenalty;
     }
+    if (state.options.weigh_lateness && !group.harms &&
+        LosesCredit(DeadlinesOf(*row), OutlookOf(*row, task, run, now.local),
+                    now.wall)) {
+      group.harms = true;
+      group.cost += kHarmPenalty;
+    }
   }
   return groups;
 }
@@ -320,6 +334,7 @@
     }
     FreeGroup(room, *it);
     preemption.lost_work += it->lost_work;
+    preemption.harmful_work += it->HarmfulWork();
     preemption.cost += it->cost;
     for (const Victim& victim : it->runs) {
       preemption.victims.push_back(*victim.task);
@@ -330,16 +345,23 @@
 }
 
 /// @brief Whether the preemption costs others too much for what the unit does.
-bool CostsTooMuch(const PreemptionPlan& preemption,
+bool CostsTooMuch(const State& state,
+                  const PreemptionPlan& preemption,
                   const Unit& unit,
                   const Demand& demand) {
-  if (unit.Priority() == 0) {
-    return preemption.lost_work > kMaxUrgentLoss;
-  }
   const double seconds =
       std::chrono::duration<double>(unit.step->estimate).count();
   const double work = CoreEquivalents(demand.need) * demand.count * seconds;
-  return preemption.cost > work * kBatchCostShare;
+  if (unit.Priority() > 0) {
+    return preemption.cost > work * kBatchCostShare;
+  }
+  // Work that is repeated in time costs callers nothing but room. An urgent job
+  // that meets its objective by it may cost as much of that as it needs itself.
+  if (state.options.weigh_lateness && unit.credit == Credit::kFull) {
+    return preemption.harmful_work > kMaxUrgentLoss ||
+           preemption.lost_work > std::max(work, kMaxUrgentLoss);
+  }
+  return preemption.lost_work > kMaxUrgentLoss;
 }
 
 // The room of a run that does not stop in time is not counted on.
@@ -369,12 +391,12 @@
     const std::vector<Candidate>& candidates,
     const Demand& demand,
     bool spread,
-    TimePoint now) {
+    Now now) {
   const std::vector<VictimGroup> groups = Groups(state, fleet, unit, now);
   if (groups.empty()) {
     return std::nullopt;
   }
-  const std::vector<Victim> stopping = StoppingRuns(state, fleet, now);
+  const std::vector<Victim> stopping = StoppingRuns(state, fleet, now.local);
   std::optional<PreemptionPlan> best;
   const auto consider = [&](const std::vector<Candidate>& among) {
     std::optional<PreemptionPlan> it =
@@ -389,7 +411,7 @@
   if (!best && spread) {
     consider(candidates);
   }
-  if (best && !unit.guaranteed && CostsTooMuch(*best, unit, demand)) {
+  if (best && !unit.guaranteed && CostsTooMuch(state, *best, unit, demand)) {
     return std::nullopt;
   }
   return best;
--- a/packages/scheduler/src/victims.h
+++ b/packages/scheduler/src/victims.h
@@ -16,7 +16,9 @@
   std::vector<workload::TaskRef> victims;
   std::vector<int> workers;
   double lost_work = 0;  ///< In core-seconds, without checkpointed work.
-  double cost = 0;       ///< In core-seconds; includes the restart.
+  /// Part of it in jobs whose callers lose credit.
+  double harmful_work = 0;
+  double cost = 0;  ///< In core-seconds; includes the restart.
 };
 
 /// @brief Time within which a preempted run ends and its end is reported,
@@ -34,7 +36,7 @@
     const std::vector<Candidate>& candidates,
     const Demand& demand,
     bool spread,
-    TimePoint now);
+    Now now);
 
 }  // namespace shallotlug::scheduler
 
--- a/packages/settings/include/shallotlug/settings/job_settings.h
+++ b/packages/settings/include/shallotlug/settings/job_settings.h
@@ -24,6 +24,9 @@
   /// Workers may differ in speed: their speeds are learnt from the progress of
   /// their runs.
   bool learn_speeds = false;
+  /// When there is too little room, those wait or yield whose callers lose
+  /// least by it.
+  bool weigh_lateness = false;
 };
 
 /// @brief Settings of `shallotlug serve-jobs`. Addresses are `ip:port`.
--- a/packages/settings/src/job_settings.cc
+++ b/packages/settings/src/job_settings.cc
@@ -60,6 +60,7 @@
   }
   ObjectReader reader(*node, "/scheduling", file, findings);
   reader.Optional("learn_speeds", to.learn_speeds);
+  reader.Optional("weigh_lateness", to.weigh_lateness);
   reader.Finish();
 }
 
