--- a/packages/harness/src/runner.cc
+++ b/packages/harness/src/runner.cc
@@ -4,8 +4,11 @@
 #include <functional>
 #include <memory>
 
-#include "shallotlug/harness/workload.h"
+#include "expectations.h"
+#include "guard_switches.h"
 #include "shallotlug/harness/world.h"
+#include "step_options.h"
+#include "step_work.h"
 
 namespace shallotlug::harness {
 namespace {
@@ -17,64 +20,6 @@
 // Longer than abandoning an attempt (15 s), a lease and several attempts.
 constexpr Millis kSettleLimit{180'000};
 
-std::string Text(const Step& step, const char* key, const char* fallback) {
-  const auto it = step.options.find(key);
-  return it == step.options.end() ? fallback : it->second;
-}
-
-int Number(const Step& step, const char* key, int fallback) {
-  const auto it = step.options.find(key);
-  return it == step.options.end() ? fallback : std::stoi(it->second);
-}
-
-Millis Duration(const Step& step, const char* key, Millis fallback) {
-  const auto it = step.options.find(key);
-  return it == step.options.end() ? fallback
-                                  : ParseDuration(it->second).value();
-}
-
-bool Flag(const Step& step, const char* key, bool fallback) {
-  const auto it = step.options.find(key);
-  return it == step.options.end() ? fallback : it->second == "yes";
-}
-
-Adjacency AdjacencyOf(const Step& step, const char* fallback) {
-  const std::string text = Text(step, "within", fallback);
-  return text == "worker" ? Adjacency::kWorker
-         : text == "rack" ? Adjacency::kRack
-         : text == "any"  ? Adjacency::kAny
-                          : Adjacency::kDataCentre;
-}
-
-void Disable(const std::string& guard, WorldOptions& options) {
-  agent::Options::Guards& agent = options.agent_guards;
-  entry::Options::Guards& entry = options.entry_guards;
-  const std::pair<const char*, bool*> guards[] = {
-      {"agent.remember_requests", &agent.remember_requests},
-      {"agent.check_incarnation", &agent.check_incarnation},
-      {"agent.check_start_before", &agent.check_start_before},
-      {"agent.run_until", &agent.run_until},
-      {"agent.refuse_when_leaving", &agent.refuse_when_leaving},
-      {"agent.drain_on_shutdown", &agent.drain_on_shutdown},
-      {"agent.monotonic_config", &agent.monotonic_config},
-      {"agent.check_pause", &agent.check_pause},
-      {"entry.not_run_needs_proof", &entry.not_run_needs_proof},
-      {"entry.match_answers", &entry.match_answers},
-      {"entry.check_answer_length", &entry.check_answer_length},
-      {"entry.never_retry_unrepeatable", &entry.never_retry_unrepeatable},
-      {"entry.claim_before_start", &entry.claim_before_start},
-      {"entry.drain_on_shutdown", &entry.drain_on_shutdown},
-      {"entry.monotonic_config", &entry.monotonic_config},
-      {"entry.warm_up", &entry.warm_up},
-      {"entry.keep_guarantees", &entry.keep_guarantees},
-  };
-  for (const auto& [name, value] : guards) {
-    if (guard == name) {
-      *value = false;
-    }
-  }
-}
-
 class Runner {
  public:
   Runner(const Scenario& scenario, std::ostream* trace) : scenario_(scenario) {
@@ -99,15 +44,16 @@
  private:
   void MakeWorld() {
     const Step& cluster = scenario_.steps.front();
-    options_.entries = std::max(1, Number(cluster, "entries", 2));
-    options_.agents = std::max(1, Number(cluster, "agents", 4));
-    options_.racks = std::max(1, Number(cluster, "racks", 2));
-    options_.seed = static_cast<std::uint64_t>(Number(cluster, "seed", 1));
+    options_.entries = std::max(1, NumberOption(cluster, "entries", 2));
+    options_.agents = std::max(1, NumberOption(cluster, "agents", 4));
+    options_.racks = std::max(1, NumberOption(cluster, "racks", 2));
+    options_.seed =
+        static_cast<std::uint64_t>(NumberOption(cluster, "seed", 1));
     options_.log_retention =
-        Duration(cluster, "retention", options_.log_retention);
+        DurationOption(cluster, "retention", options_.log_retention);
     for (const Step& step : scenario_.steps) {
       if (step.verb == Verb::kWithout) {
-        Disable(step.word, options_);
+        DisableGuard(step.word, options_);
       }
     }
     world_ = std::make_unique<World>(options_);
@@ -117,7 +63,7 @@
   // force, so that every scenario starts from a working cluster.
   bool Prepare() {
     bool ready = true;
-    if (Flag(scenario_.steps.front(), "targets", true)) {
+    if (FlagOption(scenario_.steps.front(), "targets", true)) {
       ClassTarget live;
       live.name = ClassName("live");
       live.customer = CustomerName("salon");
@@ -195,54 +141,8 @@
     return step.a.index;
   }
 
-  CallerRequest RequestOf(const Step& step) {
-    CallerRequest request;
-    request.name = step.name;
-    request.customer = CustomerName(Text(step, "customer", "salon"));
-    request.request_class = ClassName(Text(step, "class", "live"));
-    request.repeatable = Flag(step, "repeatable", false);
-    request.body = ToBody({step.name, Duration(step, "run", Millis(100)),
-                           Flag(step, "fails", false)});
-    return request;
-  }
-
-  CallerJob JobOf(const Step& step, const std::string& name) {
-    CallerJob job;
-    job.name = name;
-    job.call.key = name;
-    JobSpec& spec = job.call.spec;
-    spec.customer = CustomerName(Text(step, "customer", "archive"));
-    spec.job_class = ClassName(Text(step, "class", "batch"));
-    spec.shape.tasks = Number(step, "tasks", 1);
-    spec.shape.accelerators_per_task = Number(step, "accelerators", 1);
-    spec.shape.adjacency = AdjacencyOf(step, "any");
-    const Millis run = Duration(step, "run", Millis(2000));
-    spec.declared_run_time = Duration(step, "declared", run);
-    spec.repeatable = Flag(step, "repeatable", true);
-    spec.checkpointable = Flag(step, "checkpointable", false);
-    spec.body = ToBody({name, run, Flag(step, "fails", false)});
-    return job;
-  }
-
-  ClassTarget TargetOf(const Step& step) {
-    ClassTarget target;
-    target.name = ClassName(step.word);
-    target.kind = Text(step, "kind", "batch") == "live" ? WorkKind::kLive
-                                                        : WorkKind::kBatch;
-    const bool live = target.kind == WorkKind::kLive;
-    target.customer =
-        CustomerName(Text(step, "customer", live ? "salon" : "archive"));
-    target.finish_within =
-        Duration(step, "finish_within", Millis(live ? 2000 : 3'600'000));
-    target.accelerators = Number(step, "accelerators", 1);
-    target.guarantee.groups = Number(step, "groups", 0);
-    target.guarantee.accelerators = Number(step, "per_group", 0);
-    target.guarantee.within = AdjacencyOf(step, "worker");
-    return target;
-  }
-
   std::uint64_t BaseOf(const Step& step, const ClassName& name) {
-    const std::string base = Text(step, "base", "current");
+    const std::string base = TextOption(step, "base", "current");
     return base == "current" ? world_->AcceptedVersion(name)
                              : std::stoull(base);
   }
@@ -382,7 +282,7 @@
 
   void RunCallerStep(const Step& step) {
     const int entry = Through(step);
-    const Millis timeout = Duration(step, "timeout", Millis(2000));
+    const Millis timeout = DurationOption(step, "timeout", Millis(2000));
     switch (step.verb) {
       case Verb::kMint: {
         CallerRequest request = RequestOf(step);
@@ -435,8 +335,8 @@
         break;
       default: {
         api::CancelJobsCall call;
-        call.customer = CustomerName(Text(step, "customer", "archive"));
-        call.job_class = ClassName(Text(step, "class", ""));
+        call.customer = CustomerName(TextOption(step, "customer", "archive"));
+        call.job_class = ClassName(TextOption(step, "class", ""));
         world_->CancelJobs(call, entry);
         break;
       }
@@ -466,95 +366,6 @@
     }
   }
 
-  bool Holds(const Step& step) {
-    switch (step.verb) {
-      case Verb::kExpectRequest:
-        return RequestHolds(step);
-      case Verb::kExpectJob:
-        return JobHolds(step);
-      case Verb::kExpectChange:
-        return ChangeHolds(step);
-      case Verb::kExpectStarts:
-        return world_->oracle().Starts(step.name) <= step.number;
-      case Verb::kExpectReclaimed:
-        return world_->oracle().Running(step.name) ==
-               world_->Job(step.name).call.spec.shape.tasks;
-      default: {
-        const std::vector<std::string> open = world_->UnfinishedJobs();
-        return std::none_of(open.begin(), open.end(),
-                            [&](const std::string& it) {
-                              return it.starts_with(step.name + "-");
-                            });
-      }
-    }
-  }
-
-  bool RequestHolds(const Step& step) {
-    const CallerRequest& request = world_->Request(step.name);
-    const std::string& word = step.word;
-    if (word == "started") {
-      return world_->oracle().Starts(step.name) > 0;
-    }
-    static const std::map<std::string, RequestState> states = {
-        {"answered", RequestState::kAnswered},
-        {"not_run", RequestState::kNotRun},
-        {"unknown", RequestState::kUnknown},
-        {"failed", RequestState::kFailed},
-        {"conflict", RequestState::kConflict},
-        {"invalid", RequestState::kInvalid},
-        {"not_found", RequestState::kNotFound},
-        {"lost", RequestState::kLost},
-    };
-    return word == "replied" ? request.open_calls == 0
-                             : request.state == states.at(word);
-  }
-
-  bool JobHolds(const Step& step) {
-    const CallerJob& job = world_->Job(step.name);
-    const std::string& word = step.word;
-    if (word == "started") {
-      return world_->oracle().Starts(step.name) >= job.call.spec.shape.tasks;
-    }
-    if (word == "running") {
-      return world_->oracle().Running(step.name) == job.call.spec.shape.tasks;
-    }
-    static const std::map<std::string, SubmitState> submits = {
-        {"accepted", SubmitState::kAccepted},
-        {"not_accepted", SubmitState::kNotAccepted},
-        {"can_never_run", SubmitState::kCanNeverRun},
-        {"unknown", SubmitState::kUnknown},
-    };
-    const auto submit = submits.find(word);
-    if (submit != submits.end()) {
-      return job.submit == submit->second;
-    }
-    static const std::map<std::string, api::JobState> states = {
-        {"finished", api::JobState::kFinished},
-        {"failed", api::JobState::kFailed},
-        {"cancelled", api::JobState::kCancelled},
-        {"outcome_unknown", api::JobState::kOutcomeUnknown},
-    };
-    return job.final_state &&
-           (word == "final" || *job.final_state == states.at(word));
-  }
-
-  bool ChangeHolds(const Step& step) {
-    const OperatorChange& change = world_->Change(step.name);
-    static const std::map<std::string, ChangeState> states = {
-        {"accepted", ChangeState::kAccepted},
-        {"conflict", ChangeState::kConflict},
-        {"exceeds_capacity", ChangeState::kExceedsCapacity},
-        {"not_accepted", ChangeState::kNotAccepted},
-        {"unknown", ChangeState::kUnknown},
-    };
-    if (step.word == "in_force") {
-      return change.state == ChangeState::kAccepted &&
-             world_->InForceEverywhere(change);
-    }
-    return step.word == "replied" ? change.state != ChangeState::kPending
-                                  : change.state == states.at(step.word);
-  }
-
   void RunExpectation(const Step& step) {
     if (step.verb == Verb::kExpectRequest && !world_->HasRequest(step.name)) {
       Fail(step, "there is no such request");
@@ -570,7 +381,8 @@
       Fail(step, "there is no such change");
       return;
     }
-    if (world_->AdvanceUntil(step.within, [&] { return Holds(step); })) {
+    if (world_->AdvanceUntil(step.within,
+                             [&] { return Holds(*world_, step); })) {
       return;
     }
     if (step.verb == Verb::kExpectReclaimed) {
@@ -581,33 +393,8 @@
               std::to_string(world_->oracle().Running(step.name)) +
               " tasks run");
     } else {
-      Fail(step, "does not hold; " + Describe(step));
-    }
-  }
-
-  std::string Describe(const Step& step) {
-    if (step.verb == Verb::kExpectRequest) {
-      return "request state " +
-             std::to_string(
-                 static_cast<int>(world_->Request(step.name).state)) +
-             ", starts " + std::to_string(world_->oracle().Starts(step.name));
-    }
-    if (step.verb == Verb::kExpectChange) {
-      const OperatorChange& change = world_->Change(step.name);
-      return "change state " + std::to_string(static_cast<int>(change.state)) +
-             " " + change.reason;
-    }
-    if (step.verb == Verb::kExpectJob) {
-      const CallerJob& job = world_->Job(step.name);
-      return "submission " + std::to_string(static_cast<int>(job.submit)) +
-             ", state " +
-             (job.state ? std::to_string(static_cast<int>(*job.state))
-                        : std::string("none")) +
-             ", tasks running " +
-             std::to_string(world_->oracle().Running(step.name)) + ", starts " +
-             std::to_string(world_->oracle().Starts(step.name));
+      Fail(step, "does not hold; " + Describe(*world_, step));
     }
-    return "starts " + std::to_string(world_->oracle().Starts(step.name));
   }
 
   void Settle(Millis limit, const char* where) {
