--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -2,28 +2,20 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <iostream>
-#include <map>
-#include <optional>
-#include <random>
 #include <utility>
 
-#include "shallotlug/executor/executor.h"
-#include "shallotlug/joblog/follower.h"
-#include "shallotlug/scheduler/role.h"
+#include "job_simulation_impl.h"
 
 namespace shallotlug::jobharness {
 
+using detail::AgentSim;
+using detail::EntrySim;
+using detail::kCallTimeout;
+
 namespace {
 
 constexpr Millis kStep{5};
-constexpr Millis kHeartbeat{500};
-constexpr Millis kReadInterval{20};
-constexpr Millis kPollInterval{50};
-constexpr Millis kCallTimeout{700};
-constexpr Millis kMaxDeliveryDelay{15'000};
-constexpr Millis kSyncInterval{100};
 constexpr Millis kSubmitRetry{400};
 constexpr int kSubmitAttempts = 60;
 constexpr int kMaxDelayMs = 6;
@@ -32,138 +24,52 @@
 constexpr Millis kFirstClockOffset{10'000'000};
 constexpr Millis kClockOffsetPerAgent{1'000'000};
 
-struct EntrySim {
-  bool running = false;
-  bool frozen = false;
-  std::uint64_t life = 0;
-  workload::Ledger ledger;
-  std::optional<joblog::Follower> follower;
-  std::optional<scheduler::Role> role;
-  TimePoint next_read{};
-  std::map<AgentName, TimePoint> next_sync;
-  std::set<AgentName> syncing;
-};
-
-struct AgentSim {
-  std::string machine;
-  bool running = false;
-  std::uint64_t life = 0;
-  bool cut = false;
-  bool worker_partitioned = false;
-  bool draining = false;
-  bool frozen = false;
-  std::vector<std::function<void()>> queued;  ///< While it was frozen.
-  Millis clock_offset{0};  ///< Of its machine's clock to the simulated one.
-  double clock_rate = 1;   ///< The same.
-  std::optional<executor::Executor> executor;
-  TimePoint next_heartbeat{};
-  TimePoint next_poll{};
-  bool registered = false;
-};
-
 }  // namespace
 
-struct JobSimulation::Impl {
-  explicit Impl(const JobSimulationOptions& given)
-      : options(given), random(given.seed), fleet(oracle) {}
-
-  JobSimulationOptions options;
-  std::mt19937_64 random;
-  TimePoint now{Millis(1'000)};
-
-  void Trace(const std::string& process, const std::vector<LogLine>& lines) {
-    for (const LogLine& it : lines) {
-      if (options.trace) {
-        std::cerr << now.time_since_epoch().count() << " " << process << " "
-                  << it.event;
-        for (const Label& field : it.fields) {
-          std::cerr << " " << field.name << "=" << field.value;
-        }
-        std::cerr << "\n";
+void JobSimulation::Impl::Trace(const std::string& process,
+                                const std::vector<LogLine>& lines) {
+  for (const LogLine& it : lines) {
+    if (options.trace) {
+      std::cerr << now.time_since_epoch().count() << " " << process << " "
+                << it.event;
+      for (const Label& field : it.fields) {
+        std::cerr << " " << field.name << "=" << field.value;
       }
+      std::cerr << "\n";
     }
   }
+}
 
-  std::multimap<TimePoint, std::function<void()>> events;
-  JobOracle oracle;
-  FakeStore store;
-  FakeFleet fleet;
-  workload::Policy policy;
-  std::vector<EntrySim> entries;
-  std::vector<AgentSim> agents;
-  std::map<JobId, workload::Job> jobs;
-
-  scheduler::Now BothClocks() const {
-    return {now, workload::WallTime(now.time_since_epoch())};
-  }
-  /// @brief The time by the clock of the agent's machine.
-  TimePoint AgentClock(std::size_t n) const {
-    const auto simulated = static_cast<double>(now.time_since_epoch().count());
-    return TimePoint(Millis(std::llround(simulated * agents[n].clock_rate))) +
-           agents[n].clock_offset;
-  }
-  bool Chance(double share) {
-    return std::uniform_real_distribution<>(0, 1)(random) < share;
-  }
-  double ClockRate(double slowest, double fastest) {
-    return std::uniform_real_distribution<>(slowest, fastest)(random);
-  }
-  Millis Delay() {
-    return Millis(std::uniform_int_distribution<>(1, kMaxDelayMs)(random));
-  }
-  Millis AnswerDelay() {
-    if (options.slow_answers > 0 && Chance(options.slow_answers)) {
-      return Millis(std::uniform_int_distribution<std::int64_t>(
-          1, kCallTimeout.count())(random));
-    }
-    return Delay();
-  }
-  void After(Millis delay, std::function<void()> call) {
-    events.emplace(now + delay, std::move(call));
-  }
-  /// @brief Calls when the agent is not frozen, if it still lives by then.
-  void Deliver(std::size_t n, std::uint64_t life, std::function<void()> call) {
-    if (!AgentLives(n, life)) {
-      return;
-    }
-    if (agents[n].frozen) {
-      agents[n].queued.push_back(std::move(call));
-    } else {
-      call();
-    }
+TimePoint JobSimulation::Impl::AgentClock(std::size_t n) const {
+  const auto simulated = static_cast<double>(now.time_since_epoch().count());
+  return TimePoint(Millis(std::llround(simulated * agents[n].clock_rate))) +
+         agents[n].clock_offset;
+}
+
+Millis JobSimulation::Impl::Delay() {
+  return Millis(std::uniform_int_distribution<>(1, kMaxDelayMs)(random));
+}
+
+Millis JobSimulation::Impl::AnswerDelay() {
+  if (options.slow_answers > 0 && Chance(options.slow_answers)) {
+    return Millis(std::uniform_int_distribution<std::int64_t>(
+        1, kCallTimeout.count())(random));
   }
-  template <class Result, class Answer>
-  void DeliverAnswer(std::size_t n,
-                     std::uint64_t life,
-                     Answer answer,
-                     const Result& result);
-
-  void Tick();
-  void StepEntry(std::size_t n);
-  void Read(std::size_t n);
-  void StartAppend(std::size_t n);
-  void Sync(std::size_t n, const AgentName& name);
-  void DeliverLate(const AgentName& name, const protocol::SyncRequest& request);
-  void StepAgent(std::size_t n);
-  void Register(std::size_t n);
-  void SendAction(std::size_t n, const executor::Action& action);
-  void Look(std::size_t n, const executor::WorkerQuery& look);
-  void TrySubmit(const JobId& job, int attempts);
-  void TryCancel(const JobId& job, int attempts);
-  std::optional<std::size_t> FindAgent(const AgentName& name) const;
-  template <class Call, class Answer>
-  void CallStore(const std::string& caller, Call call, Answer answer);
-  template <class Result, class Call, class Answer>
-  void CallWorker(std::size_t n, Call call, Answer answer);
-  template <class Result, class Answer>
-  void AnswerAfterTimeout(std::size_t n, std::uint64_t life, Answer answer);
-  bool EntryLives(std::size_t n, std::uint64_t life) const {
-    return entries[n].running && entries[n].life == life;
+  return Delay();
+}
+
+void JobSimulation::Impl::Deliver(std::size_t n,
+                                  std::uint64_t life,
+                                  std::function<void()> call) {
+  if (!AgentLives(n, life)) {
+    return;
   }
-  bool AgentLives(std::size_t n, std::uint64_t life) const {
-    return agents[n].running && agents[n].life == life;
+  if (agents[n].frozen) {
+    agents[n].queued.push_back(std::move(call));
+  } else {
+    call();
   }
-};
+}
 
 std::optional<std::size_t> JobSimulation::Impl::FindAgent(
     const AgentName& name) const {
@@ -176,10 +82,9 @@
 }
 
 // An append whose answer is lost may have been carried out.
-template <class Call, class Answer>
-void JobSimulation::Impl::CallStore(const std::string&,
-                                    Call call,
-                                    Answer answer) {
+void JobSimulation::Impl::CallStore(
+    std::function<joblog::AppendResult()> call,
+    std::function<void(const joblog::AppendResult&)> answer) {
   const bool lost = Chance(options.lost_appends);
   const bool done = !lost || Chance(0.5);
   After(Delay(), [this, call, answer, lost, done] {
@@ -195,75 +100,6 @@
   });
 }
 
-template <class Result, class Call, class Answer>
-void JobSimulation::Impl::CallWorker(std::size_t n, Call call, Answer answer) {
-  const std::uint64_t life = agents[n].life;
-  if (agents[n].worker_partitioned || fleet.IsDown(agents[n].machine)) {
-    After(kCallTimeout, [this, n, life, answer] {
-      Result result;
-      result.status = executor::OrderStatus::kNotReached;
-      DeliverAnswer(n, life, answer, result);
-    });
-    return;
-  }
-  const bool lost = Chance(options.lost_orders);
-  const Millis late = lost ? Millis(std::uniform_int_distribution<std::int64_t>(
-                                 0, options.late_by.count())(random))
-                           : Delay();
-  // Calls name the worker and not its life.
-  const workload::WorkerLife meant = fleet.Facts(agents[n].machine).life;
-  After(late, [this, n, life, call, answer, lost, meant] {
-    if (lost && !options.late_calls_reach_new_lives &&
-        fleet.Facts(agents[n].machine).life != meant) {
-      return;
-    }
-    if (fleet.IsDown(agents[n].machine)) {
-      // The worker has crashed since the call was sent.
-      if (!lost) {
-        AnswerAfterTimeout<Result>(n, life, answer);
-      }
-      return;
-    }
-    const Result result = call();
-    if (!lost) {
-      After(AnswerDelay(), [this, n, life, answer, result] {
-        DeliverAnswer(n, life, answer, result);
-      });
-    }
-  });
-  if (lost) {
-    AnswerAfterTimeout<Result>(n, life, answer);
-  }
-}
-
-template <class Result, class Answer>
-void JobSimulation::Impl::AnswerAfterTimeout(std::size_t n,
-                                             std::uint64_t life,
-                                             Answer answer) {
-  After(kCallTimeout, [this, n, life, answer] {
-    Result result;
-    result.status = executor::OrderStatus::kNoAnswer;
-    DeliverAnswer(n, life, answer, result);
-  });
-}
-
-// An agent that goes on after a freeze finds the answer and the call's timeout
-// at the same time.
-template <class Result, class Answer>
-void JobSimulation::Impl::DeliverAnswer(std::size_t n,
-                                        std::uint64_t life,
-                                        Answer answer,
-                                        const Result& result) {
-  Deliver(n, life, [this, answer, result, arrived = now] {
-    Result seen = result;
-    if (now - arrived >= kCallTimeout && Chance(0.5)) {
-      seen = {};
-      seen.status = executor::OrderStatus::kNoAnswer;
-    }
-    answer(seen);
-  });
-}
-
 void JobSimulation::Impl::Tick() {
   now += kStep;
   fleet.Advance(now);
@@ -284,226 +120,30 @@
   }
 }
 
-void JobSimulation::Impl::Read(std::size_t n) {
-  EntrySim& entry = entries[n];
-  entry.next_read = now + kReadInterval;
-  const std::string caller = "entry-" + std::to_string(n);
-  const joblog::FollowCall call = entry.follower->Next();
-  if (call.kind == joblog::FollowCall::Kind::kNewest) {
-    entry.follower->OnNewest(store.Newest(caller, call.after_key), now);
-  } else {
-    entry.follower->OnRead(store.Read(caller, call.from), now);
-  }
-  entry.role->OnPage(*entry.follower, BothClocks());
-}
-
-void JobSimulation::Impl::StartAppend(std::size_t n) {
-  EntrySim& entry = entries[n];
-  const auto append = entry.role->NextAppend(random(), BothClocks());
-  if (!append) {
-    return;
-  }
-  const std::string caller = "entry-" + std::to_string(n);
-  CallStore(
-      caller,
-      [this, caller, append = *append] {
-        return store.Append(caller, append.records, append.options);
-      },
-      [this, n, life = entry.life](const joblog::AppendResult& result) {
-        if (EntryLives(n, life)) {
-          entries[n].role->OnAppended(result, BothClocks());
-        }
-      });
-}
-
-void JobSimulation::Impl::StepEntry(std::size_t n) {
-  EntrySim& entry = entries[n];
-  if (now >= entry.next_read) {
-    Read(n);
-  }
-  StartAppend(n);
-  Trace("entry-" + std::to_string(n), entry.role->TakeLog());
-  if (entry.role->Active() == nullptr) {
-    return;
-  }
-  for (const auto& it : entry.role->Active()->Agents()) {
-    if (!entry.syncing.contains(it.agent) &&
-        (now >= entry.next_sync[it.agent] ||
-         entry.role->Active()->HasNews(it.agent, BothClocks()))) {
-      Sync(n, it.agent);
-    }
-  }
-}
-
-void JobSimulation::Impl::Sync(std::size_t n, const AgentName& name) {
-  EntrySim& entry = entries[n];
-  entry.next_sync[name] = now + kSyncInterval;
-  entry.syncing.insert(name);
-  const protocol::SyncRequest request =
-      entry.role->Active()->MakeSync(name, Millis{0}, BothClocks());
-  const std::uint64_t life = entry.life;
-  const std::uint64_t epoch = entry.role->Epoch();
-  After(Delay(), [this, n, name, request, life, epoch] {
-    const auto release = [this, n, name, life] {
-      if (EntryLives(n, life)) {
-        entries[n].syncing.erase(name);
-      }
-    };
-    const auto called = FindAgent(name);
-    if (!called || !agents[*called].running || agents[*called].cut) {
-      After(kCallTimeout, release);
-      DeliverLate(name, request);
-      return;
-    }
-    if (agents[*called].frozen) {
-      After(kCallTimeout, release);
-    }
-    const auto handle = [this, n, m = *called, name, request, life, epoch,
-                         release, arrived = now] {
-      executor::Executor& agent = *agents[m].executor;
-      const TimePoint local = AgentClock(m);
-      const bool accepted = agent.OnSync(request, local);
-      if (now - arrived >= kCallTimeout) {
-        return;  // The caller waits no longer.
-      }
-      const protocol::SyncReply reply = agent.MakeReply(accepted, local);
-      After(Delay(), [this, n, name, request, reply, life, epoch, release] {
-        release();
-        if (!EntryLives(n, life) || entries[n].role->Epoch() != epoch) {
-          return;
-        }
-        if (reply.accepted) {
-          entries[n].role->Active()->OnReply(
-              name, request.lease_from.incarnation, reply, BothClocks());
-        } else {
-          entries[n].role->OnDeposed(epoch, BothClocks());
-        }
-      });
-    };
-    Deliver(*called, agents[*called].life, handle);
-  });
-}
-
-// A request that a partition has delayed may arrive after its end, long after
-// the caller has timed out.
-void JobSimulation::Impl::DeliverLate(const AgentName& name,
-                                      const protocol::SyncRequest& request) {
-  const Millis held(std::uniform_int_distribution<std::int64_t>(
-      0, kMaxDeliveryDelay.count())(random));
-  After(held, [this, name, request] {
-    const auto called = FindAgent(name);
-    if (called && agents[*called].running && !agents[*called].cut) {
-      Deliver(*called, agents[*called].life, [this, n = *called, request] {
-        agents[n].executor->OnSync(request, AgentClock(n));
-      });
-    }
-  });
-}
-
-void JobSimulation::Impl::Register(std::size_t n) {
-  AgentSim& agent = agents[n];
-  agent.registered = true;
-  workload::AgentAddress address;
-  address.agent = AgentName(agent.machine);
-  // The simulation finds agents by their names.
-  address.address = "127.0.0.1:1";
-  address.incarnation = Incarnation{agent.life};
-  const auto result =
-      store.Append(agent.machine, {workload::Encode(address)}, {});
-  agent.registered = result.status == joblog::AppendStatus::kDone;
-}
-
-void JobSimulation::Impl::StepAgent(std::size_t n) {
-  AgentSim& agent = agents[n];
-  if (!agent.registered) {
-    Register(n);
-  }
-  if (now >= agent.next_heartbeat && !agent.worker_partitioned &&
-      !fleet.IsDown(agent.machine)) {
-    agent.next_heartbeat = now + kHeartbeat;
-    workload::WorkerFacts facts = fleet.Facts(agent.machine);
-    facts.draining = agent.draining;
-    agent.executor->OnHeartbeat(facts, fleet.NextSequence(agent.machine),
-                                AgentClock(n));
-  }
-  for (const executor::Action& it :
-       agent.executor->TakeActions(AgentClock(n))) {
-    SendAction(n, it);
-  }
-  if (const auto quick = agent.executor->QuickCall(AgentClock(n))) {
-    Look(n, *quick);
-  } else if (now >= agent.next_poll) {
-    agent.next_poll = now + kPollInterval;
-    Look(n, agent.executor->WatchCall(AgentClock(n)));
-  }
-  Trace(agent.machine, agent.executor->TakeLog());
-}
-
-void JobSimulation::Impl::Look(std::size_t n,
-                               const executor::WorkerQuery& look) {
-  const std::string machine = agents[n].machine;
-  CallWorker<executor::WorkerView>(
-      n,
-      [this, machine, look] {
-        return fleet.Look(machine, look.context, look.noted_ends, now);
-      },
-      [this, n, look](const executor::WorkerView& view) {
-        agents[n].executor->OnView(look.number, view, AgentClock(n));
-      });
-}
-
-void JobSimulation::Impl::SendAction(std::size_t n,
-                                     const executor::Action& action) {
-  AgentSim& agent = agents[n];
-  const std::string machine = agent.machine;
-  const executor::OrderContext context = agent.executor->Context();
-  if (const auto* start = std::get_if<executor::StartAction>(&action)) {
-    CallWorker<executor::OrderResult>(
-        n,
-        [this, machine, context, order = start->order] {
-          return fleet.Start(machine, context, order, now);
-        },
-        [this, n, run = start->order.run](const executor::OrderResult& it) {
-          agents[n].executor->OnStartResult(run, it, AgentClock(n));
-        });
-  } else if (const auto* stop = std::get_if<executor::StopAction>(&action)) {
-    CallWorker<executor::OrderResult>(
-        n,
-        [this, machine, context, run = stop->run] {
-          return fleet.Stop(machine, context, run, now);
-        },
-        [this, n, run = stop->run](const executor::OrderResult& it) {
-          agents[n].executor->OnStopResult(run, it, AgentClock(n));
-        });
-  }
-}
-
 void JobSimulation::Impl::TrySubmit(const JobId& id, int attempts) {
   const auto record = workload::Encode(workload::JobAccepted{jobs.at(id)});
-  CallStore(
-      "caller", [this, record] { return store.Append("caller", {record}, {}); },
-      [this, id, attempts](const joblog::AppendResult& result) {
-        if (result.status == joblog::AppendStatus::kDone) {
-          oracle.OnAccepted(jobs.at(id));
-        } else if (attempts > 1) {
-          After(kSubmitRetry,
-                [this, id, attempts] { TrySubmit(id, attempts - 1); });
-        }
-      });
+  CallStore([this, record] { return store.Append("caller", {record}, {}); },
+            [this, id, attempts](const joblog::AppendResult& result) {
+              if (result.status == joblog::AppendStatus::kDone) {
+                oracle.OnAccepted(jobs.at(id));
+              } else if (attempts > 1) {
+                After(kSubmitRetry,
+                      [this, id, attempts] { TrySubmit(id, attempts - 1); });
+              }
+            });
 }
 
 void JobSimulation::Impl::TryCancel(const JobId& id, int attempts) {
   const auto record = workload::Encode(workload::JobCancelled{id});
-  CallStore(
-      "caller", [this, record] { return store.Append("caller", {record}, {}); },
-      [this, id, attempts](const joblog::AppendResult& result) {
-        if (result.status == joblog::AppendStatus::kDone) {
-          oracle.OnCancelled(id, now);
-        } else if (attempts > 1) {
-          After(kSubmitRetry,
-                [this, id, attempts] { TryCancel(id, attempts - 1); });
-        }
-      });
+  CallStore([this, record] { return store.Append("caller", {record}, {}); },
+            [this, id, attempts](const joblog::AppendResult& result) {
+              if (result.status == joblog::AppendStatus::kDone) {
+                oracle.OnCancelled(id, now);
+              } else if (attempts > 1) {
+                After(kSubmitRetry,
+                      [this, id, attempts] { TryCancel(id, attempts - 1); });
+              }
+            });
 }
 
 JobSimulation::JobSimulation(const JobSimulationOptions& options)
