--- a/packages/harness/include/shallotlug/harness/world.h
+++ b/packages/harness/include/shallotlug/harness/world.h
@@ -101,6 +101,9 @@
   std::string reason;
 };
 
+class ConfigurationCheck;
+struct ConfiguredCluster;
+
 /// @brief Entries, agents, backend servers, the log, callers and operators on
 /// one fake clock.
 class World {
@@ -230,11 +233,10 @@
   void HandleChangeReply(const OpenCall& call, const api::Reply& reply);
   void CallLost(const OpenCall& call);
   void PollJobs();
-  void CheckConfiguration();
   void CheckRevision(const ProcessRef& process,
                      std::uint64_t revision,
                      std::uint64_t& highest);
-  bool Uses(const Targets& targets, const OperatorChange& change) const;
+  ConfiguredCluster Configured() const;
 
   WorldOptions options_;
   Random random_;
@@ -251,16 +253,10 @@
   std::map<std::string, CallerJob> jobs_;
   std::map<std::string, OperatorChange> changes_;
   Millis next_poll_{};
-  /// Since when a pair of processes has been able to exchange messages.
-  std::map<std::pair<int, int>, Millis> undisturbed_since_;
   Millis faults_until_{};
   int damaged_percent_ = 0;
   Millis damaged_until_{};
-  /// Since when a running agent has known a running entry.
-  std::map<std::pair<int, int>, Millis> met_since_;
-  Millis log_healthy_since_{};
-  std::map<std::pair<ProcessRef, std::string>, Millis> in_force_since_;
-  std::map<std::pair<ProcessRef, std::string>, bool> config_reported_;
+  std::unique_ptr<ConfigurationCheck> configuration_check_;
 };
 
 }  // namespace shallotlug::harness
--- a/packages/harness/src/callers.cc
+++ b/packages/harness/src/callers.cc
@@ -1,5 +1,7 @@
 // Callers and operators of the World: they make calls and keep what they were
 // told.
+#include <algorithm>
+
 #include "processes.h"
 #include "shallotlug/harness/world.h"
 
@@ -384,4 +386,57 @@
   }
 }
 
+std::uint64_t World::AcceptedVersion(const ClassName& name) const {
+  std::uint64_t version = 0;
+  for (const auto& [id, change] : changes_) {
+    if (change.state == ChangeState::kAccepted && change.target.name == name) {
+      version = std::max(version, change.version);
+    }
+  }
+  return version;
+}
+
+bool World::AllCallsReplied() const {
+  return std::all_of(
+      open_calls_.begin(), open_calls_.end(),
+      [](const auto& it) { return it.second.kind == CallKind::kPoll; });
+}
+
+std::string World::OpenCallNames() const {
+  std::string names;
+  for (const auto& [id, call] : open_calls_) {
+    if (call.kind != CallKind::kPoll && names.size() < 200) {
+      names += (names.empty() ? "" : ", ") + call.name;
+    }
+  }
+  return names;
+}
+
+std::vector<std::string> World::UncertainJobs() const {
+  std::vector<std::string> names;
+  for (const auto& [name, job] : jobs_) {
+    if (job.submit == SubmitState::kUnknown ||
+        job.submit == SubmitState::kLost) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::vector<std::string> World::UnfinishedJobs() const {
+  std::vector<std::string> names;
+  for (const auto& [name, job] : jobs_) {
+    if (job.submit == SubmitState::kAccepted && !job.final_state) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+bool World::AllJobsFinal() const {
+  return std::none_of(jobs_.begin(), jobs_.end(), [](const auto& it) {
+    return it.second.submit == SubmitState::kAccepted && !it.second.final_state;
+  });
+}
+
 }  // namespace shallotlug::harness
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "configuration_check.h"
 #include "processes.h"
 
 namespace shallotlug::harness {
@@ -12,10 +13,6 @@
 constexpr Millis kTick{10};
 constexpr Millis kStepInterval{50};
 constexpr Millis kCommandDelay{2};
-constexpr Millis kInForceWithin{7000};
-// A silent link is found after 3 s and redialled within 1 s; what waits on it
-// is then resolved.
-constexpr Millis kFaultRecovery{6000};
 constexpr int kMaxDriftPpm = 10'000;
 
 ClockModel DrawClock(Random& random) {
@@ -36,7 +33,8 @@
       random_(options.seed),
       clock_random_(options.seed + 3),
       network_(options.seed + 1),
-      log_(options.seed + 2) {
+      log_(options.seed + 2),
+      configuration_check_(std::make_unique<ConfigurationCheck>()) {
   log_.SetRetention(options.log_retention);
   network_.tamper = [this](const ProcessRef&, Message& message) {
     Tamper(message);
@@ -80,181 +78,6 @@
   return *agents_.at(static_cast<std::size_t>(agent - 1))->worker;
 }
 
-void World::StartAgent(Agent& agent) {
-  agent.options.self.incarnation = Incarnation{random_.Next() | 1};
-  agent.options.random_seed = random_.Next();
-  agent.state =
-      agent::MakeState(agent.options, TimePoint(agent.clock.Read(now_)));
-  agent.alive = true;
-  agent.shutdown_due = false;
-  agent.frozen_until = Millis(0);
-  agent.usable_since = now_;
-  agent.highest_revision = 0;
-  agent.commands.clear();
-  agent.reports.clear();
-  agent.worker->ReportNow();
-  network_.Start(agent.ref);
-}
-
-void World::StartEntry(Entry& entry) {
-  entry.options.self.incarnation = Incarnation{random_.Next() | 1};
-  entry.options.random_seed = random_.Next();
-  entry.state =
-      entry::MakeState(entry.options, TimePoint(entry.clock.Read(now_)));
-  entry.alive = true;
-  entry.shutdown_due = false;
-  ++entry.life;
-  entry.frozen_until = Millis(0);
-  entry.usable_since = now_;
-  entry.highest_revision = 0;
-  entry.calls.clear();
-  log_.Forget(entry.ref);
-  network_.Start(entry.ref);
-}
-
-bool World::Alive(const ProcessRef& process) const {
-  const auto index = static_cast<std::size_t>(process.index - 1);
-  return process.role == Role::kEntry ? entries_.at(index)->alive
-                                      : agents_.at(index)->alive;
-}
-
-void World::Kill(const ProcessRef& process, bool silently) {
-  if (!Alive(process)) {
-    return;
-  }
-  network_.Stop(now_, process, silently);
-  const auto index = static_cast<std::size_t>(process.index - 1);
-  if (process.role == Role::kAgent) {
-    oracle_.HolderDied(process.index);
-    Agent& agent = *agents_[index];
-    agent.alive = false;
-    agent.state.reset();
-    agent.commands.clear();
-    agent.reports.clear();
-    if (silently) {
-      agent.worker->Restart(now_);
-      agent.clock = ClockAfterPowerLoss(agent.clock, now_, clock_random_);
-    }
-    return;
-  }
-  Entry& entry = *entries_[index];
-  entry.alive = false;
-  if (silently) {
-    entry.clock = ClockAfterPowerLoss(entry.clock, now_, clock_random_);
-  }
-  entry.state.reset();
-  entry.calls.clear();
-  log_.Forget(process);
-  std::vector<OpenCall> lost;
-  std::erase_if(open_calls_, [&](const auto& it) {
-    if (it.second.entry != process.index) {
-      return false;
-    }
-    lost.push_back(it.second);
-    return true;
-  });
-  for (const OpenCall& call : lost) {
-    CallLost(call);
-  }
-}
-
-void World::Restart(const ProcessRef& process) {
-  Kill(process, false);
-  const auto index = static_cast<std::size_t>(process.index - 1);
-  if (process.role == Role::kAgent) {
-    StartAgent(*agents_[index]);
-  } else {
-    StartEntry(*entries_[index]);
-  }
-}
-
-void World::Freeze(const ProcessRef& process, Millis duration) {
-  if (!Alive(process)) {
-    return;
-  }
-  const auto index = static_cast<std::size_t>(process.index - 1);
-  Millis& until = process.role == Role::kAgent ? agents_[index]->frozen_until
-                                               : entries_[index]->frozen_until;
-  until = std::max(until, now_ + duration);
-  network_.SetFrozen(process, true);
-}
-
-void World::Shutdown(const ProcessRef& process) {
-  if (!Alive(process)) {
-    return;
-  }
-  const auto index = static_cast<std::size_t>(process.index - 1);
-  if (process.role == Role::kEntry) {
-    entries_[index]->shutdown_due = true;
-    network_.SetReady(process, false);
-  } else {
-    agents_[index]->shutdown_due = true;
-  }
-  if (now_ < faults_until_ + kFaultRecovery) {
-    return;
-  }
-  for (auto& open : open_calls_) {
-    OpenCall& call = open.second;
-    if (call.kind != CallKind::kRequest || !call.taken) {
-      continue;
-    }
-    const bool running = oracle_.Running(call.name) > 0;
-    const bool here = process.role == Role::kEntry
-                          ? call.entry == process.index
-                          : agents_[index]->worker->Runs(call.name);
-    // The deadline must leave time for the whole run. Calls that join a request
-    // end with the deadline of the first one.
-    const Millis run = FromBody(requests_[call.name].body).run_time;
-    const bool in_time = std::all_of(
-        open_calls_.begin(), open_calls_.end(), [&](const auto& it) {
-          return it.second.name != call.name ||
-                 now_ + run + Millis(500) < it.second.deadline;
-        });
-    call.must_answer = call.must_answer || (here && running && in_time);
-  }
-}
-
-void World::ExcuseInFlight(Millis until) {
-  faults_until_ = std::max(faults_until_, until);
-  for (auto& [id, call] : open_calls_) {
-    call.must_answer = false;
-  }
-}
-
-void World::DamageAnswers(int percent, Millis until) {
-  damaged_percent_ = percent;
-  damaged_until_ = until;
-}
-
-void World::Calm() {
-  damaged_until_ = Millis(0);
-  network_.ClearFaults();
-  log_.ClearFaults();
-  for (auto& agent : agents_) {
-    agent->worker->SetFailsAll(false);
-    agent->worker->SetCutsAnswers(false);
-    agent->worker->SetLeaving(now_, false);
-    agent->frozen_until = std::min(agent->frozen_until, now_);
-  }
-  for (auto& entry : entries_) {
-    entry->frozen_until = std::min(entry->frozen_until, now_);
-  }
-  StartAll();
-}
-
-void World::StartAll() {
-  for (auto& agent : agents_) {
-    if (!agent->alive) {
-      Restart(agent->ref);
-    }
-  }
-  for (auto& entry : entries_) {
-    if (!entry->alive) {
-      Restart(entry->ref);
-    }
-  }
-}
-
 void World::Tamper(Message& message) {
   if (auto* propose = std::get_if<ProposeJob>(&message)) {
     propose->spec.body = Stamp(
@@ -467,12 +290,10 @@
     }
   }
   PollJobs();
-  CheckConfiguration();
+  configuration_check_->Tick(Configured(), changes_, oracle_);
   oracle_.Tick(now_);
 }
 
-// ------------------------------------------------------------------- checks
-
 void World::CheckRevision(const ProcessRef& process,
                           std::uint64_t revision,
                           std::uint64_t& highest) {
@@ -485,173 +306,31 @@
   highest = std::max(highest, revision);
 }
 
-bool World::Uses(const Targets& targets, const OperatorChange& change) const {
-  return std::any_of(targets.entries.begin(), targets.entries.end(),
-                     [&](const VersionedTarget& it) {
-                       return it.target.name == change.target.name &&
-                              it.version >= change.version;
-                     });
-}
-
-bool World::InForceEverywhere(const OperatorChange& change) const {
-  return std::all_of(entries_.begin(), entries_.end(),
-                     [&](const auto& it) {
-                       return !it->alive ||
-                              Uses(entry::CurrentTargets(*it->state), change);
-                     }) &&
-         std::all_of(agents_.begin(), agents_.end(), [&](const auto& it) {
-           return !it->alive || Uses(agent::CurrentTargets(*it->state), change);
-         });
-}
-
-void World::CheckConfiguration() {
-  if (!log_.Healthy(now_)) {
-    log_healthy_since_ = now_;
-  }
-  for (const auto& entry : entries_) {
-    for (const auto& agent : agents_) {
-      if (!network_.HaveMet(agent->ref, entry->ref)) {
-        met_since_[{entry->ref.index, agent->ref.index}] = now_;
-      }
-      if (network_.Disturbed(now_, entry->ref, agent->ref)) {
-        undisturbed_since_[{entry->ref.index, agent->ref.index}] = now_;
-      }
-    }
+ConfiguredCluster World::Configured() const {
+  ConfiguredCluster cluster;
+  cluster.now = now_;
+  cluster.network = &network_;
+  cluster.log = &log_;
+  for (const auto& it : entries_) {
+    cluster.entries.push_back(
+        {it->ref, it->alive ? &entry::CurrentTargets(*it->state) : nullptr,
+         it->shutdown_due, it->usable_since});
   }
-  std::map<ClassName, std::pair<const std::string*, const OperatorChange*>>
-      latest;
-  for (const auto& [name, change] : changes_) {
-    if (change.state != ChangeState::kAccepted ||
-        now_ - change.accepted_at < kInForceWithin) {
-      continue;
-    }
-    auto& slot = latest[change.target.name];
-    if (slot.second == nullptr || slot.second->version < change.version) {
-      slot = {&name, &change};
-    }
+  for (const auto& it : agents_) {
+    cluster.agents.push_back(
+        {it->ref, it->alive ? &agent::CurrentTargets(*it->state) : nullptr,
+         it->shutdown_due, it->usable_since});
   }
-  const Millis limit = now_ - kInForceWithin;
-  for (const auto& [class_name, named] : latest) {
-    const std::string& name = *named.first;
-    const OperatorChange& change = *named.second;
-    const auto had_since = [&](const ProcessRef& process, const auto& state,
-                               const Targets& targets) {
-      const std::pair key(process, name);
-      if (!state.alive || !Uses(targets, change)) {
-        in_force_since_.erase(key);
-      } else {
-        in_force_since_.emplace(key, now_);
-      }
-    };
-    for (const auto& it : entries_) {
-      had_since(it->ref, *it,
-                it->alive ? entry::CurrentTargets(*it->state) : Targets{});
-    }
-    for (const auto& it : agents_) {
-      had_since(it->ref, *it,
-                it->alive ? agent::CurrentTargets(*it->state) : Targets{});
-    }
-    const auto since = [&](const ProcessRef& process) {
-      const auto it = in_force_since_.find({process, name});
-      return it == in_force_since_.end() ? now_ : it->second;
-    };
-    const bool log_reached = log_healthy_since_ <= limit;
-    // An agent that has not met an entry finds it through the balancer, which
-    // may also choose an entry that this agent cannot reach.
-    const auto finds_any = [&](const Agent& agent) {
-      return std::all_of(entries_.begin(), entries_.end(), [&](const auto& it) {
-        return !it->alive ||
-               undisturbed_since_[{it->ref.index, agent.ref.index}] <= limit;
-      });
-    };
-    const auto connected = [&](const Entry& entry, const Agent& agent) {
-      return entry.alive && agent.alive && entry.usable_since <= limit &&
-             agent.usable_since <= limit && !entry.shutdown_due &&
-             !agent.shutdown_due &&
-             undisturbed_since_[{entry.ref.index, agent.ref.index}] <= limit &&
-             (met_since_[{entry.ref.index, agent.ref.index}] <= limit ||
-              finds_any(agent));
-    };
-    const auto check = [&](const ProcessRef& process, bool obliged) {
-      const std::pair key(process, name);
-      if (obliged && in_force_since_.count(key) == 0 &&
-          !std::exchange(config_reported_[key], true)) {
-        oracle_.Report(Promise::kP8, now_,
-                       ToString(process) + " does not use change " + name +
-                           " accepted at " +
-                           std::to_string(change.accepted_at.count()) + " ms");
-      }
-    };
-    for (const auto& entry : entries_) {
-      const bool usable = entry->alive && entry->usable_since <= limit;
-      check(
-          entry->ref,
-          usable && (log_reached ||
-                     std::any_of(agents_.begin(), agents_.end(), [&](auto& it) {
-                       return connected(*entry, *it) && since(it->ref) <= limit;
-                     })));
-    }
-    for (const auto& agent : agents_) {
-      check(agent->ref,
-            std::any_of(entries_.begin(), entries_.end(), [&](auto& it) {
-              return connected(*it, *agent) &&
-                     (log_reached || since(it->ref) <= limit);
-            }));
-    }
-  }
-}
-
-std::uint64_t World::AcceptedVersion(const ClassName& name) const {
-  std::uint64_t version = 0;
-  for (const auto& [id, change] : changes_) {
-    if (change.state == ChangeState::kAccepted && change.target.name == name) {
-      version = std::max(version, change.version);
-    }
-  }
-  return version;
-}
-
-bool World::AllCallsReplied() const {
-  return std::all_of(
-      open_calls_.begin(), open_calls_.end(),
-      [](const auto& it) { return it.second.kind == CallKind::kPoll; });
+  return cluster;
 }
 
-std::string World::OpenCallNames() const {
-  std::string names;
-  for (const auto& [id, call] : open_calls_) {
-    if (call.kind != CallKind::kPoll && names.size() < 200) {
-      names += (names.empty() ? "" : ", ") + call.name;
-    }
-  }
-  return names;
-}
-
-std::vector<std::string> World::UncertainJobs() const {
-  std::vector<std::string> names;
-  for (const auto& [name, job] : jobs_) {
-    if (job.submit == SubmitState::kUnknown ||
-        job.submit == SubmitState::kLost) {
-      names.push_back(name);
-    }
-  }
-  return names;
-}
-
-std::vector<std::string> World::UnfinishedJobs() const {
-  std::vector<std::string> names;
-  for (const auto& [name, job] : jobs_) {
-    if (job.submit == SubmitState::kAccepted && !job.final_state) {
-      names.push_back(name);
-    }
-  }
-  return names;
-}
-
-bool World::AllJobsFinal() const {
-  return std::none_of(jobs_.begin(), jobs_.end(), [](const auto& it) {
-    return it.second.submit == SubmitState::kAccepted && !it.second.final_state;
-  });
+bool World::InForceEverywhere(const OperatorChange& change) const {
+  const ConfiguredCluster cluster = Configured();
+  const auto uses = [&](const ConfiguredProcess& it) {
+    return it.targets == nullptr || Uses(*it.targets, change);
+  };
+  return std::all_of(cluster.entries.begin(), cluster.entries.end(), uses) &&
+         std::all_of(cluster.agents.begin(), cluster.agents.end(), uses);
 }
 
 }  // namespace shallotlug::harness
