--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -120,28 +120,17 @@
   }
 }
 
-void JobSimulation::Impl::TrySubmit(const JobId& id, int attempts) {
-  const auto record = workload::Encode(workload::JobAccepted{jobs.at(id)});
+void JobSimulation::Impl::AppendUntilDone(const workload::RawRecord& record,
+                                          int attempts,
+                                          std::function<void()> done) {
   CallStore([this, record] { return store.Append("caller", {record}, {}); },
-            [this, id, attempts](const joblog::AppendResult& result) {
+            [this, record, attempts, done](const joblog::AppendResult& result) {
               if (result.status == joblog::AppendStatus::kDone) {
-                oracle.OnAccepted(jobs.at(id));
+                done();
               } else if (attempts > 1) {
-                After(kSubmitRetry,
-                      [this, id, attempts] { TrySubmit(id, attempts - 1); });
-              }
-            });
-}
-
-void JobSimulation::Impl::TryCancel(const JobId& id, int attempts) {
-  const auto record = workload::Encode(workload::JobCancelled{id});
-  CallStore([this, record] { return store.Append("caller", {record}, {}); },
-            [this, id, attempts](const joblog::AppendResult& result) {
-              if (result.status == joblog::AppendStatus::kDone) {
-                oracle.OnCancelled(id, now);
-              } else if (attempts > 1) {
-                After(kSubmitRetry,
-                      [this, id, attempts] { TryCancel(id, attempts - 1); });
+                After(kSubmitRetry, [this, record, attempts, done] {
+                  AppendUntilDone(record, attempts - 1, done);
+                });
               }
             });
 }
@@ -196,11 +185,17 @@
       impl_->fleet.AddGang(job.id, static_cast<int>(n), job.steps[n].count);
     }
   }
-  impl_->TrySubmit(job.id, kSubmitAttempts);
+  impl_->AppendUntilDone(
+      workload::Encode(workload::JobAccepted{impl_->jobs.at(job.id)}),
+      kSubmitAttempts, [impl = impl_.get(), id = job.id] {
+        impl->oracle.OnAccepted(impl->jobs.at(id));
+      });
 }
 
 void JobSimulation::Cancel(const JobId& job) {
-  impl_->TryCancel(job, kSubmitAttempts);
+  impl_->AppendUntilDone(
+      workload::Encode(workload::JobCancelled{job}), kSubmitAttempts,
+      [impl = impl_.get(), job] { impl->oracle.OnCancelled(job, impl->now); });
 }
 
 void JobSimulation::KillEntry(int entry) {
--- a/packages/jobharness/src/job_simulation_impl.h
+++ b/packages/jobharness/src/job_simulation_impl.h
@@ -108,8 +108,10 @@
   void Register(std::size_t n);
   void SendAction(std::size_t n, const executor::Action& action);
   void Look(std::size_t n, const executor::WorkerQuery& look);
-  void TrySubmit(const JobId& job, int attempts);
-  void TryCancel(const JobId& job, int attempts);
+  /// @brief Appends a caller's record, and tries again without an answer.
+  void AppendUntilDone(const workload::RawRecord& record,
+                       int attempts,
+                       std::function<void()> done);
   std::optional<std::size_t> FindAgent(const AgentName& name) const;
   void CallStore(std::function<joblog::AppendResult()> call,
                  std::function<void(const joblog::AppendResult&)> answer);
