--- a/packages/harness/include/shallotlug/harness/fake_network.h
+++ b/packages/harness/include/shallotlug/harness/fake_network.h
@@ -72,7 +72,7 @@
   void Break(Millis now, const ProcessRef& a, const ProcessRef& b);
   void ClearFaults() { faults_.clear(); }
   /// @brief Whether the running lives of two processes have had a link.
-  bool HaveMet(const ProcessRef& a, const ProcessRef& b) const;
+  bool HaveHadLink(const ProcessRef& a, const ProcessRef& b) const;
   /// @brief Whether a cut, a delay or a loss is active between two processes.
   bool Disturbed(Millis now, const ProcessRef& a, const ProcessRef& b) const;
 
@@ -139,7 +139,7 @@
   /// Lives of two processes, the dialler first, at their last link.
   std::map<std::pair<ProcessRef, ProcessRef>,
            std::pair<std::uint64_t, std::uint64_t>>
-      met_;
+      linked_lives_;
 };
 
 }  // namespace shallotlug::harness
--- a/packages/harness/src/configuration_check.cc
+++ b/packages/harness/src/configuration_check.cc
@@ -71,8 +71,8 @@
   for (const ConfiguredProcess& entry : cluster.entries) {
     for (const ConfiguredProcess& agent : cluster.agents) {
       const EntryAndAgent pair(entry.ref.index, agent.ref.index);
-      if (!cluster.network->HaveMet(agent.ref, entry.ref)) {
-        met_since_[pair] = cluster.now;
+      if (!cluster.network->HaveHadLink(agent.ref, entry.ref)) {
+        linked_since_[pair] = cluster.now;
       }
       if (cluster.network->Disturbed(cluster.now, entry.ref, agent.ref)) {
         undisturbed_since_[pair] = cluster.now;
@@ -103,8 +103,8 @@
          it->second <= cluster.now - kInForceWithin;
 }
 
-// An agent that has not met an entry finds it through the balancer, which may
-// also choose an entry that this agent cannot reach.
+// An agent without a link to an entry finds one through the balancer, which may
+// choose an entry that this agent cannot reach.
 bool ConfigurationCheck::FindsAnyEntry(const ConfiguredCluster& cluster,
                                        const ConfiguredProcess& agent) const {
   return std::all_of(cluster.entries.begin(), cluster.entries.end(),
@@ -122,7 +122,7 @@
   return UsableLongEnough(entry, now) && UsableLongEnough(agent, now) &&
          !entry.shutdown_due && !agent.shutdown_due &&
          HeldLongEnough(undisturbed_since_, entry, agent, now) &&
-         (HeldLongEnough(met_since_, entry, agent, now) ||
+         (HeldLongEnough(linked_since_, entry, agent, now) ||
           FindsAnyEntry(cluster, agent));
 }
 
--- a/packages/harness/src/configuration_check.h
+++ b/packages/harness/src/configuration_check.h
@@ -67,8 +67,8 @@
 
   /// Since when a pair of processes has been able to exchange messages.
   std::map<EntryAndAgent, Millis> undisturbed_since_;
-  /// Since when a running agent has known a running entry.
-  std::map<EntryAndAgent, Millis> met_since_;
+  /// Since when the running lives of a pair have had a link.
+  std::map<EntryAndAgent, Millis> linked_since_;
   Millis log_healthy_since_{};
   std::map<ProcessAndChange, Millis> in_force_since_;
   std::map<ProcessAndChange, bool> reported_;
--- a/packages/harness/src/fake_network.cc
+++ b/packages/harness/src/fake_network.cc
@@ -113,9 +113,10 @@
          FaultAmount(now, a, b, LinkFault::kLose) > 0;
 }
 
-bool FakeNetwork::HaveMet(const ProcessRef& a, const ProcessRef& b) const {
-  const auto it = met_.find({a, b});
-  return it != met_.end() && nodes_.count(a) != 0 && nodes_.count(b) != 0 &&
+bool FakeNetwork::HaveHadLink(const ProcessRef& a, const ProcessRef& b) const {
+  const auto it = linked_lives_.find({a, b});
+  return it != linked_lives_.end() && nodes_.count(a) != 0 &&
+         nodes_.count(b) != 0 &&
          it->second == std::pair(nodes_.at(a).life, nodes_.at(b).life);
 }
 
@@ -336,7 +337,7 @@
       break;
     case EventKind::kUp:
       if (end.open) {
-        met_[{link.ends[0].process, link.ends[1].process}] = {
+        linked_lives_[{link.ends[0].process, link.ends[1].process}] = {
             link.ends[0].life, link.ends[1].life};
         arrivals.links_up.push_back(
             {end.id,
--- a/packages/harness/src/fuzz_test.cc
+++ b/packages/harness/src/fuzz_test.cc
@@ -145,12 +145,12 @@
 }
 
 // Half of the steps follow one another at once.
-Millis DrawPause() {
+Millis RandomPause() {
   constexpr int kPauses[] = {0, 0, 0, 0, 10, 100, 400, 1500};
   return Millis(kPauses[Pick(0, 7)]);
 }
 
-Step DrawStep(Verb verb, const Model& model) {
+Step RandomStep(Verb verb, const Model& model) {
   Step step;
   step.verb = verb;
   step.a = AnyEntry();
@@ -225,8 +225,8 @@
     return rc::gen::exec([mix, model] {
       const Verb verb = mix[static_cast<std::size_t>(
           Pick(0, static_cast<int>(mix.size()) - 1))];
-      return std::shared_ptr<const Command>(
-          std::make_shared<StepCommand>(DrawStep(verb, model), DrawPause()));
+      return std::shared_ptr<const Command>(std::make_shared<StepCommand>(
+          RandomStep(verb, model), RandomPause()));
     });
   };
   Step cluster;
--- a/packages/harness/src/guarantee_property_test.cc
+++ b/packages/harness/src/guarantee_property_test.cc
@@ -47,7 +47,7 @@
   }
 }
 
-std::string DrawSteps() {
+std::string RandomSteps() {
   const int count = *rc::gen::inRange(4, 30);
   std::string text;
   for (int n = 0; n < count; ++n) {
@@ -69,7 +69,7 @@
       "set target deposit as c1 through entry 1 customer=authority groups=2 "
       "per_group=8 within=worker\n"
       "expect change c1 in_force within 10s\n" +
-      DrawSteps() +
+      RandomSteps() +
       "calm\nwait 40s\n"
       "submit g1 through entry 1 customer=authority class=deposit run=2s "
       "tasks=2 accelerators=8\n"
--- a/packages/harness/src/world.cc
+++ b/packages/harness/src/world.cc
@@ -15,7 +15,7 @@
 constexpr Millis kCommandDelay{2};
 constexpr int kMaxDriftPpm = 10'000;
 
-ClockModel DrawClock(Random& random) {
+ClockModel RandomClock(Random& random) {
   return {Millis(1'000'000 + random.Below(1'000'000'000)),
           random.Below(2 * kMaxDriftPpm + 1) - kMaxDriftPpm};
 }
@@ -42,7 +42,7 @@
   for (int index = 1; index <= options.entries; ++index) {
     auto entry = std::make_unique<Entry>();
     entry->ref = {Role::kEntry, index};
-    entry->clock = DrawClock(random_);
+    entry->clock = RandomClock(random_);
     entry->options.self.name = EntryName(Padded("entry", index));
     entry->options.data_centre = DataCentreName("dc-1");
     entry->options.peer_address = PeerAddress(entry->ref);
@@ -56,7 +56,7 @@
   for (int index = 1; index <= options.agents; ++index) {
     auto agent = std::make_unique<Agent>();
     agent->ref = {Role::kAgent, index};
-    agent->clock = DrawClock(random_);
+    agent->clock = RandomClock(random_);
     agent->options.self.name = AgentName(Padded("agent", index));
     agent->options.inventory.data_centre = DataCentreName("dc-1");
     agent->options.inventory.region = "region-1";
@@ -65,7 +65,7 @@
     agent->options.peer_address = PeerAddress(agent->ref);
     agent->options.entry_seeds = {kBalancerAddress};
     agent->options.guards = options.agent_guards;
-    agent->worker = std::make_unique<FakeWorker>(index, DrawClock(random_),
+    agent->worker = std::make_unique<FakeWorker>(index, RandomClock(random_),
                                                  random_.Next(), oracle_);
     StartAgent(*agent);
     agents_.push_back(std::move(agent));
--- a/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
@@ -68,9 +68,9 @@
   /// has begun anew, differs by `clock_step` from what it would have shown.
   void RebootAgent(int agent, Millis clock_step);
   /// @brief Partitions the agent from the entries, or ends that.
-  void PartitionAgent(int agent, bool cut);
+  void PartitionAgent(int agent, bool partitioned);
   /// @brief Partitions the agent from its worker, or ends that.
-  void PartitionWorker(int agent, bool cut);
+  void PartitionWorker(int agent, bool partitioned);
   void RestartWorker(int agent);
   /// @brief The worker reports that it is draining.
   void DrainWorker(int agent);
--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -9,9 +9,9 @@
 
 namespace shallotlug::jobharness {
 
-using detail::AgentSim;
-using detail::EntrySim;
 using detail::kCallTimeout;
+using detail::SimulatedAgent;
+using detail::SimulatedEntry;
 
 namespace {
 
@@ -151,7 +151,7 @@
   it.entries.resize(static_cast<std::size_t>(options.entries));
   it.agents.resize(static_cast<std::size_t>(options.agents));
   for (int n = 0; n < options.agents; ++n) {
-    AgentSim& agent = it.agents[static_cast<std::size_t>(n)];
+    SimulatedAgent& agent = it.agents[static_cast<std::size_t>(n)];
     agent.machine = "machine-" + std::to_string(n);
     agent.clock_offset = kFirstClockOffset + n * kClockOffsetPerAgent;
     FakeWorkerSetup worker{"rack-" + std::to_string(n / 2), options.worker};
@@ -205,7 +205,7 @@
 void JobSimulation::StartEntry(int entry) {
   Impl* world = impl_.get();
   const auto n = static_cast<std::size_t>(entry);
-  EntrySim& it = world->entries[n];
+  SimulatedEntry& it = world->entries[n];
   if (it.running) {
     return;
   }
@@ -219,7 +219,7 @@
   options.stop_timeout = Millis(300);
   it.role.emplace(options, it.ledger, world->policy);
   it.follower.emplace([world, n](const joblog::StoredRecord& stored) {
-    EntrySim& self = world->entries[n];
+    SimulatedEntry& self = world->entries[n];
     Apply(self.ledger, stored.record.key, stored.record.value, stored.offset);
     self.role->OnRecord(stored, world->BothClocks());
   });
@@ -230,21 +230,21 @@
 }
 
 void JobSimulation::RetireEntry(int entry) {
-  EntrySim& it = impl_->entries[static_cast<std::size_t>(entry)];
+  SimulatedEntry& it = impl_->entries[static_cast<std::size_t>(entry)];
   if (it.running) {
     it.role->Retire();
   }
 }
 
 void JobSimulation::KillAgent(int agent) {
-  AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
+  SimulatedAgent& it = impl_->agents[static_cast<std::size_t>(agent)];
   it.running = false;
   it.frozen = false;
   it.queued.clear();
 }
 
 void JobSimulation::StartAgent(int agent) {
-  AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
+  SimulatedAgent& it = impl_->agents[static_cast<std::size_t>(agent)];
   if (it.running) {
     return;
   }
@@ -256,7 +256,7 @@
 }
 
 void JobSimulation::FreezeAgent(int agent, bool frozen) {
-  AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
+  SimulatedAgent& it = impl_->agents[static_cast<std::size_t>(agent)];
   it.frozen = frozen && it.running;
   if (it.frozen) {
     return;
@@ -270,22 +270,23 @@
 
 void JobSimulation::RebootAgent(int agent, Millis clock_step) {
   KillAgent(agent);
-  AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
+  SimulatedAgent& it = impl_->agents[static_cast<std::size_t>(agent)];
   // A steady clock shows no time before its own start.
   it.clock_offset = std::max(it.clock_offset + clock_step, Millis{0});
   StartAgent(agent);
 }
 
-void JobSimulation::PartitionAgent(int agent, bool cut) {
-  impl_->agents[static_cast<std::size_t>(agent)].cut = cut;
+void JobSimulation::PartitionAgent(int agent, bool partitioned) {
+  impl_->agents[static_cast<std::size_t>(agent)].partitioned = partitioned;
 }
 
-void JobSimulation::PartitionWorker(int agent, bool cut) {
-  impl_->agents[static_cast<std::size_t>(agent)].worker_partitioned = cut;
+void JobSimulation::PartitionWorker(int agent, bool partitioned) {
+  impl_->agents[static_cast<std::size_t>(agent)].worker_partitioned =
+      partitioned;
 }
 
 void JobSimulation::RestartWorker(int agent) {
-  AgentSim& it = impl_->agents[static_cast<std::size_t>(agent)];
+  SimulatedAgent& it = impl_->agents[static_cast<std::size_t>(agent)];
   it.draining = false;
   impl_->fleet.Restart(it.machine, impl_->now);
 }
@@ -298,7 +299,7 @@
   int best = -1;
   std::uint64_t epoch = 0;
   for (std::size_t n = 0; n < impl_->entries.size(); ++n) {
-    const EntrySim& it = impl_->entries[n];
+    const SimulatedEntry& it = impl_->entries[n];
     if (it.running && it.role->Epoch() > epoch) {
       epoch = it.role->Epoch();
       best = static_cast<int>(n);
@@ -334,8 +335,8 @@
 
 std::string JobSimulation::Shown(const JobId& job) const {
   // An entry that has not read the log hands its callers to one that has.
-  const EntrySim* newest = nullptr;
-  for (const EntrySim& it : impl_->entries) {
+  const SimulatedEntry* newest = nullptr;
+  for (const SimulatedEntry& it : impl_->entries) {
     if (it.running && !it.frozen && it.follower &&
         (newest == nullptr ||
          it.follower->CurrentAt() > newest->follower->CurrentAt())) {
--- a/packages/jobharness/src/job_simulation_impl.h
+++ b/packages/jobharness/src/job_simulation_impl.h
@@ -24,7 +24,7 @@
 constexpr Millis kCallTimeout{700};
 
 /// @brief An entry process of the simulation.
-struct EntrySim {
+struct SimulatedEntry {
   bool running = false;
   bool frozen = false;
   std::uint64_t life = 0;
@@ -37,11 +37,11 @@
 };
 
 /// @brief An agent process of the simulation, with its machine's clock.
-struct AgentSim {
+struct SimulatedAgent {
   std::string machine;
   bool running = false;
   std::uint64_t life = 0;
-  bool cut = false;
+  bool partitioned = false;
   bool worker_partitioned = false;
   bool draining = false;
   bool frozen = false;
@@ -69,8 +69,8 @@
   FakeStore store;
   FakeFleet fleet;
   workload::Policy policy;
-  std::vector<detail::EntrySim> entries;
-  std::vector<detail::AgentSim> agents;
+  std::vector<detail::SimulatedEntry> entries;
+  std::vector<detail::SimulatedAgent> agents;
   std::map<JobId, workload::Job> jobs;
 
   void Trace(const std::string& process, const std::vector<LogLine>& lines);
@@ -107,7 +107,7 @@
   void StepAgent(std::size_t n);
   void Register(std::size_t n);
   void SendAction(std::size_t n, const executor::Action& action);
-  void Look(std::size_t n, const executor::WorkerQuery& look);
+  void QueryWorker(std::size_t n, const executor::WorkerQuery& query);
   /// @brief Appends a caller's record, and tries again without an answer.
   void AppendUntilDone(const workload::RawRecord& record,
                        int attempts,
--- a/packages/jobharness/src/simulated_agents.cc
+++ b/packages/jobharness/src/simulated_agents.cc
@@ -5,8 +5,8 @@
 
 namespace shallotlug::jobharness {
 
-using detail::AgentSim;
 using detail::kCallTimeout;
+using detail::SimulatedAgent;
 
 namespace {
 
@@ -85,7 +85,7 @@
 }
 
 void JobSimulation::Impl::Register(std::size_t n) {
-  AgentSim& agent = agents[n];
+  SimulatedAgent& agent = agents[n];
   agent.registered = true;
   workload::AgentAddress address;
   address.agent = AgentName(agent.machine);
@@ -98,7 +98,7 @@
 }
 
 void JobSimulation::Impl::StepAgent(std::size_t n) {
-  AgentSim& agent = agents[n];
+  SimulatedAgent& agent = agents[n];
   if (!agent.registered) {
     Register(n);
   }
@@ -115,30 +115,30 @@
     SendAction(n, it);
   }
   if (const auto quick = agent.executor->QuickCall(AgentClock(n))) {
-    Look(n, *quick);
+    QueryWorker(n, *quick);
   } else if (now >= agent.next_poll) {
     agent.next_poll = now + kPollInterval;
-    Look(n, agent.executor->WatchCall(AgentClock(n)));
+    QueryWorker(n, agent.executor->WatchCall(AgentClock(n)));
   }
   Trace(agent.machine, agent.executor->TakeLog());
 }
 
-void JobSimulation::Impl::Look(std::size_t n,
-                               const executor::WorkerQuery& look) {
+void JobSimulation::Impl::QueryWorker(std::size_t n,
+                                      const executor::WorkerQuery& query) {
   const std::string machine = agents[n].machine;
   CallWorker<executor::WorkerView>(
       n,
-      [this, machine, look] {
-        return fleet.Look(machine, look.context, look.noted_ends, now);
+      [this, machine, query] {
+        return fleet.Look(machine, query.context, query.noted_ends, now);
       },
-      [this, n, look](const executor::WorkerView& view) {
-        agents[n].executor->OnView(look.number, view, AgentClock(n));
+      [this, n, query](const executor::WorkerView& view) {
+        agents[n].executor->OnView(query.number, view, AgentClock(n));
       });
 }
 
 void JobSimulation::Impl::SendAction(std::size_t n,
                                      const executor::Action& action) {
-  AgentSim& agent = agents[n];
+  SimulatedAgent& agent = agents[n];
   const std::string machine = agent.machine;
   const executor::OrderContext context = agent.executor->Context();
   if (const auto* start = std::get_if<executor::StartAction>(&action)) {
--- a/packages/jobharness/src/simulated_entries.cc
+++ b/packages/jobharness/src/simulated_entries.cc
@@ -3,8 +3,8 @@
 
 namespace shallotlug::jobharness {
 
-using detail::EntrySim;
 using detail::kCallTimeout;
+using detail::SimulatedEntry;
 
 namespace {
 
@@ -15,7 +15,7 @@
 }  // namespace
 
 void JobSimulation::Impl::Read(std::size_t n) {
-  EntrySim& entry = entries[n];
+  SimulatedEntry& entry = entries[n];
   entry.next_read = now + kReadInterval;
   const std::string caller = "entry-" + std::to_string(n);
   const joblog::FollowCall call = entry.follower->Next();
@@ -28,7 +28,7 @@
 }
 
 void JobSimulation::Impl::StartAppend(std::size_t n) {
-  EntrySim& entry = entries[n];
+  SimulatedEntry& entry = entries[n];
   const auto append = entry.role->NextAppend(random(), BothClocks());
   if (!append) {
     return;
@@ -46,7 +46,7 @@
 }
 
 void JobSimulation::Impl::StepEntry(std::size_t n) {
-  EntrySim& entry = entries[n];
+  SimulatedEntry& entry = entries[n];
   if (now >= entry.next_read) {
     Read(n);
   }
@@ -65,7 +65,7 @@
 }
 
 void JobSimulation::Impl::Sync(std::size_t n, const AgentName& name) {
-  EntrySim& entry = entries[n];
+  SimulatedEntry& entry = entries[n];
   entry.next_sync[name] = now + kSyncInterval;
   entry.syncing.insert(name);
   const protocol::SyncRequest request =
@@ -79,7 +79,7 @@
       }
     };
     const auto called = FindAgent(name);
-    if (!called || !agents[*called].running || agents[*called].cut) {
+    if (!called || !agents[*called].running || agents[*called].partitioned) {
       After(kCallTimeout, release);
       DeliverLate(name, request);
       return;
@@ -121,7 +121,7 @@
       0, kMaxDeliveryDelay.count())(random));
   After(held, [this, name, request] {
     const auto called = FindAgent(name);
-    if (called && agents[*called].running && !agents[*called].cut) {
+    if (called && agents[*called].running && !agents[*called].partitioned) {
       Deliver(*called, agents[*called].life, [this, n = *called, request] {
         agents[n].executor->OnSync(request, AgentClock(n));
       });
