--- a/apps/tests/soak/deployment.cc
+++ b/apps/tests/soak/deployment.cc
@@ -23,6 +23,8 @@
 constexpr int kHour = 3'600'000;
 constexpr int kLongestUptimeHours = 40;
 constexpr int kAgentsOfARack = 3;
+constexpr double kFastFactor = 0.7;
+constexpr double kSlowFactor = 1.7;
 // A program that has ended is started again after this.
 constexpr int kShortestRestart = 50;
 constexpr int kLongestRestart = 2'000;
@@ -127,6 +129,8 @@
           {"metrics_listen", apps::FreeAddress()},
           {"store", entry.store_link->Address()},
           {"timing", json::object{{"longest_lease_ms", kLeaseSetting.count()}}},
+          {"scheduling",
+           json::object{{"learn_speeds", true}, {"weigh_lateness", true}}},
           {"log", json::object{{"format", "json"}}}}));
   Start(entry);
 }
@@ -137,6 +141,8 @@
   jobharness::FakeWorkerSetup setup;
   setup.rack = "r" + std::to_string(rack);
   setup.capacity = {4'000, 4'000, 4};
+  // Each third worker is slow.
+  setup.time_factor = fleet_size_++ % 3 == 2 ? kSlowFactor : kFastFactor;
   setup.longest_lease = RealTime(clock, kLongestLease);
   fleet_.Add(name, setup, ReadClock());
   Member& agent = AddMember(name, SHALLOTLUG_AGENT_PROGRAM);
--- a/apps/tests/soak/deployment.h
+++ b/apps/tests/soak/deployment.h
@@ -84,6 +84,7 @@
   StoreServer::Topics topics_;
   StoreFaults faults_;
   int version_ = 0;
+  int fleet_size_ = 0;
   std::vector<std::unique_ptr<Member>> members_;
   std::vector<std::unique_ptr<WorkerServer>> workers_;
 };
--- a/packages/jobharness/src/fake_fleet.cc
+++ b/packages/jobharness/src/fake_fleet.cc
@@ -136,7 +136,8 @@
   const char* text = order.payload.data();
   std::int64_t work = 0;
   const auto parsed = std::from_chars(text, text + order.payload.size(), work);
-  run.work = Millis(work);
+  run.work = Millis(static_cast<std::int64_t>(static_cast<double>(work) *
+                                              worker.setup.time_factor));
   if (parsed.ptr < text + order.payload.size() && *parsed.ptr == '!') {
     std::from_chars(parsed.ptr + 1, text + order.payload.size(),
                     run.failing_runs);
@@ -209,8 +210,8 @@
     workload::ActiveRun active;
     active.run = {task, run.number};
     active.checkpoint = run.checkpoint;
-    active.percent =
-        static_cast<int>(run.done * 100 / std::max(run.work, Millis{1}));
+    active.percent = static_cast<int>(std::min<std::int64_t>(
+        100, run.done * 100 / std::max(run.work, Millis{1})));
     view.active.push_back(active);
   }
   return view;
