--- a/packages/net/src/http_client.cc
+++ b/packages/net/src/http_client.cc
@@ -23,7 +23,7 @@
 
 // Bound of the read buffer, which holds a header, the trailers or a chunk's
 // extensions as a whole until they are complete.
-constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+constexpr std::size_t kMaxBufferedBytes = 65'536;
 
 class FetchCategoryImpl : public std::error_category {
  public:
--- a/packages/net/src/http_server.cc
+++ b/packages/net/src/http_server.cc
@@ -30,7 +30,7 @@
 constexpr std::size_t kReadAheadBytes = 4096;
 // Bound of the read buffer, which holds a header, the trailers or a chunk's
 // extensions as a whole until they are complete.
-constexpr std::size_t kMaxBufferedBytes = 32 * 1024;
+constexpr std::size_t kMaxBufferedBytes = 32'768;
 // Bound of what the system holds of a connection that is not read.
 constexpr int kReceiveBufferBytes = 64 * 1024;
 // A response that is not taken within this time is given up.
