--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -384,6 +384,31 @@
   return true;
 }
 
+/// @brief The workers that may take the unit; those on which one of its tasks
+/// has failed only if there are no others.
+std::vector<Candidate> CandidatesOf(const Placement& placement,
+                                    const Unit& unit) {
+  std::vector<Candidate> candidates = Candidates(placement, unit, true);
+  return candidates.empty() ? Candidates(placement, unit, false) : candidates;
+}
+
+/// @brief The candidates on which the unit would be in time, while it may wait
+/// for these, else all of them.
+std::vector<Candidate> AcceptedCandidates(
+    const Placement& placement,
+    const Unit& unit,
+    const std::vector<Candidate>& candidates,
+    const Demand& demand) {
+  std::vector<Candidate> in_time =
+      CandidatesInTime(unit, candidates, demand, placement.now);
+  // Runs that are being stopped for the unit would be stopped in vain.
+  const bool waits =
+      in_time.size() < candidates.size() &&
+      (MayWaitForSpeed(placement.state, unit, placement.now.local) ||
+       AwaitsStops(placement.state, unit));
+  return waits ? in_time : candidates;
+}
+
 /// @brief Places the unit, or makes room for it.
 /// @return Why it waits, if not all of its tasks were placed.
 std::optional<WaitReason> PlaceUnit(Placement& placement, const Unit& unit) {
@@ -394,10 +419,7 @@
       !AwaitsStops(state, unit) && PreemptionIsDue(state, unit, placement.now);
   const bool may_fit = MayFit(placement.fleet, unit, demand);
   if (may_fit || may_preempt) {
-    std::vector<Candidate> candidates = Candidates(placement, unit, true);
-    if (candidates.empty()) {
-      candidates = Candidates(placement, unit, false);
-    }
+    const std::vector<Candidate> candidates = CandidatesOf(placement, unit);
     if (unit.suspect) {
       if (PlaceAlone(placement, unit, demand, candidates)) {
         return std::nullopt;
@@ -407,25 +429,19 @@
         return WaitReason::kNotAlone;
       }
     }
-    std::vector<Candidate> in_time =
-        CandidatesInTime(unit, candidates, demand, placement.now);
-    // Runs that are being stopped for the unit would be stopped in vain.
-    const bool choosy = in_time.size() < candidates.size() &&
-                        (MayWaitForSpeed(state, unit, placement.now.local) ||
-                         AwaitsStops(state, unit));
-    if (!choosy) {
-      in_time = candidates;
-    }
-    if (may_fit && PlaceTasks(placement, unit, demand, in_time)) {
+    std::vector<Candidate> accepted =
+        AcceptedCandidates(placement, unit, candidates, demand);
+    const bool waits_for_speed = accepted.size() < candidates.size();
+    if (may_fit && PlaceTasks(placement, unit, demand, accepted)) {
       return std::nullopt;
     }
     if (may_preempt) {
-      ExcludeReservedWorkers(state, unit, in_time, placement.now);
-      if (Preempt(placement, unit, in_time, demand)) {
+      ExcludeReservedWorkers(state, unit, accepted, placement.now);
+      if (Preempt(placement, unit, accepted, demand)) {
         return WaitReason::kStopsPending;
       }
     }
-    if (choosy && !state.reservations.contains(unit.key)) {
+    if (waits_for_speed && !state.reservations.contains(unit.key)) {
       return WaitReason::kNoneInTime;
     }
   }
