--- a/packages/scheduler/src/rates.cc
+++ b/packages/scheduler/src/rates.cc
@@ -62,7 +62,7 @@
 /// @brief Whether the run's latest progress is part of its rate from now on. It
 /// waits until enough of it has come together, and is left out while the worker
 /// is slowed down.
-bool Extend(State& state, RunRow& run, const ProgressRead& read) {
+bool ExtendRate(State& state, RunRow& run, const ProgressRead& read) {
   const int before = run.measured_to.percent - run.measured_from.percent;
   if (before < kMinPercent) {
     return read.percent - run.measured_from.percent >= kMinPercent;
@@ -111,7 +111,7 @@
     run.measured_from = FirstRead(state, task, run, read);
     run.measured_to = run.measured_from;
   }
-  if (read.at <= run.measured_to.at || !Extend(state, run, read)) {
+  if (read.at <= run.measured_to.at || !ExtendRate(state, run, read)) {
     return;
   }
   run.measured_to = read;
--- a/packages/scheduler/src/speeds.cc
+++ b/packages/scheduler/src/speeds.cc
@@ -155,7 +155,7 @@
                   const workload::RunRef& run,
                   const AgentName& agent,
                   Millis estimate,
-                  const Progress& progress) {
+                  const MeasuredProgress& progress) {
   const auto ms = static_cast<double>(progress.over.count());
   if (progress.percent <= 0 || ms <= 0 || estimate <= Millis{0}) {
     return;
--- a/packages/scheduler/src/speeds.h
+++ b/packages/scheduler/src/speeds.h
@@ -76,7 +76,7 @@
 };
 
 /// @brief Progress of a run between two reads of its worker.
-struct Progress {
+struct MeasuredProgress {
   double percent = 0;
   Millis over{0};
 };
@@ -95,7 +95,7 @@
                   const workload::RunRef& run,
                   const AgentName& agent,
                   Millis estimate,
-                  const Progress& progress);
+                  const MeasuredProgress& progress);
 
 /// @brief Notes that a worker is slower than before by the factor whose
 /// logarithm is `slowdown`. Forgotten after `until` unless it is noted again.
--- a/packages/scheduler/src/victims.cc
+++ b/packages/scheduler/src/victims.cc
@@ -22,6 +22,9 @@
 // Lost work delays the jobs of others. Limit of what an urgent unit beyond its
 // guarantee may cause, in core-seconds.
 constexpr double kMaxUrgentLoss = 100.0;
+// Limit of the work that others repeat in time for an urgent unit beyond its
+// guarantee that meets its objective by it, as a share of its own work.
+constexpr double kRepeatedWorkShare = 0.3;
 // Limit of the cost for another unit, as a share of its own work.
 constexpr double kBatchCostShare = 0.15;
 // A preempted group has to be placed and restored again, for which it loses
@@ -355,11 +358,11 @@
   if (unit.Priority() > 0) {
     return preemption.cost > work * kBatchCostShare;
   }
-  // Work that is repeated in time costs callers nothing but room. An urgent job
-  // that meets its objective by it may cost as much of that as it needs itself.
+  // Work that is repeated in time costs callers nothing but room.
   if (state.options.weigh_lateness && unit.credit == Credit::kFull) {
     return preemption.harmful_work > kMaxUrgentLoss ||
-           preemption.lost_work > std::max(work, kMaxUrgentLoss);
+           preemption.lost_work >
+               std::max(work * kRepeatedWorkShare, kMaxUrgentLoss);
   }
   return preemption.lost_work > kMaxUrgentLoss;
 }
