--- a/review/10/script.cc
+++ b/review/10/script.cc
@@ -3,40 +3,28 @@
 
 #include "platform.h"
 
-/// A job of many small tasks that save checkpoints is at work when a second job
-/// of one task is handed in.
+/// A job whose start orders for one worker take more than 4 MiB.
 namespace {
 
 using review::Record;
 using review::SleepMs;
 
-constexpr int kTasks = 7'000;
-constexpr int kFewTasks = 700;
+constexpr int kTasks = 1'500;
+constexpr int kFewTasks = 400;
+constexpr std::size_t kPadding = 3'900;  // With it a `spec` has 3,981 bytes.
 constexpr int kWaitS = 40;
-const std::string kWideJob = "00000000000000c1";
-const std::string kPlainJob = "00000000000000c2";
+const std::string kJob = "00000000000000c1";
 
-int Count(const std::string& job, const std::string& how) {
+int Starts() {
   const auto events = review::Worker::Events();
   return static_cast<int>(
-      std::count_if(events.begin(), events.end(), [&](const auto& it) {
-        return it.how == how && it.task.starts_with(job);
+      std::count_if(events.begin(), events.end(), [](const auto& it) {
+        return it.how == "start" && it.task.starts_with(kJob);
       }));
 }
 
-review::json::object JobOf(const review::TaskPlan& plan, int count) {
-  return {{"spec", review::SpecOf(plan)},
-          {"steps", review::json::array{review::json::object{
-                        {"count", count},
-                        {"cpu", plan.cpu},
-                        {"mem_mb", plan.mem_mb},
-                        {"estimate_ms", plan.work_ms},
-                        {"checkpointing", plan.saves}}}}};
-}
-
 int Run() {
   review::DeploymentSetup setup;
-  setup.entries = 3;
   setup.workers = 11;
   setup.worker.cpu = 128'000;
   setup.worker.mem_mb = 262'144;
@@ -46,37 +34,32 @@
     return 2;
   }
   review::Client client(deployment);
-  const int tasks = review::Untroubled() ? kFewTasks : kTasks;
-  if (!client.Submit(kWideJob, JobOf({50, 100, 0, 15'000, true}, tasks), 10)) {
-    return 2;
-  }
-  for (int n = 0; n < 20 && Count(kWideJob, "start") < tasks; ++n) {
-    SleepMs(1'000);
-  }
-  Record("tasks of the wide job started: " +
-         std::to_string(Count(kWideJob, "start")));
-  SleepMs(8'000);
-  if (!client.Submit(kPlainJob, JobOf({1'000, 1'000, 0, 2'000}, 1), 10)) {
+  const review::TaskPlan plan{50, 100, 0, 5'000, false, kPadding};
+  const std::string spec = review::SpecOf(plan);
+  Record("the spec has " + std::to_string(spec.size()) + " bytes");
+  if (!client.Submit(
+          kJob,
+          {{"spec", spec},
+           {"steps",
+            review::json::array{review::json::object{
+                {"count", review::Untroubled() ? kFewTasks : kTasks},
+                {"cpu", plan.cpu},
+                {"mem_mb", plan.mem_mb},
+                {"estimate_ms", plan.work_ms}}}}},
+          10)) {
     return 2;
   }
   const std::int64_t until = review::NowMs() + 1'000L * kWaitS;
-  while (Count(kPlainJob, "done") == 0 && review::NowMs() < until) {
+  while (Starts() == 0 && review::NowMs() < until) {
     SleepMs(500);
   }
-  const bool started = Count(kPlainJob, "start") > 0;
-  Record("the plain job is shown as " + client.State(kPlainJob) +
-         ", the wide one as " + client.State(kWideJob) +
-         "; the plain job has " + (started ? "" : "not ") + "started; " +
-         std::to_string(Count(kWideJob, "done")) +
-         " tasks of the wide job are done");
-  return started ? 0 : 1;
+  Record("the job is shown as " + client.State(kJob) + "; " +
+         std::to_string(Starts()) + " of its tasks have started");
+  return Starts() > 0 ? 0 : 1;
 }
 
 }  // namespace
 
 int main(int, char** argv) {
-  review::OpenRecord(argv[1]);
-  const int status = Run();
-  Record("exit status " + std::to_string(status));
-  return status;
+  review::RunScript(argv[1], Run);
 }
--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -515,12 +515,25 @@
   if (plan.saves) {
     spec["saves"] = true;
   }
+  if (plan.spread > 0) {
+    spec["spread"] = plan.spread;
+  }
   if (plan.padding > 0) {
     spec["text"] = std::string(plan.padding, 'x');
   }
   return json::serialize(spec);
 }
 
+// Tasks of one step take different times.
+std::int64_t WorkOf(const std::string& task, std::int64_t work_ms, int spread) {
+  if (spread == 0) {
+    return work_ms;
+  }
+  const auto n =
+      static_cast<std::int64_t>(std::hash<std::string>()(task) % 2'001);
+  return work_ms + work_ms * spread / 100 * (n - 1'000) / 1'000;
+}
+
 std::int64_t Worker::Run::WorkedMs() const {
   return resumed_ms + NowMs() - started_ms;
 }
@@ -766,7 +779,9 @@
   Run run;
   run.number = number;
   run.plan = {Int(spec, "cpu"), Int(spec, "mem_mb"), Int(spec, "gpu"),
-              Int(spec, "work_ms"), spec.contains("saves")};
+              WorkOf(task, Int(spec, "work_ms"),
+                     static_cast<int>(Int(spec, "spread"))),
+              spec.contains("saves")};
   run.started_ms = NowMs();
   if (const auto* checkpoint = body.if_contains("checkpoint")) {
     run.resumed_ms = std::stoll(
@@ -960,7 +975,7 @@
                                     {"max_conns", 64},
                                     {"enforces_capacity", true},
                                     {"standby", false}}};
-  store_.WriteOperator("config",
+  store_->WriteOperator("config",
                        json::serialize(json::object{
                            {"version", 7},
                            {"routes", std::move(routes)},
@@ -978,7 +993,7 @@
                      {"readiness_listen", FreeAddress()},
                      {"peers_listen", FreeAddress()},
                      {"metrics_listen", FreeAddress()},
-                     {"store", store_.Address()},
+                     {"store", store_->Address()},
                      {"processor_cores", 0.25},
                      {"machine_memory_mb", 260},
                      {"http", json::object{{"body_bytes", 1'048'576},
@@ -1013,7 +1028,7 @@
                {"scheduler_listen", FreeAddress()},
                {"metrics_listen", FreeAddress()},
                {"worker", it.worker->Address()},
-               {"store", store_.Address()},
+               {"store", store_->Address()},
                {"machine_memory_mb", 128},
                {"timing", json::object{{"longest_lease_ms", 10'000}}},
                {"log", json::object{{"format", "json"}}}});
@@ -1039,6 +1054,9 @@
     unlink((folder_ + "/" + it.name + ".json").c_str());
   }
   rmdir(folder_.c_str());
+  // The threads of the stand-ins still use them.
+  store_.release();
+  new std::vector<AgentProcess>(std::move(agents_));
 }
 
 bool Deployment::WaitUntilReady(int seconds) {
@@ -1115,4 +1133,11 @@
   return trouble != nullptr && std::string_view(trouble) == "0";
 }
 
+void RunScript(const char* record, int (*script)()) {
+  OpenRecord(record);
+  const int status = script();
+  Record("exit status " + std::to_string(status));
+  std::_Exit(status);
+}
+
 }  // namespace review
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -127,6 +127,8 @@
   std::int64_t work_ms = 0;  ///< 0: until it is stopped.
   bool saves = false;        ///< Checkpoints its progress.
   std::size_t padding = 0;   ///< Further bytes of the `spec`.
+  /// The real time differs from `work_ms` by up to this many percent.
+  int spread = 0;
 };
 std::string SpecOf(const TaskPlan& plan);
 
@@ -270,13 +272,13 @@
 };
 
 /// @brief A small deployment: entries, agents with workers, and a store. All
-/// its processes end with it.
+/// its processes end with it; the threads of its stand-ins end with the program.
 class Deployment {
  public:
   explicit Deployment(const DeploymentSetup& setup);
   ~Deployment();
 
-  Store& GetStore() { return store_; }
+  Store& GetStore() { return *store_; }
   std::vector<EntryProcess>& Entries() { return entries_; }
   std::vector<AgentProcess>& Agents() { return agents_; }
 
@@ -285,7 +287,7 @@
   bool WaitUntilReady(int seconds);
 
  private:
-  Store store_;
+  std::unique_ptr<Store> store_ = std::make_unique<Store>();
   std::string folder_;
   std::vector<EntryProcess> entries_;
   std::vector<AgentProcess> agents_;
@@ -315,6 +317,9 @@
 /// @brief Whether the environment asks for a run without the disruption.
 bool Untroubled();
 
+/// @brief Runs the script with its record, and ends the program.
+[[noreturn]] void RunScript(const char* record, int (*script)());
+
 }  // namespace review
 
 #endif  // SHALLOTLUG_REVIEW_STANDINS_2_PLATFORM_H_
