--- a/review/6/script.cc
+++ b/review/6/script.cc
@@ -14,8 +14,8 @@
 const std::string kJob = "00000000000000d1";
 
 struct Task {
-  bool done = false;           ///< A run has ended `done`.
-  bool noted = false;          ///< `last_seen` has reached that end.
+  bool done = false;   ///< A run has ended `done`.
+  bool noted = false;  ///< `last_seen` has reached that end.
   int starts_after_done = 0;
 };
 
@@ -53,12 +53,11 @@
   if (!client.Submit(
           kJob,
           {{"spec", review::SpecOf(plan)},
-           {"steps",
-            review::json::array{review::json::object{
-                {"count", review::Untroubled() ? kFewTasks : kTasks},
-                {"cpu", plan.cpu},
-                {"mem_mb", plan.mem_mb},
-                {"estimate_ms", plan.work_ms}}}}},
+           {"steps", review::json::array{review::json::object{
+                         {"count", review::Untroubled() ? kFewTasks : kTasks},
+                         {"cpu", plan.cpu},
+                         {"mem_mb", plan.mem_mb},
+                         {"estimate_ms", plan.work_ms}}}}},
           10)) {
     return 2;
   }
--- a/review/7/script.cc
+++ b/review/7/script.cc
@@ -34,10 +34,10 @@
       const double memory = it.process->MemoryMb();
       peak = std::max(peak, memory);
       if (memory > kMemoryMb || !it.process->Running()) {
-        Record(it.name + (memory > kMemoryMb
-                              ? " holds " + std::to_string(memory) +
-                                    " MB and is killed"
-                              : " has ended by itself"));
+        Record(it.name +
+               (memory > kMemoryMb
+                    ? " holds " + std::to_string(memory) + " MB and is killed"
+                    : " has ended by itself"));
         it.process->Kill();
         ++kills;
         SleepMs(kRestartMs);
@@ -80,11 +80,11 @@
   SleepMs(2'000);
   const review::json::object plain{
       {"spec", review::SpecOf(plan)},
-      {"steps", review::json::array{review::json::object{
-                    {"count", 1},
-                    {"cpu", plan.cpu},
-                    {"mem_mb", plan.mem_mb},
-                    {"estimate_ms", plan.work_ms}}}}};
+      {"steps", review::json::array{
+                    review::json::object{{"count", 1},
+                                         {"cpu", plan.cpu},
+                                         {"mem_mb", plan.mem_mb},
+                                         {"estimate_ms", plan.work_ms}}}}};
   const bool accepted = client.Submit(kPlainJob, plain, kWaitS);
   const std::int64_t until = review::NowMs() + 1'000L * kWaitS;
   while (accepted && !Started(kPlainJob) && review::NowMs() < until) {
--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -186,13 +186,13 @@
   for (std::size_t n = 0; n < bytes.size(); n += 3) {
     std::uint32_t group = 0;
     for (std::size_t it = 0; it < 3; ++it) {
-      group = group << 8 | (n + it < bytes.size()
-                                ? static_cast<unsigned char>(bytes[n + it])
-                                : 0);
+      group = group << 8 |
+              (n + it < bytes.size() ? static_cast<unsigned char>(bytes[n + it])
+                                     : 0);
     }
     for (std::size_t it = 0; it < 4; ++it) {
-      text += n + it <= bytes.size() ? kDigits[group >> (18 - 6 * it) & 63]
-                                     : '=';
+      text +=
+          n + it <= bytes.size() ? kDigits[group >> (18 - 6 * it) & 63] : '=';
     }
   }
   return text;
@@ -277,8 +277,8 @@
   if (connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0 &&
       SendAll(socket, text) &&
       ReadMessage(socket, read, message, NowMs() + timeout_ms)) {
-    response = HttpResponse{std::stoi(message.first_line.substr(9, 3)),
-                            message.body};
+    response =
+        HttpResponse{std::stoi(message.first_line.substr(9, 3)), message.body};
   }
   close(socket);
   return response;
@@ -397,8 +397,7 @@
     if (left.size() < 4 + size || size == 0 || size > kRecordBytes ||
         body.size() > kRequestBytes) {
       Record("store refuses an append of " + std::to_string(body.size()) +
-             " bytes with a record of " + std::to_string(size) +
-             " bytes: 400");
+             " bytes with a record of " + std::to_string(size) + " bytes: 400");
       return Json(400, {});
     }
     const auto key = static_cast<unsigned char>(left[4]);
@@ -423,8 +422,8 @@
         }
       }
       if (sequence != producer->sequence + 1) {
-        return Json(409, {{"reason", "seq"},
-                          {"sequence", producer->sequence + 1}});
+        return Json(409,
+                    {{"reason", "seq"}, {"sequence", producer->sequence + 1}});
       }
     }
   }
@@ -456,10 +455,9 @@
   const std::uint64_t from = NumberOf(query, "from");
   const std::int64_t until =
       NowMs() + static_cast<std::int64_t>(NumberOf(query, "wait_ms"));
-  const std::size_t limit =
-      1'024 * (query.contains("max_kilobytes")
-                   ? NumberOf(query, "max_kilobytes")
-                   : 1'024);
+  const std::size_t limit = 1'024 * (query.contains("max_kilobytes")
+                                         ? NumberOf(query, "max_kilobytes")
+                                         : 1'024);
   for (;;) {
     {
       const std::lock_guard lock(mutex_);
@@ -621,8 +619,8 @@
   }
   Record("worker " + setup_.id + " is draining, acknowledged");
   SleepMs(drain_ms);
-  const auto response = Call(agent_, "DELETE", "/api/instances/" + setup_.id,
-                             {}, "", 3'000);
+  const auto response =
+      Call(agent_, "DELETE", "/api/instances/" + setup_.id, {}, "", 3'000);
   const std::lock_guard lock(mutex_);
   Record("worker " + setup_.id + " has sent DELETE (" +
          (response ? std::to_string(response->status) : "no answer") +
@@ -643,9 +641,8 @@
 
 bool Worker::Runs(const std::string& job) {
   const std::lock_guard lock(mutex_);
-  return std::any_of(active_.begin(), active_.end(), [&](const auto& it) {
-    return JobOf(it.first) == job;
-  });
+  return std::any_of(active_.begin(), active_.end(),
+                     [&](const auto& it) { return JobOf(it.first) == job; });
 }
 
 bool Worker::Up() {
@@ -778,10 +775,10 @@
       json::parse(std::string_view(body.at("spec").as_string())).as_object();
   Run run;
   run.number = number;
-  run.plan = {Int(spec, "cpu"), Int(spec, "mem_mb"), Int(spec, "gpu"),
-              WorkOf(task, Int(spec, "work_ms"),
-                     static_cast<int>(Int(spec, "spread"))),
-              spec.contains("saves")};
+  run.plan = {
+      Int(spec, "cpu"), Int(spec, "mem_mb"), Int(spec, "gpu"),
+      WorkOf(task, Int(spec, "work_ms"), static_cast<int>(Int(spec, "spread"))),
+      spec.contains("saves")};
   run.started_ms = NowMs();
   if (const auto* checkpoint = body.if_contains("checkpoint")) {
     run.resumed_ms = std::stoll(
@@ -835,20 +832,20 @@
     const std::int64_t percent =
         run.plan.work_ms == 0
             ? 100
-            : std::min<std::int64_t>(
-                  99, 100 * run.WorkedMs() / run.plan.work_ms);
+            : std::min<std::int64_t>(99,
+                                     100 * run.WorkedMs() / run.plan.work_ms);
     active.push_back(json::array{task, run.number, run.Checkpoint(task),
                                  percent, run.plan.cpu});
   }
   json::array finished;
   for (const End& it : ends_) {
     if (finished.size() < kListedEnds) {
-      finished.push_back(json::array{it.number, it.task, it.run, it.how,
-                                     it.checkpoint});
+      finished.push_back(
+          json::array{it.number, it.task, it.run, it.how, it.checkpoint});
     }
   }
-  return Answer(200, {{"active", std::move(active)},
-                      {"finished", std::move(finished)}});
+  return Answer(
+      200, {{"active", std::move(active)}, {"finished", std::move(finished)}});
 }
 
 void Worker::Tick() {
@@ -860,8 +857,7 @@
   for (const auto& [task, run] : active_) {
     if (deadline_ms_ <= Clock()) {
       over.emplace_back(task, "lapsed");
-    } else if (run.plan.work_ms > 0 &&
-               run.WorkedMs() >= run.plan.work_ms) {
+    } else if (run.plan.work_ms > 0 && run.WorkedMs() >= run.plan.work_ms) {
       over.emplace_back(task, "done");
     }
   }
@@ -915,10 +911,9 @@
   const int null = open("/dev/null", O_RDWR);
   dup2(null, 0);
   const char* logs = std::getenv("REVIEW_LOGS");
-  const int out =
-      logs == nullptr
-          ? null
-          : open(logs, O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
+  const int out = logs == nullptr ? null
+                                  : open(logs, O_WRONLY | O_CREAT | O_APPEND,
+                                         S_IRUSR | S_IWUSR);
   dup2(out, 1);
   dup2(out, 2);
   std::vector<char*> arguments;
@@ -975,13 +970,13 @@
                                     {"max_conns", 64},
                                     {"enforces_capacity", true},
                                     {"standby", false}}};
-  store_->WriteOperator("config",
-                       json::serialize(json::object{
-                           {"version", 7},
-                           {"routes", std::move(routes)},
-                           {"services", std::move(services)},
-                           {"limits", json::object{{"max_body_bytes", 262'144}}},
-                           {"tenants", json::array{}}}));
+  store_->WriteOperator(
+      "config", json::serialize(json::object{
+                    {"version", 7},
+                    {"routes", std::move(routes)},
+                    {"services", std::move(services)},
+                    {"limits", json::object{{"max_body_bytes", 262'144}}},
+                    {"tenants", json::array{}}}));
   for (int n = 0; n < setup.entries; ++n) {
     EntryProcess it;
     it.name = "frontend-" + std::to_string(n + 1);
@@ -1021,17 +1016,16 @@
     worker.rack = "r" + std::to_string(n / setup.workers_of_rack);
     it.worker = std::make_unique<Worker>(worker, heartbeats);
     const std::string path = folder_ + "/" + it.name + ".json";
-    WriteFile(path,
-              {{"name", it.name},
-               {"data_centre", "z"},
-               {"heartbeats_listen", heartbeats},
-               {"scheduler_listen", FreeAddress()},
-               {"metrics_listen", FreeAddress()},
-               {"worker", it.worker->Address()},
-               {"store", store_->Address()},
-               {"machine_memory_mb", 128},
-               {"timing", json::object{{"longest_lease_ms", 10'000}}},
-               {"log", json::object{{"format", "json"}}}});
+    WriteFile(path, {{"name", it.name},
+                     {"data_centre", "z"},
+                     {"heartbeats_listen", heartbeats},
+                     {"scheduler_listen", FreeAddress()},
+                     {"metrics_listen", FreeAddress()},
+                     {"worker", it.worker->Address()},
+                     {"store", store_->Address()},
+                     {"machine_memory_mb", 128},
+                     {"timing", json::object{{"longest_lease_ms", 10'000}}},
+                     {"log", json::object{{"format", "json"}}}});
     it.process = std::make_unique<Process>(std::vector<std::string>{
         "target/apps/shallotlug-agent", "serve-jobs", "--settings=" + path});
     it.process->Start();
@@ -1079,10 +1073,10 @@
   constexpr int kDeadlineMs = 3'000;
   const auto& entries = deployment_.Entries();
   const EntryProcess& entry = entries[next_++ % entries.size()];
-  auto response = Call(entry.callers, method, "/batch/" + path,
-                       {{"Host", "jobs.example"},
-                        {"X-Shallotlug-Deadline-Ms", "3000"}},
-                       body, kDeadlineMs);
+  auto response =
+      Call(entry.callers, method, "/batch/" + path,
+           {{"Host", "jobs.example"}, {"X-Shallotlug-Deadline-Ms", "3000"}},
+           body, kDeadlineMs);
   if (method != "GET") {
     Record("client: " + method + " " + path + " at " + entry.name + " (" +
            std::to_string(body.size()) + " bytes): " +
@@ -1125,7 +1119,8 @@
   if (response->status != 200) {
     return std::to_string(response->status);
   }
-  return std::to_string(Int(json::parse(response->body).as_object(), "pending"));
+  return std::to_string(
+      Int(json::parse(response->body).as_object(), "pending"));
 }
 
 bool Untroubled() {
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -272,7 +272,8 @@
 };
 
 /// @brief A small deployment: entries, agents with workers, and a store. All
-/// its processes end with it; the threads of its stand-ins end with the program.
+/// its processes end with it; the threads of its stand-ins end with the
+/// program.
 class Deployment {
  public:
   explicit Deployment(const DeploymentSetup& setup);
