--- a/review/10/script.cc
+++ b/review/10/script.cc
@@ -3,80 +3,82 @@
 
 #include "platform.h"
 
-/// A job of one long task without an estimate is alone on four workers.
+/// Three small jobs that last, one in each rack, and then a gang that would run
+/// faster in one rack.
 namespace {
 
 using review::Record;
 using review::SleepMs;
 
-constexpr std::int64_t kWorkMs = 300'000;
-constexpr int kWatchS = 90;
-constexpr std::int64_t kFinishMs = 14'000;
-constexpr std::int64_t kIdleMs = 3'000;
-const std::string kJob = "00000000000000c1";
+constexpr int kRacks = 3;
+constexpr int kGang = 3;
+constexpr int kWaitS = 45;
+const std::string kGangJob = "00000000000000a9";
 
-// The longest time with nothing of the job at work, from `finish_s` after the
-// end of the traffic on.
-std::int64_t LongestIdle(std::int64_t submitted_ms) {
-  const std::int64_t from = submitted_ms + kFinishMs;
-  std::int64_t idle_since = from;
-  std::int64_t longest = 0;
-  bool runs = false;
-  const auto idle_until = [&](std::int64_t at) {
-    if (!runs && at > idle_since) {
-      longest = std::max(longest, at - idle_since);
-    }
-  };
-  for (const review::RunEvent& it : review::Worker::Events()) {
-    if (it.how.starts_with("noted")) {
-      continue;
-    }
-    idle_until(it.at_ms);
-    runs = it.how == "start";
-    idle_since = std::max(it.at_ms, from);
-  }
-  idle_until(review::NowMs());
-  return longest;
+bool Started(const std::string& job) {
+  const auto events = review::Worker::Events();
+  return std::any_of(events.begin(), events.end(), [&](const auto& it) {
+    return it.how == "start" && it.task.starts_with(job);
+  });
 }
 
 int Run() {
   review::DeploymentSetup setup;
-  setup.workers = 4;
-  setup.worker.cpu = 32'000;
-  setup.worker.mem_mb = 131'072;
+  setup.workers = 11;
+  setup.worker.cpu = 128'000;
+  setup.worker.mem_mb = 262'144;
   setup.worker.gpu = 8;
   review::Deployment deployment(setup);
   if (!deployment.WaitUntilReady(20)) {
     return 2;
   }
   review::Client client(deployment);
-  const review::TaskPlan plan{1'000, 1'000, 0, kWorkMs};
-  review::json::object step{
-      {"count", 1}, {"cpu", plan.cpu}, {"mem_mb", plan.mem_mb}};
-  if (review::Untroubled()) {
-    step["estimate_ms"] = kWorkMs;
+  const review::TaskPlan small{1'000, 1'000, 1, 0};
+  for (int n = 0; n < kRacks && !review::Untroubled(); ++n) {
+    const std::string id = "00000000000000a" + std::to_string(n + 1);
+    if (!client.Submit(id,
+                       {{"spec", review::SpecOf(small)},
+                        {"steps", review::json::array{review::json::object{
+                                      {"count", 1},
+                                      {"cpu", small.cpu},
+                                      {"mem_mb", small.mem_mb},
+                                      {"gpu", small.gpu},
+                                      {"estimate_ms", 10'000},
+                                      {"affinity", "r" + std::to_string(n)},
+                                      {"long_running", true}}}}},
+                       10)) {
+      return 2;
+    }
   }
-  if (!client.Submit(kJob,
-                     {{"spec", review::SpecOf(plan)},
-                      {"steps", review::json::array{std::move(step)}}},
+  SleepMs(3'000);
+  const review::TaskPlan large{100'000, 200'000, 8, 10'000};
+  if (!client.Submit(kGangJob,
+                     {{"spec", review::SpecOf(large)},
+                      {"steps", review::json::array{review::json::object{
+                                    {"count", kGang},
+                                    {"cpu", large.cpu},
+                                    {"mem_mb", large.mem_mb},
+                                    {"gpu", large.gpu},
+                                    {"estimate_ms", large.work_ms},
+                                    {"gang", true},
+                                    {"rack_local", true}}}}},
                      10)) {
     return 2;
   }
-  const std::int64_t submitted_ms = review::NowMs();
-  SleepMs(1'000L * kWatchS);
-  const auto events = review::Worker::Events();
-  const auto count = [&](const std::string& how) {
-    return std::to_string(
-        std::count_if(events.begin(), events.end(),
-                      [&](const auto& it) { return it.how == how; }));
-  };
-  const std::int64_t idle = LongestIdle(submitted_ms);
-  Record("the job is shown as " + client.State(kJob) + "; " + count("start") +
-         " starts, " + count("stopped") +
-         " of them stopped by the product; longest time with nothing at work "
-         "on four empty workers: " +
-         std::to_string(idle) + " ms");
-  return idle >= kIdleMs ? 1 : 0;
+  const std::int64_t until = review::NowMs() + 1'000L * kWaitS;
+  while (!Started(kGangJob) && review::NowMs() < until) {
+    SleepMs(200);
+  }
+  int empty = 0;
+  for (const review::AgentProcess& it : deployment.Agents()) {
+    empty += it.worker->ActiveRuns() == 0 ? 1 : 0;
+  }
+  Record("the gang is shown as " + client.State(kGangJob) + "; it has " +
+         (Started(kGangJob) ? "" : "not ") +
+         "started; workers with nothing "
+         "at work: " +
+         std::to_string(empty));
+  return Started(kGangJob) ? 0 : 1;
 }
 
 }  // namespace
