--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -1099,6 +1099,18 @@
   return false;
 }
 
+bool Client::Cancel(const std::string& id) {
+  constexpr int kAttempts = 10;
+  for (int n = 0; n < kAttempts; ++n) {
+    const auto response = Ask("DELETE", id, "");
+    if (response && (response->status / 100 == 2 || response->status == 410)) {
+      return true;
+    }
+    SleepMs(500);
+  }
+  return false;
+}
+
 std::string Client::State(const std::string& id) {
   const auto response = Ask("GET", id, "");
   if (!response) {
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -302,6 +302,8 @@
   /// @brief Submits, and repeats with the same ID as the pages say; whether a
   /// 2xx answer came within `seconds`.
   bool Submit(const std::string& id, const json::object& job, int seconds);
+  /// @brief Cancels, until there is an answer of 2xx or 410.
+  bool Cancel(const std::string& id);
   /// @brief The state, or the status of the answer, or `none`.
   std::string State(const std::string& id);
   std::string Pending();
