--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -904,23 +905,26 @@
 }
 
 void Process::Start() {
+  std::vector<char*> arguments;
+  for (std::string& it : command_) {
+    arguments.push_back(it.data());
+  }
+  arguments.push_back(nullptr);
+  const char* logs = std::getenv("REVIEW_LOGS");
+  const int null = open("/dev/null", O_RDWR | O_CLOEXEC);
+  const int out = logs == nullptr
+                      ? null
+                      : open(logs, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                             S_IRUSR | S_IWUSR);
   pid_ = fork();
   if (pid_ != 0) {
     return;
   }
-  const int null = open("/dev/null", O_RDWR);
+  // The process ends with the script, also if that is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   dup2(null, 0);
-  const char* logs = std::getenv("REVIEW_LOGS");
-  const int out = logs == nullptr ? null
-                                  : open(logs, O_WRONLY | O_CREAT | O_APPEND,
-                                         S_IRUSR | S_IWUSR);
   dup2(out, 1);
   dup2(out, 2);
-  std::vector<char*> arguments;
-  for (std::string& it : command_) {
-    arguments.push_back(it.data());
-  }
-  arguments.push_back(nullptr);
   execv(arguments[0], arguments.data());
   _exit(127);
 }
@@ -940,17 +944,6 @@
   return pid_ > 0;
 }
 
-double Process::MemoryMb() const {
-  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.starts_with("VmRSS:")) {
-      return std::stod(line.substr(6)) / 1024.0;
-    }
-  }
-  return 0;
-}
-
 Deployment::Deployment(const DeploymentSetup& setup) {
   char folder[] = "/tmp/review-XXXXXX";
   folder_ = mkdtemp(folder);
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -243,8 +243,6 @@
   void Kill();
   /// @brief Whether it runs; an ended process is waited for.
   bool Running();
-  /// @brief Resident memory in megabytes.
-  double MemoryMb() const;
 
  private:
   std::vector<std::string> command_;
