--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -635,6 +635,12 @@
   lateness_ = std::move(it);
 }
 
+void Worker::SetHanging(bool hanging) {
+  const std::lock_guard lock(mutex_);
+  hanging_ = hanging;
+  Record("worker " + setup_.id + (hanging ? " hangs" : " answers again"));
+}
+
 int Worker::ActiveRuns() {
   const std::lock_guard lock(mutex_);
   return static_cast<int>(active_.size());
@@ -705,7 +711,7 @@
   const auto expected = request.headers.find("x-shallotlug-expected-instance");
   const json::object body = json::parse(request.body).as_object();
   std::unique_lock lock(mutex_);
-  if (!up_) {
+  if (!up_ || hanging_) {
     return std::nullopt;
   }
   if (expected != request.headers.end() && expected->second != setup_.id) {
@@ -747,7 +753,7 @@
     SleepMs(2);
     lock.lock();
   }
-  if (!up_ || born_ != born) {
+  if (!up_ || hanging_ || born_ != born) {
     return std::nullopt;
   }
   return response.status == 200 ? Hold(body) : response;
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -173,6 +173,10 @@
   /// answer and carries it out after so many milliseconds.
   void SetLateness(std::function<std::int64_t(const std::string& task)> it);
 
+  /// @brief While it hangs, calls get no answer and nothing is done; heartbeats
+  /// go on.
+  void SetHanging(bool hanging);
+
   int ActiveRuns();
   bool Runs(const std::string& job);
   bool Up();
@@ -218,6 +222,7 @@
   std::mutex mutex_;
   std::function<std::int64_t(const std::string&)> lateness_;
   bool up_ = false;
+  bool hanging_ = false;
   bool draining_ = false;
   std::int64_t born_ = 0;
   std::int64_t born_at_ms_ = 0;
