--- a/review/6/script.cc
+++ b/review/6/script.cc
@@ -9,7 +9,7 @@
 using review::Record;
 using review::SleepMs;
 
-constexpr int kTasks = 1'500;
+constexpr int kTasks = 2'400;
 constexpr int kFewTasks = 400;
 const std::string kJob = "00000000000000d1";
 
