--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -248,10 +248,24 @@
   }
 }
 
+// Below the ports that the system gives to others. Scripts that run side by
+// side begin at different ports.
 std::string FreeAddress() {
-  std::string address;
-  close(Listen(address));
-  return address;
+  constexpr int kFirst = 20'000;
+  constexpr int kPorts = 12'000;
+  static int next = getpid() * 97 % kPorts;
+  for (;;) {
+    const std::string address =
+        "127.0.0.1:" + std::to_string(kFirst + next++ % kPorts);
+    const sockaddr_in at = ToEndpoint(address);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const bool bound =
+        bind(socket, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+    close(socket);
+    if (bound) {
+      return address;
+    }
+  }
 }
 
 std::optional<HttpResponse> Call(
@@ -333,7 +347,12 @@
     line >> request.method >> request.target;
     request.headers = std::move(message.headers);
     request.body = std::move(message.body);
-    const auto response = handler_(std::move(request));
+    std::optional<HttpResponse> response;
+    try {
+      response = handler_(std::move(request));
+    } catch (const std::exception&) {
+      response = HttpResponse{400, "{}"};
+    }
     // A connection on which an answer is lost returns nothing further.
     if (!response) {
       ReadUpTo(socket, text, std::string::npos, NowMs() + kIdleMs);
