--- a/review/7/script.cc
+++ b/review/7/script.cc
@@ -90,5 +90,5 @@
 }  // namespace
 
 int main(int, char** argv) {
-  review::RunScript(argv[1], Run);
+  review::RunScript(argv[1], argv[2], Run);
 }
--- a/review/standins-2/platform.cc
+++ b/review/standins-2/platform.cc
@@ -39,6 +39,7 @@
 
 std::mutex record_mutex;
 std::FILE* record_file = nullptr;
+bool untroubled = false;
 std::mutex events_mutex;
 std::vector<RunEvent> events;
 
@@ -1154,12 +1155,13 @@
 }
 
 bool Untroubled() {
-  const char* trouble = std::getenv("TROUBLE");
-  return trouble != nullptr && std::string_view(trouble) == "0";
+  return untroubled;
 }
 
-void RunScript(const char* record, int (*script)()) {
+void RunScript(const char* record, const char* trouble, int (*script)()) {
   OpenRecord(record);
+  untroubled = trouble != nullptr && std::string_view(trouble) == "0";
+  Record(std::string("TROUBLE=") + (untroubled ? "0" : "1"));
   const int status = script();
   Record("exit status " + std::to_string(status));
   std::_Exit(status);
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -320,11 +320,14 @@
   std::size_t next_ = 0;
 };
 
-/// @brief Whether the environment asks for a run without the disruption.
+/// @brief Whether run.sh asks for a run without the disruption.
 bool Untroubled();
 
 /// @brief Runs the script with its record, and ends the program.
-[[noreturn]] void RunScript(const char* record, int (*script)());
+/// @param trouble The value of TROUBLE; "0" leaves the disruption out.
+[[noreturn]] void RunScript(const char* record,
+                            const char* trouble,
+                            int (*script)());
 
 }  // namespace review
 
