scheduler: a gang waits for one rack only while the wait pays

Cause: MaySpreadOverRacks() asked what an empty rack could hold, so the caller's preference (slower by remote_factor in several racks) acted as a condition without an end. Ruled out: lack of room (the same gang without the wish starts at once) and the reserve (ends after 2 s).

Change: a gang that fits into several racks only compares the expected end of the runs in a rack with what the spread would cost, and waits no longer than first expected and a quarter. In a pool at least half in use it weighs what is left of that limit once more. Preemption asks the same question. remote_factor becomes a setting, from the platform's settings file.

--- a/packages/scheduler/include/shallotlug/scheduler/scheduler.h
+++ b/packages/scheduler/include/shallotlug/scheduler/scheduler.h
@@ -26,6 +26,8 @@
   /// Guaranteed jobs start within this time after their acknowledgement.
   Millis reclaim{2'500};
   Millis stop_timeout{400};
+  /// A gang that prefers one rack takes this multiple of its time in several.
+  double remote_factor = 3;
   /// How long the state of a job can be queried after its end.
   Millis state_retention{180'000};
   /// An agent without runs is removed after this time without contact.
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -6,6 +6,7 @@
 
 #include "fleet.h"
 #include "placement.h"
+#include "rack_wait.h"
 #include "reserve.h"
 #include "speed_choice.h"
 #include "suspects.h"
@@ -27,10 +28,6 @@
 // After a search for runs to preempt has failed, the unit is searched for again
 // only after this time, as a search looks at all runs.
 constexpr Millis kPreemptionRetry{100};
-// A guaranteed gang that fits into no rack is spread over racks, where it runs
-// slower, after this fraction of the time within which it has to start. A gang
-// that has started before waits for a rack.
-constexpr int kSpreadShareOfReclaim = 4;
 // How long a task waits for a worker in the rack of its data.
 constexpr Millis kDataLocalityWait{3'000};
 
@@ -112,17 +109,6 @@
   return std::max(now.wall - unit.row->due, Millis{0});
 }
 
-/// @brief Whether the unit may be spread over racks, which slows it down.
-bool MaySpreadOverRacks(const State& state,
-                        const Unit& unit,
-                        const std::vector<Candidate>& candidates,
-                        const Demand& demand,
-                        Now now) {
-  return !demand.same_rack || !AnyRackCanHold(candidates, demand) ||
-         (unit.guaranteed && !workload::HasStarted(unit.row->progress) &&
-          Waited(unit, now) > state.options.reclaim / kSpreadShareOfReclaim);
-}
-
 std::vector<Candidate> CandidatesInRack(
     const std::vector<Candidate>& candidates,
     int rack) {
@@ -132,11 +118,11 @@
   return near;
 }
 
-std::vector<int> Fit(const State& state,
+std::vector<int> Fit(const Placement& placement,
                      const Unit& unit,
                      const std::vector<Candidate>& all,
-                     const Demand& demand,
-                     Now now) {
+                     const Demand& demand) {
+  const Now now = placement.now;
   if (demand.data_rack != kNoRack && Waited(unit, now) < kDataLocalityWait) {
     const std::vector<Candidate> near = CandidatesInRack(all, demand.data_rack);
     if (!near.empty()) {
@@ -151,13 +137,16 @@
     std::vector<int> fit = FitIntoRack(choice, demand);
     return fit.empty() && anywhere ? FitInto(choice, demand) : fit;
   });
-  if (workers.empty() && demand.same_rack && demand.count > 1 &&
-      MaySpreadOverRacks(state, unit, all, demand, now)) {
-    workers = FirstFit(unit, all, now, [&](const auto& choice) {
-      return FitInto(choice, demand);
-    });
+  if (!workers.empty() || !demand.same_rack || demand.count <= 1) {
+    return workers;
   }
-  return workers;
+  std::vector<int> spread = FirstFit(unit, all, now, [&](const auto& choice) {
+    return FitInto(choice, demand);
+  });
+  const bool may_spread =
+      !spread.empty() && MaySpreadOverRacks(placement.state, placement.fleet,
+                                            unit, all, demand, now);
+  return may_spread ? spread : std::vector<int>{};
 }
 
 /// @brief Whether all tasks of the demand fit into the eligible workers, with
@@ -228,6 +217,7 @@
   state.reserve_wait_since.erase(unit.key);
   state.preemption_failed_at.erase(unit.key);
   state.isolation_wait_since.erase(unit.key);
+  state.rack_waits.erase(unit.key);
   if (unit.suspect) {
     CloseWorkers(state, placement.fleet, unit, workers, placement.now.local);
   }
@@ -286,7 +276,8 @@
              const Demand& demand) {
   State& state = placement.state;
   const Now now = placement.now;
-  const bool spread = MaySpreadOverRacks(state, unit, candidates, demand, now);
+  const bool spread =
+      MaySpreadOverRacks(state, placement.fleet, unit, candidates, demand, now);
   const std::optional<PreemptionPlan> preemption = FindPreemption(
       state, placement.fleet, unit, candidates, demand, spread, now);
   if (!preemption) {
@@ -340,7 +331,7 @@
                                    const std::vector<Candidate>& all) {
   std::vector<Candidate> candidates = all;
   ExcludeReservedWorkers(placement.state, unit, candidates, placement.now);
-  return Fit(placement.state, unit, candidates, demand, placement.now);
+  return Fit(placement, unit, candidates, demand);
 }
 
 /// @brief Places a suspect on workers without other jobs.
@@ -350,8 +341,7 @@
                 const std::vector<Candidate>& all) {
   const std::vector<Candidate> candidates = WorkersWithoutOthers(
       placement.state, placement.fleet, unit, all, placement.now);
-  const std::vector<int> workers =
-      Fit(placement.state, unit, candidates, demand, placement.now);
+  const std::vector<int> workers = Fit(placement, unit, candidates, demand);
   if (!workers.empty()) {
     Assign(placement, unit, unit.tasks, workers);
   }
@@ -444,6 +434,10 @@
     if (waits_for_speed && !state.reservations.contains(unit.key)) {
       return WaitReason::kNoneInTime;
     }
+    if (WaitsForRack(state, unit, placement.now.local) &&
+        !state.reservations.contains(unit.key)) {
+      return WaitReason::kNoRack;
+    }
   }
   const auto reservation = state.reservations.find(unit.key);
   if (reservation == state.reservations.end()) {
@@ -465,6 +459,7 @@
   std::erase_if(state.reserve_wait_since, is_final);
   std::erase_if(state.preemption_failed_at, is_final);
   std::erase_if(state.speed_wait_since, is_final);
+  std::erase_if(state.rack_waits, is_final);
 }
 
 }  // namespace
--- a/packages/scheduler/src/reserve.cc
+++ b/packages/scheduler/src/reserve.cc
@@ -107,8 +107,7 @@
       IsObjectiveAtRisk(unit, now)) {
     return false;
   }
-  const Usage usage = UsageOf(candidates);
-  if (usage.mean >= kBusyShare && usage.accelerators >= kBusyShare) {
+  if (IsBusy(candidates)) {
     state.reserve_wait_since.erase(unit.key);
     return true;
   }
@@ -119,6 +118,11 @@
 
 }  // namespace
 
+bool IsBusy(const std::vector<Candidate>& candidates) {
+  const Usage usage = UsageOf(candidates);
+  return usage.mean >= kBusyShare && usage.accelerators >= kBusyShare;
+}
+
 void MeasureUrgentDemand(State& state,
                          const std::vector<Unit>& waiting,
                          TimePoint now) {
--- a/packages/scheduler/src/reserve.h
+++ b/packages/scheduler/src/reserve.h
@@ -15,6 +15,9 @@
                          const std::vector<Unit>& waiting,
                          TimePoint now);
 
+/// @brief Whether at least half of the candidates' resources is in use.
+bool IsBusy(const std::vector<Candidate>& candidates);
+
 /// @brief Removes the workers reserved for urgent jobs, which are the emptiest
 /// ones, from the candidates. Has no effect if the unit is urgent or long
 /// running, is about to miss its objective, or has waited long enough in a pool
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -107,6 +107,12 @@
       false;  ///< The job is there; else it waits for others to end.
 };
 
+/// @brief Wait of a gang for a rack, from when it could first be spread.
+struct RackWait {
+  TimePoint since{};
+  TimePoint until{};  ///< It may be spread over racks from then on.
+};
+
 /// @brief Demand of urgent work, running or waiting, in accelerators.
 struct UrgentDemand {
   std::int64_t running = 0;
@@ -157,6 +163,7 @@
   /// Urgent units that wait for workers fast enough for their objectives, and
   /// since when.
   std::map<UnitKey, TimePoint> speed_wait_since;
+  std::map<UnitKey, RackWait> rack_waits;
   UrgentDemand urgent;
   /// Workers on which a task has failed; its next run goes elsewhere.
   std::map<workload::TaskRef, std::set<AgentName>> failed_on;
--- a/packages/scheduler/src/triage.cc
+++ b/packages/scheduler/src/triage.cc
@@ -25,6 +25,10 @@
              : std::max(estimate, worked);
 }
 
+Millis WorkedTime(const RunRow& run, TimePoint now) {
+  return run.state == RunState::kRunning ? now - run.running_since : Millis{0};
+}
+
 }  // namespace
 
 Deadlines DeadlinesOf(const OccurrenceRow& row) {
@@ -50,13 +54,25 @@
   return behind[static_cast<std::size_t>(step)];
 }
 
+std::optional<Millis> ExpectedTimeLeft(const OccurrenceRow& row,
+                                       const workload::TaskRef& task,
+                                       const RunRow& run,
+                                       TimePoint now) {
+  const workload::Step& step = StepOf(row, task.step);
+  const bool known = step.estimate > Millis{0} || run.percent >= kMinPercent;
+  if (step.lasting || !known) {
+    return std::nullopt;
+  }
+  const Millis worked = WorkedTime(run, now);
+  return DurationOf(run, step.estimate, worked) - worked;
+}
+
 Outlook OutlookOf(const OccurrenceRow& row,
                   const workload::TaskRef& task,
                   const RunRow& run,
                   TimePoint now) {
   const workload::Step& step = StepOf(row, task.step);
-  const Millis worked =
-      run.state == RunState::kRunning ? now - run.running_since : Millis{0};
+  const Millis worked = WorkedTime(run, now);
   const Millis duration = DurationOf(run, step.estimate, worked);
   const Millis left = duration - worked;
   const Millis behind = TimeBehind(*row.job, task.step);
--- a/packages/scheduler/src/triage.h
+++ b/packages/scheduler/src/triage.h
@@ -1,6 +1,8 @@
 #ifndef SHALLOTLUG_SCHEDULER_SRC_TRIAGE_H_
 #define SHALLOTLUG_SCHEDULER_SRC_TRIAGE_H_
 
+#include <optional>
+
 #include "shallotlug/workload/job.h"
 #include "state.h"
 
@@ -28,6 +30,14 @@
 /// @brief Estimated duration of the longest chain of steps behind this one.
 Millis TimeBehind(const workload::Job& job, int step);
 
+/// @brief Time until a run ends, by its progress, or by its task's estimate
+/// while it has made little. Nothing for a task that lasts, and for one without
+/// an estimate that has made little progress.
+std::optional<Millis> ExpectedTimeLeft(const OccurrenceRow& row,
+                                       const workload::TaskRef& task,
+                                       const RunRow& run,
+                                       TimePoint now);
+
 /// @brief Remaining time of a job from one of its runs on.
 struct Outlook {
   Millis if_left{0};
--- a/packages/scheduler/src/waits.cc
+++ b/packages/scheduler/src/waits.cc
@@ -17,6 +17,8 @@
       return "nothing_to_preempt";
     case WaitReason::kNoneInTime:
       return "none_in_time";
+    case WaitReason::kNoRack:
+      return "no_rack";
     case WaitReason::kNotAlone:
       return "not_alone";
   }
--- a/packages/scheduler/src/waits.h
+++ b/packages/scheduler/src/waits.h
@@ -13,6 +13,7 @@
   kStopsPending,      ///< Runs were preempted for it and have not ended.
   kNothingToPreempt,  ///< No set of runs makes room at a justified cost.
   kNoneInTime,        ///< The free workers are too slow for its objective.
+  kNoRack,            ///< A gang waits for one rack, where it runs faster.
   kNotAlone,          ///< A suspect waits for a worker without other jobs.
 };
 
--- a/packages/service/src/scheduler_host.cc
+++ b/packages/service/src/scheduler_host.cc
@@ -34,6 +34,7 @@
   options.stop_timeout = timing.stop_timeout;
   options.learn_speeds = settings.scheduling.learn_speeds;
   options.weigh_lateness = settings.scheduling.weigh_lateness;
+  options.remote_factor = settings.scheduling.remote_factor;
   options.state_retention =
       kRetentionMargin +
       Millis(static_cast<std::int64_t>(timing.state_retention_s * 1'000));
--- a/packages/settings/include/shallotlug/settings/job_settings.h
+++ b/packages/settings/include/shallotlug/settings/job_settings.h
@@ -24,6 +24,8 @@
   /// Workers may differ in speed: their speeds are learnt from the progress of
   /// their runs.
   bool learn_speeds = false;
+  /// A gang that prefers one rack takes this multiple of its time in several.
+  double remote_factor = 3;
   /// When there is too little room, those wait or yield whose callers lose
   /// least by it.
   bool weigh_lateness = false;
--- a/packages/settings/src/job_settings.cc
+++ b/packages/settings/src/job_settings.cc
@@ -16,6 +16,7 @@
 constexpr double kMinCores = 0.001;
 constexpr double kMaxCores = 4'096.0;
 
+constexpr double kMaxRemoteFactor = 1'000;
 constexpr double kMaxMachineMemoryMb = 16'777'216;
 constexpr double kBytesPerMegabyte = 1'000'000;
 
@@ -61,6 +62,7 @@
   ObjectReader reader(*node, "/scheduling", file, findings);
   reader.Optional("learn_speeds", to.learn_speeds);
   reader.Optional("weigh_lateness", to.weigh_lateness);
+  reader.Optional("remote_factor", to.remote_factor, 1.0, kMaxRemoteFactor);
   reader.Finish();
 }
 
--- a/packages/settings/src/job_settings_test.cc
+++ b/packages/settings/src/job_settings_test.cc
@@ -14,7 +14,8 @@
     "http": { "body_bytes": 1048576, "connections": 2048 },
     "timing": { "longest_lease_ms": 6000, "stop_timeout_ms": 900,
                 "reclaim_ms": 3400, "state_retention_s": 120 },
-    "scheduling": { "learn_speeds": true, "weigh_lateness": true },
+    "scheduling": { "learn_speeds": true, "weigh_lateness": true,
+                    "remote_factor": 2.5 },
     "log": { "format": "json" } })",
                                             "entry.json");
   ASSERT_TRUE(std::holds_alternative<JobEntrySettings>(parsed))
@@ -25,6 +26,7 @@
   EXPECT_EQ(entry.timing.state_retention_s, 120.0);
   EXPECT_TRUE(entry.scheduling.learn_speeds);
   EXPECT_TRUE(entry.scheduling.weigh_lateness);
+  EXPECT_EQ(entry.scheduling.remote_factor, 2.5);
 }
 
 TEST(JobAgentSettingsTest, ParsesRenderedTemplate) {
