scheduler: a task that has failed waits for another worker only for a time

A task that failed on one worker was never started again if the only other worker could not hold it, or stayed full.

Cause: CandidatesOf() left out the workers on which the task had failed whenever there was any other one: a preference without an end.

Change: they are left out only while the others could hold the task, and for 2 s at most (10 s in a pool at least half in use, whose workers are full for a time).

Tests first, on: FailedRunTest.RetriesWhereNoOtherWorkerCouldHoldIt and RetriesWhereTheOtherWorkerStaysFull failed; they pass now, as does TakesAnotherWorker, which holds the preference.

--- a/packages/scheduler/src/placement.cc
+++ b/packages/scheduler/src/placement.cc
@@ -140,6 +140,14 @@
   return FitInto(members, demand);
 }
 
+bool CouldHold(const std::vector<Candidate>& candidates, const Demand& demand) {
+  std::int64_t slots = 0;
+  for (const Candidate& it : candidates) {
+    slots += Slots(it.capacity, demand.need, it.limit);
+  }
+  return slots >= demand.count;
+}
+
 bool AnyRackCanHold(const std::vector<Candidate>& candidates,
                     const Demand& demand) {
   const auto sums = RackSums(candidates, demand);
--- a/packages/scheduler/src/placement.h
+++ b/packages/scheduler/src/placement.h
@@ -47,6 +47,10 @@
 std::vector<int> FitIntoRack(const std::vector<Candidate>& candidates,
                              const Demand& demand);
 
+/// @brief Whether the workers together have room for all tasks when they are
+/// empty.
+bool CouldHold(const std::vector<Candidate>& candidates, const Demand& demand);
+
 /// @brief Whether an empty rack would have room for all tasks.
 bool AnyRackCanHold(const std::vector<Candidate>& candidates,
                     const Demand& demand);
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -30,6 +30,10 @@
 constexpr Millis kPreemptionRetry{100};
 // How long a task waits for a worker in the rack of its data.
 constexpr Millis kDataLocalityWait{3'000};
+// How long a task that has failed waits for a worker on which it has not.
+constexpr Millis kOtherWorkerWait{2'000};
+// The same in a pool of which at least half is in use: others are full there.
+constexpr Millis kOtherWorkerWaitWhenBusy{10'000};
 
 /// @brief State of one placement.
 struct Placement {
@@ -53,6 +57,13 @@
       [&](const auto& it) { return it.second.on.agent == agent; }));
 }
 
+bool HasFailed(const State& state, const Unit& unit) {
+  return !state.failed_on.empty() &&
+         std::any_of(unit.tasks.begin(), unit.tasks.end(), [&](int it) {
+           return state.failed_on.contains(TaskOf(unit, it));
+         });
+}
+
 bool HasFailedOn(const State& state, const Unit& unit, const AgentName& agent) {
   return !state.failed_on.empty() &&
          std::any_of(unit.tasks.begin(), unit.tasks.end(), [&](int it) {
@@ -218,6 +229,7 @@
   state.preemption_failed_at.erase(unit.key);
   state.isolation_wait_since.erase(unit.key);
   state.rack_waits.erase(unit.key);
+  state.other_worker_wait_since.erase(unit.key);
   if (unit.suspect) {
     CloseWorkers(state, placement.fleet, unit, workers, placement.now.local);
   }
@@ -374,12 +386,31 @@
   return true;
 }
 
-/// @brief The workers that may take the unit; those on which one of its tasks
-/// has failed only if there are no others.
+/// @brief Whether the unit waits on for workers on which none of its tasks has
+/// failed.
+bool WaitsForOtherWorkers(const Placement& placement,
+                          const Unit& unit,
+                          const std::vector<Candidate>& all) {
+  const TimePoint now = placement.now.local;
+  const auto since =
+      placement.state.other_worker_wait_since.try_emplace(unit.key, now).first;
+  return now - since->second <
+         (IsBusy(all) ? kOtherWorkerWaitWhenBusy : kOtherWorkerWait);
+}
+
+/// @brief The workers that may take the unit. Those on which one of its tasks
+/// has failed only if the others could not hold it, or do not for some time.
 std::vector<Candidate> CandidatesOf(const Placement& placement,
-                                    const Unit& unit) {
-  std::vector<Candidate> candidates = Candidates(placement, unit, true);
-  return candidates.empty() ? Candidates(placement, unit, false) : candidates;
+                                    const Unit& unit,
+                                    const Demand& demand) {
+  std::vector<Candidate> all = Candidates(placement, unit, false);
+  if (!HasFailed(placement.state, unit)) {
+    return all;
+  }
+  std::vector<Candidate> others = Candidates(placement, unit, true);
+  const bool waits =
+      CouldHold(others, demand) && WaitsForOtherWorkers(placement, unit, all);
+  return waits ? others : all;
 }
 
 /// @brief The candidates on which the unit would be in time, while it may wait
@@ -409,7 +440,8 @@
       !AwaitsStops(state, unit) && PreemptionIsDue(state, unit, placement.now);
   const bool may_fit = MayFit(placement.fleet, unit, demand);
   if (may_fit || may_preempt) {
-    const std::vector<Candidate> candidates = CandidatesOf(placement, unit);
+    const std::vector<Candidate> candidates =
+        CandidatesOf(placement, unit, demand);
     if (unit.suspect) {
       if (PlaceAlone(placement, unit, demand, candidates)) {
         return std::nullopt;
@@ -460,6 +492,7 @@
   std::erase_if(state.preemption_failed_at, is_final);
   std::erase_if(state.speed_wait_since, is_final);
   std::erase_if(state.rack_waits, is_final);
+  std::erase_if(state.other_worker_wait_since, is_final);
 }
 
 }  // namespace
--- a/packages/scheduler/src/speed_choice.cc
+++ b/packages/scheduler/src/speed_choice.cc
@@ -41,14 +41,8 @@
 }
 
 bool CanHold(const std::vector<Candidate>& candidates, const Demand& demand) {
-  if (demand.same_rack) {
-    return AnyRackCanHold(candidates, demand);
-  }
-  std::int64_t slots = 0;
-  for (const Candidate& it : candidates) {
-    slots += Slots(it.capacity, demand.need, it.limit);
-  }
-  return slots >= demand.count;
+  return demand.same_rack ? AnyRackCanHold(candidates, demand)
+                          : CouldHold(candidates, demand);
 }
 
 /// @brief Tries the fastest candidates, then also the next class, and so on.
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -164,6 +164,9 @@
   /// since when.
   std::map<UnitKey, TimePoint> speed_wait_since;
   std::map<UnitKey, RackWait> rack_waits;
+  /// Units that wait for workers on which none of their tasks has failed, and
+  /// since when.
+  std::map<UnitKey, TimePoint> other_worker_wait_since;
   UrgentDemand urgent;
   /// Workers on which a task has failed; its next run goes elsewhere.
   std::map<workload::TaskRef, std::set<AgentName>> failed_on;
