executor: decide on absent runs only by a complete list of ends

Cause: a worker lists 500 ends at once, and the next ones when these are noted. The agent took a run that was in neither list for one that is not there, in three places: vanished runs, stopped runs, and starts refused as old. A new process of the agent and a new scheduler, which order recorded runs again, reach the last without the first. Ruled out: ends forgotten before they were read (last_seen never passes an unrecorded end).

Change: the adapter tells that a page is full (more_ends). Until a list is complete, the agent takes no absent run for lost or refused and no repeated order for a run that it does not know, and the scheduler, which hears so, orders no run again that was ordered before. The log lines ends_listed_in_part and ends_listed_in_full tell the pages from lost ends.

--- a/packages/executor/include/shallotlug/executor/worker_calls.h
+++ b/packages/executor/include/shallotlug/executor/worker_calls.h
@@ -50,6 +50,9 @@
   std::int64_t born = 0;  ///< 0: not reported.
   std::vector<workload::ActiveRun> active;
   std::vector<workload::RunEnd> ends;
+  /// The worker lists ends in pages: runs that are in neither list may have
+  /// ended, too.
+  bool more_ends = false;
   std::uint64_t skipped = 0;  ///< Rows that could not be decoded.
   std::string detail;
 };
--- a/packages/executor/src/executor.cc
+++ b/packages/executor/src/executor.cc
@@ -141,6 +141,7 @@
          run.started_at ? AsPeerTime(*run.started_at) : PeerTime{}});
   }
   reply.ends = it.ends;
+  reply.more_ends = it.more_ends;
   reply.former_ends = it.former_ends;
   for (const auto& [ref, reason] : it.refusals) {
     reply.refusals.push_back({ref, reason});
--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -324,6 +324,54 @@
   EXPECT_EQ(Reply().ends[0].reason, EndReason::kDone);
 }
 
+// Guards against a run that is reported as lost, and run again, because its
+// end is on a later page of the worker's list.
+TEST_F(ExecutorTest, KeepsARunWhoseEndMayBeOnALaterPage) {
+  Connect();
+  OrderStart();
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+  const RunRef other{{JobId("k"), 0, 0, 0}, 1};
+  WorkerView page = View({}, {{1, other, EndReason::kDone, ""}});
+  page.more_ends = true;
+  Answer(subject.WatchCall(now), page);
+  EXPECT_THAT(Reply().runs, SizeIs(1));
+  EXPECT_TRUE(Reply().more_ends);
+  Wait(Millis(10));
+  Answer(subject.WatchCall(now),
+         View({}, {{2, FirstRun(), EndReason::kDone, ""}}));
+  EXPECT_THAT(Reply().runs, IsEmpty());
+  EXPECT_THAT(Reply().ends, SizeIs(2));
+  EXPECT_FALSE(Reply().more_ends);
+}
+
+// Guards against the same for a start that the worker refuses as old, and for a
+// stop: that the run is not there does not tell how it has ended.
+TEST_F(ExecutorTest, RefusesNoRunWhoseEndMayBeOnALaterPage) {
+  Connect();
+  OrderStart(true);
+  subject.TakeActions(now);
+  subject.OnStartResult(FirstRun(), {OrderStatus::kSuperseded, {}, ""}, now);
+  WorkerView page = View({});
+  page.more_ends = true;
+  Answer(subject.WatchCall(now), page);
+  EXPECT_THAT(Reply().refusals, IsEmpty());
+  Wait(Millis(10));
+  Answer(subject.WatchCall(now), View({}));
+  EXPECT_THAT(Reply().refusals, SizeIs(1));
+}
+
+// Guards against a repeated start of a run that may have ended, while a first
+// start is not delayed by the pages.
+TEST_F(ExecutorTest, DefersRepeatedStartsUntilAllEndsAreListed) {
+  Connect();
+  WorkerView page = View({});
+  page.more_ends = true;
+  Answer(subject.WatchCall(now), page);
+  EXPECT_THAT(OrderStart(true).runs, IsEmpty());
+  EXPECT_THAT(OrderStart(false).runs, SizeIs(1));
+}
+
 TEST_F(ExecutorTest, IgnoresAnOutdatedView) {
   Connect();
   const WorkerQuery first = subject.WatchCall(now);
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -52,6 +52,9 @@
   std::optional<workload::WorkerFacts> facts;
   std::uint64_t heartbeat_sequence = 0;
   bool lists_read = false;  ///< Lists of the current life.
+  /// The lists that were read last leave out ends: a run that is in neither
+  /// list may have ended.
+  bool more_ends = false;
   bool departed = false;
   bool silent = false;
   std::int64_t reported_born = 0;
@@ -124,7 +127,10 @@
   Millis WorkerSilence(TimePoint now) const;
   void ExpireSilentWorker(TimePoint now);
   WorkerQuery MakeQuery(Millis wait);
-  void ApplyActiveRuns(const std::vector<workload::ActiveRun>& active,
+  void NotePage(const WorkerView& view);
+  void ApplyActiveRuns(const std::vector<workload::ActiveRun>& active);
+  /// @brief Decides on runs that are in neither list of the worker.
+  void ApplyAbsentRuns(const std::vector<workload::ActiveRun>& active,
                        std::uint64_t number);
   void ApplyEnds(const std::vector<workload::RunEnd>& list);
 };
--- a/packages/executor/src/lives.cc
+++ b/packages/executor/src/lives.cc
@@ -52,6 +52,7 @@
   confirmed_noted_ends = 0;
   pending_looks.clear();
   lists_read = false;
+  more_ends = false;
   silent = false;
   clock_known = false;
   speed = {};
--- a/packages/executor/src/orders.cc
+++ b/packages/executor/src/orders.cc
@@ -101,10 +101,10 @@
                                  const workload::WorkerLife& life,
                                  TimePoint now) {
   const RunRef& ref = order.run;
-  // Until the worker's lists are read, the run may already be there. The
-  // scheduler repeats the order.
+  // Until the worker's lists are read, the run may already be there, or may
+  // have ended there. The scheduler repeats the order.
   if (runs.contains(ref) || refusals.contains(ref) || HasEnded(ref) ||
-      (!lists_read && !departed)) {
+      (!lists_read && !departed) || (more_ends && order.repeated)) {
     return;
   }
   // A scheduler that sends it anew waits for an answer.
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "impl.h"
@@ -54,11 +55,8 @@
 }
 
 void Executor::Impl::ApplyActiveRuns(
-    const std::vector<workload::ActiveRun>& active,
-    std::uint64_t number) {
-  std::map<RunRef, const workload::ActiveRun*> present;
+    const std::vector<workload::ActiveRun>& active) {
   for (const workload::ActiveRun& it : active) {
-    present[it.run] = &it;
     const auto [run, added] = runs.try_emplace(it.run);
     if (added) {
       run->second.phase = RunPhase::kRunning;
@@ -72,6 +70,15 @@
     run->second.active = it;
     run->second.listed = true;
   }
+}
+
+void Executor::Impl::ApplyAbsentRuns(
+    const std::vector<workload::ActiveRun>& active,
+    std::uint64_t number) {
+  std::set<RunRef> present;
+  for (const workload::ActiveRun& it : active) {
+    present.insert(it.run);
+  }
   std::vector<std::pair<RunRef, RefusalReason>> refused;
   std::vector<RunRef> vanished;
   for (auto& [ref, run] : runs) {
@@ -95,6 +102,20 @@
   }
 }
 
+void Executor::Impl::NotePage(const WorkerView& view) {
+  if (std::exchange(more_ends, view.more_ends) == view.more_ends) {
+    return;
+  }
+  log.push_back({LogLevel::kInfo,
+                 view.more_ends ? "ends_listed_in_part" : "ends_listed_in_full",
+                 {{"worker", facts->life.id},
+                  {"listed", std::to_string(view.ends.size())},
+                  {"active", std::to_string(view.active.size())},
+                  {"known_runs", std::to_string(runs.size())},
+                  {"noted_ends", std::to_string(noted_ends)}}});
+  MarkChanged();
+}
+
 void Executor::Impl::ApplyEnds(const std::vector<workload::RunEnd>& list) {
   for (const workload::RunEnd& it : list) {
     if (it.number <= noted_ends || HasEnded(it.run)) {
@@ -222,7 +243,12 @@
   }
   it.ApplyEnds(view.ends);
   it.read_at = now;
-  it.ApplyActiveRuns(view.active, number);
+  it.ApplyActiveRuns(view.active);
+  it.NotePage(view);
+  // The end of a run that is in neither list may be on a later page.
+  if (!view.more_ends) {
+    it.ApplyAbsentRuns(view.active, number);
+  }
 }
 
 }  // namespace shallotlug::executor
--- a/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
+++ b/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
@@ -19,7 +19,8 @@
   workload::Resources capacity;
   double clock_rate = 1;        ///< Of its clock to the simulated one.
   Millis longest_lease{5'500};  ///< A longer lease is shortened to this.
-  double time_factor = 1;       ///< Time that it takes for a task of 1 s, in s.
+  std::size_t ends_per_page = 500;
+  double time_factor = 1;  ///< Time that it takes for a task of 1 s, in s.
 };
 
 /// @brief Stand-in for a fleet of workers, as a state machine: starts, stops,
--- a/packages/jobharness/src/fake_fleet.cc
+++ b/packages/jobharness/src/fake_fleet.cc
@@ -205,7 +205,11 @@
     }
     return false;
   });
-  view.ends = worker.ends;
+  const std::size_t listed =
+      std::min(worker.ends.size(), worker.setup.ends_per_page);
+  view.ends.assign(worker.ends.begin(),
+                   worker.ends.begin() + static_cast<std::ptrdiff_t>(listed));
+  view.more_ends = listed == worker.setup.ends_per_page;
   for (const auto& [task, run] : worker.runs) {
     workload::ActiveRun active;
     active.run = {task, run.number};
--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -155,6 +155,7 @@
     agent.machine = "machine-" + std::to_string(n);
     agent.clock_offset = kFirstClockOffset + n * kClockOffsetPerAgent;
     FakeWorkerSetup worker{"rack-" + std::to_string(n / 2), options.worker};
+    worker.ends_per_page = options.ends_per_page;
     if (options.clocks_drift) {
       agent.clock_rate = it.ClockRate(1 - kMaxClockDrift, 1 + kMaxClockDrift);
       worker.clock_rate = it.ClockRate(1 - kMaxClockDrift, 1);
--- a/packages/jobharness/src/job_simulation_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -223,7 +223,8 @@
   bool reboots = false;     ///< Of agents, whose clocks begin anew.
   bool wall_steps = false;  ///< Of the wall clocks that date workers' lives.
   bool slow_answers = false;
-  bool late_calls = false;  ///< They may reach a new life of the worker.
+  bool small_pages = false;  ///< Workers list one end at once.
+  bool late_calls = false;   ///< They may reach a new life of the worker.
 };
 
 /// @brief Draws jobs and faults; the same seed draws the same.
@@ -236,6 +237,7 @@
   options.clocks_drift = kind.drift;
   options.slow_answers = kind.slow_answers ? 0.05 : 0;
   options.late_calls_reach_new_lives = kind.late_calls;
+  options.ends_per_page = kind.small_pages ? 1 : options.ends_per_page;
   JobSimulation world(options);
   world.Oracle().AllowIncompleteGangs();
   std::mt19937_64 random(seed * 977);
@@ -414,6 +416,90 @@
   }
 }
 
+constexpr int kTasksOfPages = 40;
+
+// One worker with room for all tasks, which lists eight pages of ends.
+JobSimulationOptions WorkerWithPages(std::uint64_t seed) {
+  JobSimulationOptions options;
+  options.seed = seed;
+  options.agents = 1;
+  options.worker = {64'000, 64'000, kTasksOfPages};
+  options.ends_per_page = 5;
+  return options;
+}
+
+// Guards against ends on later pages of a worker's list that are taken for runs
+// that were lost.
+TEST(JobSimulationTest, RunsNoTaskAgainWhoseEndIsOnALaterPage) {
+  JobSimulation world(WorkerWithPages(1));
+  world.Run(Millis(1'000));
+  world.Submit(MakeJob("j1", kTasksOfPages, "1500"));
+  world.Run(Millis(10'000));
+  EXPECT_EQ(world.Shown(JobId("j1")), "completed");
+  EXPECT_EQ(world.Oracle().Starts(), kTasksOfPages);
+  EXPECT_EQ(world.Finish(kSettle), "");
+}
+
+// Guards against the same by a new process of the agent, which knows no run but
+// from the worker's lists.
+TEST(JobSimulationTest, RunsNoTaskAgainAfterTheAgentRestartsBetweenPages) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    JobSimulation world(WorkerWithPages(seed));
+    world.Run(Millis(1'000));
+    world.Submit(MakeJob("j1", kTasksOfPages, "1500"));
+    world.Run(Millis(1'600 + 40 * static_cast<int>(seed)));
+    world.KillAgent(0);
+    world.Run(Millis(300));
+    world.StartAgent(0);
+    world.Run(Millis(15'000));
+    EXPECT_EQ(world.Oracle().Starts(), kTasksOfPages) << "seed " << seed;
+    EXPECT_EQ(world.Finish(kSettle), "") << "seed " << seed;
+  }
+}
+
+// Guards against the same by new schedulers, which order all recorded runs
+// again.
+TEST(JobSimulationTest, RunsNoTaskAgainAfterSchedulersAreLostBetweenPages) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    JobSimulation world(WorkerWithPages(seed));
+    world.Run(Millis(1'000));
+    world.Submit(MakeJob("j1", kTasksOfPages, "1500"));
+    world.Run(Millis(1'600 + 40 * static_cast<int>(seed)));
+    for (int n = 0; n < 3; ++n) {
+      world.KillEntry(n);
+      world.Run(Millis(400));
+      world.StartEntry(n);
+    }
+    world.Run(Millis(15'000));
+    EXPECT_EQ(world.Oracle().Starts(), kTasksOfPages) << "seed " << seed;
+    EXPECT_EQ(world.Finish(kSettle), "") << "seed " << seed;
+  }
+}
+
+// Guards against a run that was stopped, has ended done before, and is placed
+// anew, as its end is on a later page.
+TEST(JobSimulationTest, RunsNoTaskAgainThatEndedDoneBeforeItsStop) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    JobSimulation world(WorkerWithPages(seed));
+    world.Run(Millis(1'000));
+    world.Submit(MakeJob("j1", kTasksOfPages, "1500"));
+    world.Run(Millis(1'500 + 20 * static_cast<int>(seed)));
+    workload::Job urgent = MakeJob("j2", kTasksOfPages, "500");
+    urgent.queue = "live";
+    urgent.terms.priority = 0;
+    world.Submit(urgent);
+    world.Run(Millis(15'000));
+    EXPECT_EQ(world.Finish(kSettle), "") << "seed " << seed;
+  }
+}
+
+// Guards against decisions by an incomplete list of ends, also with faults.
+TEST(JobSimulationTest, RandomDaysWithSmallPagesKeepThePromises) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    EXPECT_EQ(RandomDay(seed, {.small_pages = true}), "") << "seed " << seed;
+  }
+}
+
 TEST(JobSimulationTest, RandomDaysKeepThePromises) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     EXPECT_EQ(RandomDay(seed), "") << "seed " << seed;
@@ -507,6 +593,7 @@
   kind.reboots = has("SHALLOTLUG_REBOOTS");
   kind.wall_steps = has("SHALLOTLUG_WALL_STEPS");
   kind.slow_answers = has("SHALLOTLUG_SLOW_ANSWERS");
+  kind.small_pages = has("SHALLOTLUG_SMALL_PAGES");
   kind.late_calls = has("SHALLOTLUG_LATE_CALLS");
   return kind;
 }
--- a/packages/protocol/include/shallotlug/protocol/sync.h
+++ b/packages/protocol/include/shallotlug/protocol/sync.h
@@ -134,6 +134,9 @@
   workload::WorkerFacts worker;
   std::vector<RunReport> runs;
   std::vector<workload::RunEnd> ends;
+  /// The worker has not listed all ends yet: a run that is neither in `runs`
+  /// nor in `ends` may have ended.
+  bool more_ends = false;
   std::vector<Refusal> refusals;
   /// Ends that former lives of the worker listed and that are not settled.
   std::vector<workload::RunEnd> former_ends;
--- a/packages/protocol/src/sync.capnp
+++ b/packages/protocol/src/sync.capnp
@@ -104,4 +104,5 @@
   crashes @12 :List(CrashReport);
   readAt @13 :Int64;
   speed @14 :SpeedNote;
+  moreEnds @15 :Bool;
 }
--- a/packages/protocol/src/sync.capnp.h
+++ b/packages/protocol/src/sync.capnp.h
@@ -1246,6 +1246,8 @@
   inline bool hasSpeed() const;
   inline  ::shallotlug::wire::SpeedNote::Reader getSpeed() const;
 
+  inline bool getMoreEnds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1351,6 +1353,9 @@
   inline void adoptSpeed(::capnp::Orphan< ::shallotlug::wire::SpeedNote>&& value);
   inline ::capnp::Orphan< ::shallotlug::wire::SpeedNote> disownSpeed();
 
+  inline bool getMoreEnds();
+  inline void setMoreEnds(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2929,6 +2934,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool SyncReply::Reader::getMoreEnds() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<265>() * ::capnp::ELEMENTS);
+}
+
+inline bool SyncReply::Builder::getMoreEnds() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<265>() * ::capnp::ELEMENTS);
+}
+inline void SyncReply::Builder::setMoreEnds(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<265>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/packages/protocol/src/sync_codec.cc
+++ b/packages/protocol/src/sync_codec.cc
@@ -191,6 +191,7 @@
                        PeerTime(Millis(run.getStartedAt()))});
   }
   it.ends = ReadEnds(from.getEnds());
+  it.more_ends = from.getMoreEnds();
   it.former_ends = ReadEnds(from.getFormerEnds());
   for (const auto refusal : from.getRefusals()) {
     it.refusals.push_back(
@@ -273,6 +274,7 @@
     runs[n].setStartedAt(it.started_at.time_since_epoch().count());
   }
   WriteEnds(to.initEnds(Size(reply.ends)), reply.ends);
+  to.setMoreEnds(reply.more_ends);
   WriteEnds(to.initFormerEnds(Size(reply.former_ends)), reply.former_ends);
   auto refusals = to.initRefusals(Size(reply.refusals));
   for (unsigned n = 0; n < reply.refusals.size(); ++n) {
--- a/packages/protocol/src/sync_codec_test.cc
+++ b/packages/protocol/src/sync_codec_test.cc
@@ -48,6 +48,7 @@
   reply.runs.push_back(
       {{SomeRun(), "saved", 41, 7}, RunPhase::kRunning, PeerTime(Millis(99))});
   reply.ends.push_back({6, SomeRun(), workload::EndReason::kBroken, "saved"});
+  reply.more_ends = true;
   reply.refusals.push_back({SomeRun(), RefusalReason::kLapsed});
   reply.crashes.push_back({SomeRun(), true, false});
   reply.former_ends.push_back({2, SomeRun(), workload::EndReason::kDone, ""});
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -230,6 +230,9 @@
   if (had_orphans && agent.orphans.empty()) {
     state.placement_outdated = true;
   }
+  if (reply.more_ends) {
+    return;
+  }
   // Order a run again that the agent no longer reports; its worker refuses it
   // if it has ended.
   for (const auto& [task, run] : state.runs.On(agent.address.agent).rows) {
@@ -473,6 +476,7 @@
   if (reply.worker_state == protocol::WorkerState::kUnknown) {
     return;
   }
+  agent.more_ends = reply.more_ends;
   ApplyEnds(state, agent, reply, now);
   for (const protocol::Refusal& it : reply.refusals) {
     ApplyRefusal(state, agent, it, now);
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -282,8 +282,11 @@
 
 namespace {
 
-bool StartIsDue(const RunRow& run, TimePoint now) {
+bool StartIsDue(const AgentRow& agent, const RunRow& run, TimePoint now) {
+  // A run that was ordered before may have ended.
+  const bool may_have_ended = agent.more_ends && run.ordered_before;
   return run.state == RunState::kOrdered && !run.stop_requested &&
+         !may_have_ended && run.on.worker == agent.worker.life &&
          now - run.order_sent >= kOrderRepeat;
 }
 
@@ -294,13 +297,14 @@
 
 void AddOrders(State& state,
                const AgentName& name,
+               const AgentRow& agent,
                SyncRequest& request,
                TimePoint now) {
   for (const auto& [task, run] : state.runs.On(name).rows) {
     if (StopIsDue(*run, now)) {
       run->stop_sent = now;
       request.stops.push_back({task, run->run});
-    } else if (StartIsDue(*run, now) && run->on.worker == request.worker) {
+    } else if (StartIsDue(agent, *run, now)) {
       const OccurrenceRow* row = FindOccurrence(state, task);
       request.starts.push_back({{task, run->run},
                                 row->job->payload,
@@ -359,7 +363,7 @@
   const Belief speed = NoteOf(state.speeds, name);
   request.speed = {speed.mean, speed.weight};
   ExtendLease(state, agent, request, now.local);
-  AddOrders(state, name, request, now.local);
+  AddOrders(state, name, agent, request, now.local);
   return request;
 }
 
@@ -377,8 +381,7 @@
   const auto& runs = state.runs.On(name).rows;
   return std::any_of(runs.begin(), runs.end(), [&](const auto& it) {
     const RunRow& run = *it.second;
-    return StopIsDue(run, now.local) ||
-           (StartIsDue(run, now.local) && run.on.worker == row.worker.life);
+    return StopIsDue(run, now.local) || StartIsDue(row, run, now.local);
   });
 }
 
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -64,6 +64,9 @@
   std::uint64_t version = 0;
   /// No run is left on the worker after this, unless its lease is extended.
   TimePoint lease_expiry{};
+  /// Its worker has not listed all ends yet: runs that it does not report may
+  /// have ended.
+  bool more_ends = false;
   std::uint64_t processed_ends = 0;  ///< Applied to the plan.
   std::uint64_t noted_ends = 0;      ///< Durable.
   std::uint64_t noted_sent = 0;
