scheduler: bound each append, and let a refusal stop only what it concerns

Cause: a plan put all changed records into one append without a bound (70,080 records, 4.8 MB; the store takes 2,097,152 bytes), and the refusal ended the term, though the successor could only send the same. Ruled out: a record that is too large by itself (68 bytes each).

The rest follows with the next plans, records first for which a start or an acknowledgement waits. An agent's ends, crashes and refusals are acknowledged when the records of all occurrences they concern are durable. A job is dropped from the log before its progress, as a successor between two appends would run it again.

Tests first, with the stand-in's limits and the old scheduler: RecordsAWaveOfCancelsInSeveralAppends, SurvivesTheLossOfSchedulersInAWaveOfCancels and ARefusedRecordStopsOnlyItsOwnJob failed; they pass. With the bound taken out all three of BatchTest and SmallAppendsTest fail, with the wait of the acknowledgements taken out AcknowledgesAnEndOnlyWithItsRecord does. RandomDaysWithSmallAppends passed before as well.

--- a/packages/jobharness/include/shallotlug/jobharness/fake_store.h
+++ b/packages/jobharness/include/shallotlug/jobharness/fake_store.h
@@ -29,6 +29,11 @@
   void Refuse(const std::string& caller) { refused_.insert(caller); }
   void Serve(const std::string& caller) { refused_.erase(caller); }
 
+  /// @brief Appends beyond these sizes are refused for good.
+  void SetLimits(const joblog::StoreLimits& limits) { limits_ = limits; }
+  /// @brief Refuses each append with a record of this key for good.
+  void RefuseKey(const std::string& key) { refused_keys_.insert(key); }
+
   /// @brief Drops all but the newest record of each key.
   void DropHistory() { first_retained_ = records_.size(); }
 
@@ -43,11 +48,16 @@
   };
 
   bool Refuses(const std::string& caller) const;
+  /// @brief Why the records are refused whenever they are sent; empty if they
+  /// are not.
+  std::string Fault(const std::vector<workload::RawRecord>& records) const;
 
   std::vector<workload::RawRecord> records_;
   std::map<std::string, std::uint64_t> newest_;
   std::map<std::string, ProducerState> producers_;
   std::set<std::string> refused_;
+  std::set<std::string> refused_keys_;
+  joblog::StoreLimits limits_;
   std::uint64_t first_retained_ = 0;
 };
 
--- a/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
+++ b/packages/jobharness/include/shallotlug/jobharness/job_simulation.h
@@ -19,6 +19,7 @@
   int entries = 3;
   int agents = 4;
   workload::Resources worker{64'000, 64'000, 4};
+  joblog::StoreLimits store{};  ///< Known to the schedulers.
   /// Ends that a worker lists at once.
   std::size_t ends_per_page = 500;
   /// Share of the orders to workers without an answer; they are carried out
--- a/packages/jobharness/src/fake_store.cc
+++ b/packages/jobharness/src/fake_store.cc
@@ -1,5 +1,7 @@
 #include "shallotlug/jobharness/fake_store.h"
 
+#include <utility>
+
 namespace shallotlug::jobharness {
 
 using joblog::AppendOptions;
@@ -14,10 +16,10 @@
 constexpr std::size_t kRememberedAppends = 5;
 constexpr std::size_t kPageRecords = 50;
 
-AppendResult Failed(AppendStatus status, const char* detail) {
+AppendResult Failed(AppendStatus status, std::string detail) {
   AppendResult result;
   result.status = status;
-  result.detail = detail;
+  result.detail = std::move(detail);
   return result;
 }
 
@@ -27,12 +29,31 @@
   return refused_.contains(caller) || refused_.contains("*");
 }
 
+std::string FakeStore::Fault(
+    const std::vector<workload::RawRecord>& records) const {
+  std::size_t bytes = 0;
+  for (const workload::RawRecord& it : records) {
+    bytes += joblog::AppendedBytes(it);
+    if (joblog::RecordBytes(it) > limits_.record_bytes) {
+      return "status 413: record of " + it.key;
+    }
+    if (refused_keys_.contains(it.key)) {
+      return "status 400: key " + it.key;
+    }
+  }
+  return bytes > limits_.request_bytes ? "status 413: request" : "";
+}
+
 AppendResult FakeStore::Append(const std::string& caller,
                                const std::vector<workload::RawRecord>& records,
                                const AppendOptions& options) {
   if (Refuses(caller)) {
     return Failed(AppendStatus::kNotDone, "busy");
   }
+  const std::string fault = Fault(records);
+  if (!fault.empty()) {
+    return Failed(AppendStatus::kInvalid, fault);
+  }
   ProducerState* producer = nullptr;
   if (options.producer) {
     producer = &producers_[options.producer->name];
--- a/packages/jobharness/src/job_simulation.cc
+++ b/packages/jobharness/src/job_simulation.cc
@@ -138,6 +138,7 @@
 JobSimulation::JobSimulation(const JobSimulationOptions& options)
     : impl_(std::make_unique<Impl>(options)) {
   Impl& it = *impl_;
+  it.store.SetLimits(options.store);
   it.policy.version = 1;
   workload::Queue queue;
   queue.name = "live";
@@ -218,6 +219,7 @@
   options.entry = EntryName("entry-" + std::to_string(n));
   options.lease = Millis(4'000);
   options.stop_timeout = Millis(300);
+  options.store = world->options.store;
   it.role.emplace(options, it.ledger, world->policy);
   it.follower.emplace([world, n](const joblog::StoredRecord& stored) {
     SimulatedEntry& self = world->entries[n];
--- a/packages/jobharness/src/job_simulation_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -223,8 +223,9 @@
   bool reboots = false;     ///< Of agents, whose clocks begin anew.
   bool wall_steps = false;  ///< Of the wall clocks that date workers' lives.
   bool slow_answers = false;
-  bool small_pages = false;  ///< Workers list one end at once.
-  bool late_calls = false;   ///< They may reach a new life of the worker.
+  bool small_pages = false;    ///< Workers list one end at once.
+  bool small_appends = false;  ///< The store takes a few records at once.
+  bool late_calls = false;     ///< They may reach a new life of the worker.
 };
 
 /// @brief Draws jobs and faults; the same seed draws the same.
@@ -238,6 +239,9 @@
   options.slow_answers = kind.slow_answers ? 0.05 : 0;
   options.late_calls_reach_new_lives = kind.late_calls;
   options.ends_per_page = kind.small_pages ? 1 : options.ends_per_page;
+  if (kind.small_appends) {
+    options.store = {1'000, 1'500};
+  }
   JobSimulation world(options);
   world.Oracle().AllowIncompleteGangs();
   std::mt19937_64 random(seed * 977);
@@ -500,6 +504,114 @@
   }
 }
 
+constexpr int kOccurrences = 200;
+
+// A job that is due every hour, for the first time in a day.
+workload::Job HourlyJob(const std::string& id, const JobSimulation& world) {
+  constexpr Millis kHour{3'600'000};
+  workload::Job job = MakeJob(id, 1, "500");
+  job.recurrence.count = kOccurrences;
+  job.recurrence.first =
+      workload::WallTime(world.Now().time_since_epoch() + 24 * kHour);
+  job.recurrence.interval = kHour;
+  return job;
+}
+
+// Guards against a wave of cancels whose records exceed the store's limit for
+// one append, so that no scheduler ever records anything again.
+TEST(JobSimulationTest, RecordsAWaveOfCancelsInSeveralAppends) {
+  JobSimulationOptions options;
+  options.store = {4'000, 8'000};
+  JobSimulation world(options);
+  world.Run(Millis(1'000));
+  for (int n = 0; n < 8; ++n) {
+    world.Submit(HourlyJob("hourly" + std::to_string(n), world));
+  }
+  world.Run(Millis(1'000));
+  for (int n = 0; n < 8; ++n) {
+    world.Cancel(JobId("hourly" + std::to_string(n)));
+  }
+  world.Run(Millis(500));
+  world.Submit(MakeJob("plain", 4, "500"));
+  world.Run(Millis(3'000));
+  EXPECT_EQ(world.Shown(JobId("plain")), "completed");
+  EXPECT_EQ(world.Finish(kSettle), "");
+}
+
+// Guards against the same for schedulers that begin between two parts of such a
+// wave: what was acknowledged before must stay true.
+TEST(JobSimulationTest, SurvivesTheLossOfSchedulersInAWaveOfCancels) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    JobSimulationOptions options;
+    options.seed = seed;
+    options.store = {4'000, 8'000};
+    JobSimulation world(options);
+    world.Run(Millis(1'000));
+    world.Submit(MakeJob("before", 12, "1500"));
+    for (int n = 0; n < 8; ++n) {
+      world.Submit(HourlyJob("hourly" + std::to_string(n), world));
+    }
+    world.Run(Millis(1'000));
+    for (int n = 0; n < 8; ++n) {
+      world.Cancel(JobId("hourly" + std::to_string(n)));
+    }
+    world.Run(Millis(20 * static_cast<int>(seed)));
+    for (int n = 0; n < 3; ++n) {
+      world.KillEntry(n);
+      world.Run(Millis(500));
+      world.StartEntry(n);
+    }
+    world.Submit(MakeJob("plain", 4, "500"));
+    EXPECT_EQ(world.Finish(kSettle), "") << "seed " << seed;
+    EXPECT_EQ(world.Shown(JobId("plain")), "completed") << "seed " << seed;
+    EXPECT_EQ(world.Shown(JobId("before")), "completed") << "seed " << seed;
+  }
+}
+
+// Guards against a scheduler that gives up or starts over where the store takes
+// less at once than the scheduler was told.
+TEST(JobSimulationTest, RecordsAWaveOfCancelsBeyondAnUnknownLimit) {
+  JobSimulation world({});
+  world.Store().SetLimits({4'000, 8'000});
+  world.Run(Millis(1'000));
+  for (int n = 0; n < 8; ++n) {
+    world.Submit(HourlyJob("hourly" + std::to_string(n), world));
+  }
+  world.Run(Millis(1'000));
+  for (int n = 0; n < 8; ++n) {
+    world.Cancel(JobId("hourly" + std::to_string(n)));
+  }
+  world.Run(Millis(500));
+  world.Submit(MakeJob("plain", 4, "500"));
+  world.Run(Millis(10'000));
+  EXPECT_EQ(world.Shown(JobId("plain")), "completed");
+  EXPECT_EQ(world.Finish(kSettle), "");
+}
+
+// Guards against one record that the store refuses for good and that holds up
+// the records of all other jobs.
+TEST(JobSimulationTest, ARefusedRecordStopsOnlyItsOwnJob) {
+  JobSimulation world({});
+  world.Store().RefuseKey("p/refused/0");
+  world.Run(Millis(1'000));
+  world.Submit(MakeJob("refused", 2, "500"));
+  world.Submit(MakeJob("j1", 2, "500"));
+  world.Run(Millis(1'500));
+  world.Submit(MakeJob("j2", 8, "500"));
+  world.Run(Millis(4'000));
+  EXPECT_EQ(world.Shown(JobId("refused")), "queued");
+  EXPECT_EQ(world.Shown(JobId("j1")), "completed");
+  EXPECT_EQ(world.Shown(JobId("j2")), "completed");
+}
+
+// Guards against wrong decisions where the records of a plan take several
+// appends, with faults between them.
+TEST(JobSimulationTest, RandomDaysWithSmallAppendsKeepThePromises) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    EXPECT_EQ(RandomDay(seed, {.small_appends = true}), "") << "seed " << seed;
+  }
+}
+
 TEST(JobSimulationTest, RandomDaysKeepThePromises) {
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
     EXPECT_EQ(RandomDay(seed), "") << "seed " << seed;
@@ -594,6 +706,7 @@
   kind.wall_steps = has("SHALLOTLUG_WALL_STEPS");
   kind.slow_answers = has("SHALLOTLUG_SLOW_ANSWERS");
   kind.small_pages = has("SHALLOTLUG_SMALL_PAGES");
+  kind.small_appends = has("SHALLOTLUG_SMALL_APPENDS");
   kind.late_calls = has("SHALLOTLUG_LATE_CALLS");
   return kind;
 }
--- a/packages/joblog/include/shallotlug/joblog/log_calls.h
+++ b/packages/joblog/include/shallotlug/joblog/log_calls.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_JOBLOG_LOG_CALLS_H_
 #define SHALLOTLUG_JOBLOG_LOG_CALLS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +13,20 @@
 /// Calls to the log store.
 namespace shallotlug::joblog {
 
+/// @brief Sizes that the store accepts.
+struct StoreLimits {
+  std::size_t record_bytes = 262'144;     ///< Of a key and its value.
+  std::size_t request_bytes = 2'097'152;  ///< Of all records of one append.
+};
+
+/// @brief Bytes of a record as the store counts them, with the length of its
+/// key.
+std::size_t RecordBytes(const workload::RawRecord& record);
+
+/// @brief Bytes of a record within an append, with its length.
+std::size_t AppendedBytes(const workload::RawRecord& record);
+std::size_t AppendedBytes(const std::vector<workload::RawRecord>& records);
+
 /// @brief Identifies a writer whose appends are ordered and fenced.
 struct Producer {
   std::string name;
--- a/packages/scheduler/include/shallotlug/scheduler/scheduler.h
+++ b/packages/scheduler/include/shallotlug/scheduler/scheduler.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "shallotlug/base/clock.h"
 #include "shallotlug/base/ids.h"
 #include "shallotlug/base/log_line.h"
+#include "shallotlug/joblog/log_calls.h"
 #include "shallotlug/protocol/sync.h"
 #include "shallotlug/workload/ledger.h"
 #include "shallotlug/workload/policy.h"
@@ -35,6 +37,7 @@
   /// Places tasks by the speeds of the workers, which it learns from the
   /// progress of their runs.
   bool learn_speeds = false;
+  joblog::StoreLimits store{};
   /// When there is too little room, weighs what callers lose: jobs that can
   /// still meet their objectives go first, and runs that can be repeated in
   /// time yield first.
@@ -66,8 +69,9 @@
   void CancelJob(const JobId& job);
   void AddAgent(const workload::AgentAddress& address, Now now);
 
-  /// @brief Applies pending changes and plans. The returned records must be
-  /// appended before the next call; they take effect with Commit().
+  /// @brief Applies pending changes and plans. The returned records fit into
+  /// one append and must be appended before the next call; they take effect
+  /// with Commit(). What did not fit follows with the next plans.
   std::vector<workload::RawRecord> Plan(const workload::Policy& policy,
                                         Now now);
 
@@ -76,7 +80,9 @@
   void HoldPlacement(bool held);
 
   /// @brief Called when the records of the last plan are durable.
-  void Commit();
+  /// @param refused Keys of those that the store has refused for good. Their
+  /// occurrences wait and are recorded again later.
+  void Commit(const std::set<std::string>& refused = {});
 
   /// @brief Addresses of the agents to call.
   std::vector<workload::AgentAddress> Agents() const;
--- /dev/null
+++ b/packages/scheduler/src/batch_test.cc
@@ -0,0 +1,121 @@
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "test_scheduler.h"
+
+namespace shallotlug::scheduler {
+namespace {
+
+constexpr workload::Resources kWorker{64'000, 64'000, 40};
+constexpr int kJobs = 8;
+constexpr int kHoursOfYear = 8'760;
+constexpr int kRoundsOfSecond = 20;
+// Longer than the state of a job is kept, in rounds of 50 ms.
+constexpr int kRetentionRounds = 3'700;
+
+int Outcomes(const TestScheduler& scheduler, workload::Outcome outcome) {
+  int count = 0;
+  for (const auto& [key, value] : scheduler.Log()) {
+    const auto record = workload::Decode(key, value);
+    const auto* progress =
+        record ? std::get_if<workload::OccurrenceProgress>(&*record) : nullptr;
+    count += progress != nullptr && progress->progress.outcome == outcome;
+  }
+  return count;
+}
+
+class BatchTest : public testing::Test {
+ protected:
+  explicit BatchTest(const joblog::StoreLimits& store = {})
+      : limits(store), scheduler({false, false, store}) {
+    scheduler.AddQueue("live", 0);
+    scheduler.AddCustomer("acme", 0);
+    scheduler.AddWorker("a1", "r1", kWorker);
+    scheduler.Run(2);
+  }
+
+  void SubmitYears() {
+    for (int n = 0; n < kJobs; ++n) {
+      workload::Job job =
+          scheduler.Job("year" + std::to_string(n), "live", "acme", 1, 1);
+      job.recurrence.count = kHoursOfYear;
+      job.recurrence.interval = Millis(3'600'000);
+      job.recurrence.first = scheduler.Clock().wall + Millis(3'600'000);
+      scheduler.Submit(job);
+    }
+  }
+
+  void CancelYears() {
+    for (int n = 0; n < kJobs; ++n) {
+      scheduler.Get().CancelJob(JobId("year" + std::to_string(n)));
+    }
+  }
+
+  const joblog::StoreLimits limits;
+  TestScheduler scheduler;
+};
+
+// Guards against one append with the records of a whole wave of cancels, which
+// the store refuses, while a start waits behind them.
+TEST_F(BatchTest, RecordsAWaveOfCancelsWithinTheLimitOfAnAppend) {
+  SubmitYears();
+  scheduler.Run();
+  CancelYears();
+  scheduler.Run();
+  scheduler.Submit(scheduler.Job("plain", "live", "acme", 1, 1));
+  scheduler.Run();
+  EXPECT_EQ(scheduler.Running("plain").size(), 1U);
+  scheduler.Run(kRoundsOfSecond);
+  EXPECT_EQ(Outcomes(scheduler, workload::Outcome::kCancelled),
+            kJobs * kHoursOfYear);
+  EXPECT_LE(scheduler.LargestPlan(), limits.request_bytes);
+}
+
+// Guards against the same when the state of these jobs is no longer kept.
+TEST_F(BatchTest, DropsOldJobsWithinTheLimitOfAnAppend) {
+  SubmitYears();
+  scheduler.Run();
+  CancelYears();
+  scheduler.Run(kRetentionRounds + kJobs * kRoundsOfSecond);
+  int left = 0;
+  for (const auto& [key, value] : scheduler.Log()) {
+    left += value.empty() ? 0 : 1;
+  }
+  EXPECT_EQ(left, 0);
+  EXPECT_LE(scheduler.LargestPlan(), limits.request_bytes);
+}
+
+class SmallAppendsTest : public BatchTest {
+ protected:
+  SmallAppendsTest() : BatchTest({1'000, 1'000}) {}
+};
+
+// Guards against a worker that forgets an end whose record waits for a later
+// append: a new scheduler would run the task again.
+TEST_F(SmallAppendsTest, AcknowledgesAnEndOnlyWithItsRecord) {
+  constexpr int kShortJobs = 30;
+  for (int n = 0; n < kShortJobs; ++n) {
+    scheduler.Submit(
+        scheduler.Job("j" + std::to_string(n), "live", "acme", 1, 1));
+  }
+  scheduler.Run(kRoundsOfSecond);
+  for (int n = 0; n < kShortJobs; ++n) {
+    scheduler.End({JobId("j" + std::to_string(n)), 0, 0, 0},
+                  workload::EndReason::kDone);
+  }
+  int plans = 0;
+  while (scheduler.UnnotedEnds("a1") > 0 && plans < 10 * kRoundsOfSecond) {
+    scheduler.Run();
+    ++plans;
+    const auto noted =
+        kShortJobs - static_cast<int>(scheduler.UnnotedEnds("a1"));
+    ASSERT_LE(noted, Outcomes(scheduler, workload::Outcome::kCompleted));
+  }
+  EXPECT_GT(plans, 1);
+  EXPECT_EQ(scheduler.UnnotedEnds("a1"), 0U);
+  EXPECT_LE(scheduler.LargestPlan(), limits.request_bytes);
+}
+
+}  // namespace
+}  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/crash_counts.cc
+++ b/packages/scheduler/src/crash_counts.cc
@@ -49,6 +49,7 @@
                 const protocol::CrashReport& crash) {
   agent.unsettled.insert(crash.run);
   state.unsettled.insert(agent.address.agent);
+  AwaitRecord(state, agent, KeyOf(crash.run.task));
   CountCrash(state, agent, crash);
 }
 
--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "batch.h"
 #include "state.h"
 #include "suspects.h"
 #include "units.h"
@@ -238,7 +239,7 @@
   return true;
 }
 
-std::vector<workload::RawRecord> DropOldJobs(State& state, TimePoint now) {
+void DropOldJobs(State& state, Batch& batch, TimePoint now) {
   const TimePoint limit = now - state.options.state_retention;
   std::vector<OccurrenceKey> old;
   for (const auto& [key, row] : state.occurrences) {
@@ -247,12 +248,12 @@
       old.push_back(key);
     }
   }
-  std::vector<workload::RawRecord> drops;
   for (const OccurrenceKey& it : old) {
     const std::shared_ptr<const workload::Job> job =
         state.occurrences.at(it).job;
-    for (workload::RawRecord& drop : workload::DropJob(*job)) {
-      drops.push_back(std::move(drop));
+    // The others go with the next batches.
+    if (!AddRecords(state, batch, workload::DropJob(*job))) {
+      return;
     }
     for (int n = 0; n < Occurrences(*job); ++n) {
       state.occurrences.erase({it.job, n});
@@ -262,26 +263,23 @@
     std::erase_if(state.failed_on,
                   [&](const auto& entry) { return entry.first.job == it.job; });
   }
-  return drops;
 }
 
-std::vector<workload::RawRecord> DropLostAgents(State& state, TimePoint now) {
-  std::vector<workload::RawRecord> drops;
+void DropLostAgents(State& state, Batch& batch, TimePoint now) {
   std::erase_if(state.agents, [&](const auto& it) {
     const AgentRow& agent = it.second;
     if (now - std::max(agent.heard_at, agent.added_at) <=
             state.options.agent_retention ||
-        !state.runs.On(it.first).rows.empty()) {
+        !state.runs.On(it.first).rows.empty() ||
+        !AddRecords(state, batch, {workload::DropAgent(it.first)})) {
       return false;
     }
     Log(state, "agent_forgotten",
         {{"agent", it.first.value}, {"address", agent.address.address}});
-    drops.push_back(workload::DropAgent(it.first));
     DropWorker(state.speeds, it.first);
     ++state.agents_version;
     return true;
   });
-  return drops;
 }
 
 void ApplyPolicy(State& state, const workload::Policy& policy) {
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -224,6 +224,7 @@
   }
   State& state = placement.state;
   MarkUnrecorded(state, unit.key.occurrence);
+  state.awaited.insert(unit.key.occurrence);
   state.reservations.erase(unit.key);
   state.reserve_wait_since.erase(unit.key);
   state.preemption_failed_at.erase(unit.key);
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -124,6 +124,9 @@
   if (known_run) {
     EraseRun(state, task);
   }
+  if (row != nullptr) {
+    AwaitRecord(state, agent, KeyOf(task));
+  }
   if (!current) {
     return;
   }
@@ -158,6 +161,7 @@
   // successor that still reads the run as placed orders it again.
   agent.unsettled.insert(refusal.run);
   state.unsettled.insert(agent.address.agent);
+  AwaitRecord(state, agent, KeyOf(task));
   if (run == nullptr || run->run != refusal.run.run ||
       run->on.agent != agent.address.agent) {
     return;
--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "append_queue.h"
 #include "fleet_reach.h"
 #include "shallotlug/joblog/authority.h"
 #include "shallotlug/joblog/response_timer.h"
@@ -105,10 +106,10 @@
   /// When a scheduler behind its log has last resigned.
   std::optional<TimePoint> handed_over_at;
   std::optional<Term> term;
-  std::vector<workload::RawRecord> batch;  ///< Of the append in flight.
-  bool append_running = false;             ///< An append is in flight.
+  AppendQueue queue;                ///< Records of the last plan.
+  bool append_running = false;      ///< An append is in flight.
   std::uint64_t running_epoch = 0;  ///< Of the term it belongs to; 0: a claim.
-  bool retry_batch = false;  ///< Resend the batch with the same sequence.
+  bool resume_queue = false;        ///< Send what is first in the queue.
   TimePoint retry_at{};
   bool append_failed = false;  ///< The latest append of this term.
   joblog::ResponseTimer response_timer;
@@ -121,13 +122,16 @@
   void CheckAgents(Now now);
   void NoteAgents(ReachVerdict verdict, int heard, TimePoint now);
   /// @brief Adds the claim to the batch, with the number of heard agents.
-  void AddClaimIfDue(TimePoint now);
+  void AddClaimIfDue(std::vector<workload::RawRecord>& records, TimePoint now);
   void CheckLogLag(Now now);
   std::optional<RoleAppend> AppendClaim(std::uint64_t nonce, TimePoint now);
   RoleAppend Send(TimePoint now);
   void OnClaimAppended(const AppendResult& result, Now now);
   void LogLostClaim(const PendingClaim& pending, const std::string& detail);
   void OnBatchAppended(const AppendResult& result, Now now);
+  void OnBatchRefused(const std::string& detail, Now now);
+  /// @brief Sends what is left of the queue, or commits the plan.
+  void Continue(bool more, TimePoint now);
 };
 
 Role::Role(const SchedulerOptions& options,
@@ -233,7 +237,7 @@
   if (!it.term) {
     return it.AppendClaim(nonce, now.local);
   }
-  if (it.retry_batch) {
+  if (it.resume_queue) {
     return it.Send(now.local);
   }
   it.CheckAgents(now);
@@ -247,33 +251,36 @@
     claim.behind = term.behind;
     claim.agents_lost = term.agents_lost;
     claim.agents_heard = term.agents_heard;
-    it.batch = {workload::Encode(claim)};
+    it.queue = MakeAppendQueue({workload::Encode(claim)});
     return it.Send(now.local);
   }
-  it.batch = term.scheduler.Plan(it.policy, now);
-  if (it.batch.empty()) {
+  std::vector<workload::RawRecord> records =
+      term.scheduler.Plan(it.policy, now);
+  if (records.empty()) {
     term.scheduler.Commit();
   }
-  it.AddClaimIfDue(now.local);
-  if (it.batch.empty()) {
+  it.AddClaimIfDue(records, now.local);
+  if (records.empty()) {
     return std::nullopt;
   }
+  it.queue = MakeAppendQueue(std::move(records));
   return it.Send(now.local);
 }
 
 // A batch of other records shows as well that the scheduler lives, but not how
 // many agents it hears.
-void Role::Impl::AddClaimIfDue(TimePoint now) {
+void Role::Impl::AddClaimIfDue(std::vector<workload::RawRecord>& records,
+                               TimePoint now) {
   const bool silent = now - term->appended_at >= joblog::kAuthorityInterval;
   const bool outdated = term->agents_heard != ledger.claim.agents_heard &&
                         now - term->reach_recorded_at >= kReachInterval;
-  if (!(batch.empty() ? silent : outdated)) {
+  if (!(records.empty() ? silent : outdated)) {
     return;
   }
   SchedulerClaim claim = ledger.claim;
   claim.agents_heard = term->agents_heard;
   term->reach_recorded_at = now;
-  batch.push_back(workload::Encode(claim));
+  records.push_back(workload::Encode(claim));
 }
 
 std::optional<RoleAppend> Role::Impl::AppendClaim(std::uint64_t nonce,
@@ -316,7 +323,7 @@
 
 RoleAppend Role::Impl::Send(TimePoint now) {
   RoleAppend append;
-  append.records = batch;
+  append.records = queue.sending;
   append.options.producer = {joblog::kSchedulerProducer, term->epoch,
                              term->sequence};
   append.options.timeout = response_timer.Timeout();
@@ -389,9 +396,9 @@
   term->appended_at = now.local;
   term->appending_since = now.local;
   term->resigning = retiring;
-  retry_batch = false;
+  resume_queue = false;
   append_failed = false;
-  batch.clear();
+  queue = {};
 }
 
 void Role::Impl::StepDown(const std::string& reason, TimePoint now) {
@@ -401,7 +408,7 @@
                   {"reason", reason},
                   {"newest_epoch", std::to_string(ledger.claim.epoch)}}});
   term.reset();
-  retry_batch = false;
+  resume_queue = false;
   authority.heard_at = now;
 }
 
@@ -475,30 +482,32 @@
 
 void Role::Impl::OnBatchAppended(const AppendResult& result, Now now) {
   if (result.status == AppendStatus::kFenced ||
-      result.status == AppendStatus::kOutOfSequence ||
-      result.status == AppendStatus::kInvalid) {
+      result.status == AppendStatus::kOutOfSequence) {
     StepDown(result.detail, now.local);
     return;
   }
+  if (result.status == AppendStatus::kInvalid) {
+    OnBatchRefused(result.detail, now);
+    return;
+  }
   if (result.status != AppendStatus::kDone) {
     // The retry is idempotent, as it has the same sequence number.
     log.push_back({LogLevel::kWarning,
                    "batch_repeated",
                    {{"sequence", std::to_string(term->sequence)},
                     {"detail", result.detail}}});
-    retry_batch = true;
+    resume_queue = true;
     retry_at = now.local + kAppendRetry;
     append_failed = true;
     return;
   }
-  retry_batch = false;
   if (std::exchange(append_failed, false)) {
     term->appending_since = now.local;
   }
   ++term->sequence;
   term->appended_at = now.local;
   std::uint64_t offset = result.first_offset;
-  for (const workload::RawRecord& it : batch) {
+  for (const workload::RawRecord& it : queue.sending) {
     Apply(ledger, it.key, it.value, offset++);
   }
   authority.heard_at = now.local;
@@ -509,7 +518,35 @@
   }
   // The store may have answered long before this process reads the answer.
   term->scheduler.ConfirmAuthority({sent_at, now.wall});
-  term->scheduler.Commit();
+  Continue(OnTaken(queue), now.local);
+}
+
+void Role::Impl::Continue(bool more, TimePoint now) {
+  resume_queue = more;
+  retry_at = now;
+  if (!more) {
+    term->scheduler.Commit(queue.refused);
+  }
+}
+
+// A refused append has no effect, so that the next one has its sequence number.
+void Role::Impl::OnBatchRefused(const std::string& detail, Now now) {
+  const std::vector<workload::RawRecord>& records = queue.sending;
+  const bool alone = records.size() == 1;
+  log.push_back({alone ? LogLevel::kError : LogLevel::kWarning,
+                 alone ? "record_refused" : "append_refused",
+                 {{"epoch", std::to_string(term->epoch)},
+                  {"records", std::to_string(records.size())},
+                  {"bytes", std::to_string(joblog::AppendedBytes(records))},
+                  {"key", records.front().key},
+                  {"detail", detail}}});
+  const bool claim = alone && workload::IsClaim(records.front().key);
+  const bool more = OnRefused(queue);
+  if (claim || RefusesAll(queue)) {
+    StepDown(detail, now.local);
+    return;
+  }
+  Continue(more, now.local);
 }
 
 Scheduler* Role::Active() {
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "batch.h"
 #include "rates.h"
 #include "state.h"
 #include "units.h"
@@ -58,20 +59,8 @@
 }  // namespace
 
 struct Scheduler::Impl {
-  /// @brief Last recorded end of a worker, and the life that numbered it.
-  struct BatchEnds {
-    workload::WorkerLife life;
-    std::uint64_t number = 0;
-    TimePoint planned_at{};
-  };
-
   State state;
-  /// Last run ends that the batch in flight records.
-  std::map<AgentName, BatchEnds> batch_ends;
-  std::vector<TaskRef> batch_runs;
-  /// Crashes, refusals and ends of former lives that the batch in flight
-  /// records.
-  std::map<AgentName, std::set<workload::RunRef>> batch_settled;
+  Batch batch;           ///< Planned last.
   TimePoint swept_at{};  ///< When all agents were last checked for news.
 
   void RestoreRuns(const OccurrenceKey& key, const OccurrenceRow& row, Now now);
@@ -194,40 +183,8 @@
   LearnSpeeds(state, now.local);
   DecideOutcomes(state, policy, now.local);
   PlaceUnits(state, policy, now);
-  impl_->batch_ends.clear();
-  impl_->batch_runs.clear();
-  impl_->batch_settled.clear();
-  std::vector<workload::RawRecord> records;
-  if (CleanupIsDue(state, now.local)) {
-    records = DropOldJobs(state, now.local);
-    for (workload::RawRecord& it : DropLostAgents(state, now.local)) {
-      records.push_back(std::move(it));
-    }
-  }
-  for (const OccurrenceKey& it : std::exchange(state.unrecorded, {})) {
-    const OccurrenceRow& row = state.occurrences.at(it);
-    records.push_back(workload::Encode(
-        workload::OccurrenceProgress{it.job, it.number, row.progress}));
-    for (const auto& [task, run] : state.runs.OfOccurrence(it.job, it.number)) {
-      if (run.state == RunState::kPlanned) {
-        impl_->batch_runs.push_back(task);
-      }
-    }
-  }
-  for (const AgentName& it : std::exchange(state.unsettled, {})) {
-    const auto agent = state.agents.find(it);
-    if (agent != state.agents.end()) {
-      impl_->batch_settled[it] = std::exchange(agent->second.unsettled, {});
-    }
-  }
-  for (const AgentName& it : std::exchange(state.unnoted, {})) {
-    const auto agent = state.agents.find(it);
-    if (agent != state.agents.end()) {
-      impl_->batch_ends[it] = {agent->second.worker.life,
-                               agent->second.processed_ends, now.local};
-    }
-  }
-  return records;
+  impl_->batch = PlanBatch(state, now.local);
+  return std::exchange(impl_->batch.records, {});
 }
 
 void Scheduler::HoldPlacement(bool held) {
@@ -240,36 +197,8 @@
       {{"epoch", std::to_string(state.options.epoch)}});
 }
 
-void Scheduler::Commit() {
-  State& state = impl_->state;
-  for (const TaskRef& it : std::exchange(impl_->batch_runs, {})) {
-    RunRow* run = state.runs.Find(it);
-    if (run != nullptr && run->state == RunState::kPlanned) {
-      run->state = RunState::kOrdered;
-      state.news.insert(run->on.agent);
-    }
-  }
-  for (const auto& [name, runs] : std::exchange(impl_->batch_settled, {})) {
-    const auto agent = state.agents.find(name);
-    if (agent != state.agents.end()) {
-      agent->second.settled.insert(agent->second.settled.end(), runs.begin(),
-                                   runs.end());
-      state.news.insert(name);
-    }
-  }
-  for (const auto& [name, ends] : std::exchange(impl_->batch_ends, {})) {
-    const auto agent = state.agents.find(name);
-    // A worker that has restarted since then numbers its ends from 1 again.
-    if (agent == state.agents.end() || agent->second.worker.life != ends.life) {
-      continue;
-    }
-    AgentRow& row = agent->second;
-    if (row.noted_ends == row.noted_sent) {
-      row.noted_at = ends.planned_at;
-    }
-    row.noted_ends = std::max(row.noted_ends, ends.number);
-    state.news.insert(name);
-  }
+void Scheduler::Commit(const std::set<std::string>& refused) {
+  CommitBatch(impl_->state, std::exchange(impl_->batch, {}), refused);
 }
 
 std::vector<workload::AgentAddress> Scheduler::Agents() const {
--- a/packages/scheduler/src/state.cc
+++ b/packages/scheduler/src/state.cc
@@ -25,6 +25,11 @@
   MarkChanged(state, key);
 }
 
+void AwaitRecord(State& state, AgentRow& agent, const OccurrenceKey& key) {
+  agent.awaited.insert(key);
+  state.awaited.insert(key);
+}
+
 void EraseRun(State& state, const workload::TaskRef& task) {
   // `task` may be a key of the table.
   const OccurrenceKey key = KeyOf(task);
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -42,6 +42,8 @@
   /// From its due time to `known_at`, by the clocks of two processes.
   Millis known_after{0};
   TimePoint wait_logged_at{};  ///< When the reason of its wait was last logged.
+  /// Its record was refused by the store, and is not sent before this time.
+  TimePoint refused_until{};
   bool begun = false;  ///< All tasks of one of its steps have run at once.
   // Derived when the occurrence or the policy changes.
   workload::Terms terms;  ///< In force.
@@ -50,6 +52,8 @@
   std::vector<WaitingStep> waiting;
 };
 
+struct Batch;
+
 /// @brief One agent and its worker.
 struct AgentRow {
   workload::AgentAddress address;
@@ -75,6 +79,9 @@
   /// Runs with reported crashes, refusals or ends in former lives, that no
   /// batch contains yet.
   std::set<workload::RunRef> unsettled;
+  /// Occurrences whose records must be durable before its ends, crashes and
+  /// refusals are acknowledged.
+  std::set<OccurrenceKey> awaited;
   /// Reported runs whose task is unknown, or whose run number or agent is not
   /// the one in `runs`.
   std::vector<workload::RunRef> orphans;
@@ -135,8 +142,11 @@
   std::map<std::string, int> racks;  ///< Numbers of the racks seen so far.
   /// Changed since their outcomes and waiting tasks were last derived.
   std::set<OccurrenceKey> changed;
-  /// Progress has changed since the last batch.
+  /// Progress has changed, and no batch contains it yet.
   std::set<OccurrenceKey> unrecorded;
+  /// Those of them for which a start or an acknowledgement waits.
+  std::set<OccurrenceKey> awaited;
+  TimePoint backlog_logged_at{};
   /// Those with waiting tasks.
   std::set<OccurrenceKey> waiting;
   /// Urgent ones within their customers' guarantees.
@@ -151,7 +161,7 @@
   TimePoint cleaned_at{};  ///< When old rows were last removed.
   /// Agents for which orders or acknowledgements may be due.
   std::set<AgentName> news;
-  /// Agents with ends that the batch in flight does not record yet.
+  /// Agents with ends that no batch acknowledges yet.
   std::set<AgentName> unnoted;
   std::set<AgentName> unsettled;  ///< Agents with unsettled runs.
   std::map<UnitKey, Reservation> reservations;
@@ -194,6 +204,10 @@
 /// @brief As MarkChanged(), for a change that the next batch records.
 void MarkUnrecorded(State& state, const OccurrenceKey& key);
 
+/// @brief What the agent has reported of the occurrence is acknowledged only
+/// when the occurrence's record is durable.
+void AwaitRecord(State& state, AgentRow& agent, const OccurrenceKey& key);
+
 /// @brief Removes a run, so that its task and its worker are looked at again.
 void EraseRun(State& state, const workload::TaskRef& task);
 
@@ -249,14 +263,13 @@
 /// @brief Whether old rows should be removed now; at most once a second.
 bool CleanupIsDue(State& state, TimePoint now);
 
-/// @brief Removes jobs whose state retention has passed.
-/// @return Tombstone records that remove them from the log.
-std::vector<workload::RawRecord> DropOldJobs(State& state, TimePoint now);
+/// @brief Removes jobs whose state retention has passed, and adds the records
+/// that remove them from the log; as many jobs as the batch has room for.
+void DropOldJobs(State& state, Batch& batch, TimePoint now);
 
-/// @brief Removes agents without contact for `agent_retention`; one that is
-/// alive publishes its address again.
-/// @return Tombstone records that remove them from the log.
-std::vector<workload::RawRecord> DropLostAgents(State& state, TimePoint now);
+/// @brief Removes agents without contact for `agent_retention`, as many as the
+/// batch has room for; one that is alive publishes its address again.
+void DropLostAgents(State& state, Batch& batch, TimePoint now);
 
 /// @brief Avoids workers whose runs make no progress although their agents
 /// report, and stops those runs that lose little.
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -18,6 +18,7 @@
   struct Switches {
     bool learn_speeds = false;
     bool weigh_lateness = false;
+    joblog::StoreLimits store{};
   };
   TestScheduler() : TestScheduler(Switches{}) {}
   explicit TestScheduler(const Switches& switches);
@@ -130,6 +131,14 @@
     agents_.at(agent).checkpoint = checkpoint;
   }
 
+  /// @brief Ends that the agent has not been told to be recorded.
+  std::size_t UnnotedEnds(const std::string& agent) const {
+    return agents_.at(agent).ends.size();
+  }
+
+  /// @brief Bytes of the largest plan so far.
+  std::size_t LargestPlan() const { return largest_plan_; }
+
   /// @brief Number of records that were planned.
   int Records() const { return records_; }
 
@@ -188,6 +197,7 @@
   bool crash_reports_lost_ = false;
   bool acknowledgements_lost_ = false;
   int records_ = 0;
+  std::size_t largest_plan_ = 0;
 };
 
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -22,6 +22,7 @@
   options.epoch = 1;
   options.learn_speeds = switches.learn_speeds;
   options.weigh_lateness = switches.weigh_lateness;
+  options.store = switches.store;
   return options;
 }
 
@@ -223,7 +224,9 @@
     now_.wall += kRound;
     Work(kRound);
     CallAgents();
-    for (const workload::RawRecord& it : scheduler_.Plan(policy_, now_)) {
+    const auto plan = scheduler_.Plan(policy_, now_);
+    largest_plan_ = std::max(largest_plan_, joblog::AppendedBytes(plan));
+    for (const workload::RawRecord& it : plan) {
       log_[it.key] = it.value;
       ++records_;
     }
--- a/packages/scheduler/src/units.cc
+++ b/packages/scheduler/src/units.cc
@@ -148,7 +148,7 @@
   std::vector<Unit> units;
   for (const OccurrenceKey& it : state.waiting) {
     OccurrenceRow& row = state.occurrences.at(it);
-    if (row.due > now.wall || row.cancelled) {
+    if (row.due > now.wall || row.cancelled || now.local < row.refused_until) {
       continue;
     }
     Unit base;
--- a/packages/settings/include/shallotlug/settings/job_settings.h
+++ b/packages/settings/include/shallotlug/settings/job_settings.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_SETTINGS_JOB_SETTINGS_H_
 #define SHALLOTLUG_SETTINGS_JOB_SETTINGS_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -31,6 +32,12 @@
   bool weigh_lateness = false;
 };
 
+/// @brief Sizes that the store accepts.
+struct StoreLimitSettings {
+  std::int64_t record_bytes = 262'144;     ///< Of a key and its value.
+  std::int64_t request_bytes = 2'097'152;  ///< Of all records of an append.
+};
+
 /// @brief Settings of `shallotlug serve-jobs`. Addresses are `ip:port`.
 struct JobEntrySettings {
   std::string name;
@@ -40,6 +47,7 @@
   std::string peers_listen;  ///< For requests forwarded by other entries.
   std::string metrics_listen;
   std::string store;
+  StoreLimitSettings store_limits;
   /// Processor time that the machine gives this process, in cores. Entries with
   /// more of it take the scheduler role first.
   double processor_cores = 1.0;
--- a/packages/settings/src/job_settings.cc
+++ b/packages/settings/src/job_settings.cc
@@ -17,6 +17,10 @@
 constexpr double kMaxCores = 4'096.0;
 
 constexpr double kMaxRemoteFactor = 1'000;
+// An occurrence's progress is recorded in parts, the smallest of which needs
+// this room.
+constexpr std::int64_t kMinRecordBytes = 64 << 10;
+constexpr std::int64_t kMaxStoreBytes = 1 << 30;
 constexpr double kMaxMachineMemoryMb = 16'777'216;
 constexpr double kBytesPerMegabyte = 1'000'000;
 
@@ -51,6 +55,17 @@
   reader.Finish();
 }
 
+void ReadStoreLimits(ObjectReader& reader, StoreLimitSettings& to) {
+  reader.Optional("store_record_bytes", to.record_bytes,
+                  {kMinRecordBytes, kMaxStoreBytes});
+  reader.Optional("store_request_bytes", to.request_bytes,
+                  {kMinRecordBytes, kMaxStoreBytes});
+  if (to.request_bytes < to.record_bytes) {
+    reader.Fault("store_request_bytes",
+                 "must hold one record of store_record_bytes");
+  }
+}
+
 void ReadScheduling(ObjectReader& parent,
                     const std::string& file,
                     SchedulingSettings& to,
@@ -77,6 +92,7 @@
   ReadAddress(reader, "peers_listen", to.peers_listen);
   ReadAddress(reader, "metrics_listen", to.metrics_listen);
   ReadAddress(reader, "store", to.store);
+  ReadStoreLimits(reader, to.store_limits);
   reader.Optional("processor_cores", to.processor_cores, kMinCores, kMaxCores);
   ReadHttp(reader, file, to.http, findings);
   ReadMemory(reader, to.http, to.machine_memory_mb);
--- a/packages/settings/src/job_settings_test.cc
+++ b/packages/settings/src/job_settings_test.cc
@@ -11,6 +11,7 @@
     "callers_listen": "10.1.0.19:8521", "readiness_listen": "10.1.0.19:8523",
     "peers_listen": "10.1.0.19:7000",
     "metrics_listen": "10.1.0.19:7001", "store": "10.200.1.7:8524",
+    "store_record_bytes": 131072, "store_request_bytes": 1048576,
     "http": { "body_bytes": 1048576, "connections": 2048 },
     "timing": { "longest_lease_ms": 6000, "stop_timeout_ms": 900,
                 "reclaim_ms": 3400, "state_retention_s": 120 },
@@ -27,6 +28,8 @@
   EXPECT_TRUE(entry.scheduling.learn_speeds);
   EXPECT_TRUE(entry.scheduling.weigh_lateness);
   EXPECT_EQ(entry.scheduling.remote_factor, 2.5);
+  EXPECT_EQ(entry.store_limits.record_bytes, 131'072);
+  EXPECT_EQ(entry.store_limits.request_bytes, 1'048'576);
 }
 
 TEST(JobAgentSettingsTest, ParsesRenderedTemplate) {
@@ -46,13 +49,15 @@
 TEST(JobEntrySettingsTest, ReportsEveryError) {
   const auto parsed = ParseJobEntrySettings(
       R"({"name": "a b", "store": "host:1", "timing": {"reclaim_ms": "x"},
+          "store_record_bytes": 200000, "store_request_bytes": 100000,
           "unknown": 1})",
       "entry.json");
   ASSERT_TRUE(std::holds_alternative<Findings>(parsed));
   const std::string text = ToString(std::get<Findings>(parsed));
-  for (const char* part : {"/name", "/store", "/timing/reclaim_ms",
-                           "data_centre", "callers_listen", "readiness_listen",
-                           "peers_listen", "metrics_listen", "unknown"}) {
+  for (const char* part :
+       {"/name", "/store", "/timing/reclaim_ms", "/store_request_bytes",
+        "data_centre", "callers_listen", "readiness_listen", "peers_listen",
+        "metrics_listen", "unknown"}) {
     EXPECT_NE(text.find(part), std::string::npos) << part << "\n" << text;
   }
 }
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -434,12 +434,13 @@
 }
 
 std::vector<RawRecord> DropJob(const Job& job) {
-  std::vector<RawRecord> drops{{std::string(kCancelPrefix) + job.id.value, ""}};
+  // The job goes first: without its progress or its cancel it would be run
+  // again by a scheduler that begins between two appends.
+  std::vector<RawRecord> drops{{std::string(kJobPrefix) + job.id.value, ""},
+                               {std::string(kCancelPrefix) + job.id.value, ""}};
   for (int n = 0; n < Occurrences(job); ++n) {
     drops.push_back({ProgressKey(job.id, n), ""});
   }
-  // The job goes last, so that no reader sees it without its progress.
-  drops.push_back({std::string(kJobPrefix) + job.id.value, ""});
   return drops;
 }
 
