scheduler, workload: record the progress of large jobs in parts

Cause: one record held all tasks of an occurrence.

Change: progress that does not fit into a record is recorded in parts of a thousand tasks, of which only changed ones are written, the one with the outcome last. A part that is too large with its checkpoints is written without them. A successor between two parts finds tasks that are one batch older at most, completes gangs of which a member is recorded as done, and fills tasks of parts that are not there from an older whole record.

Tests: with the parts taken out RecordsALargeJobInParts fails; it passes. SurvivesTheLossOfSchedulersOfAJobInParts passes in both cases. LedgerTest covers the order of whole records and parts, left out checkpoints and the drop of all parts.

--- a/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
+++ b/packages/jobharness/include/shallotlug/jobharness/fake_fleet.h
@@ -28,7 +28,9 @@
 /// noted, gangs, checkpoints.
 ///
 /// A task's payload says what it does: `MS` works so long, `MS!N` fails in its
-/// first N runs, `MS*` crashes its worker just after its start.
+/// first N runs, `MS*` crashes its worker just after its start, `MS+`
+/// saves checkpoints as it works, and takes up to half a second longer by its
+/// index.
 class FakeFleet {
  public:
   explicit FakeFleet(JobOracle& oracle);
@@ -75,6 +77,7 @@
     Millis done{0};
     int failing_runs = 0;
     bool deadly = false;
+    bool saves = false;
     bool stopping = false;
     TimePoint stop_at{};
     TimePoint placed_at{};
--- a/packages/jobharness/src/fake_fleet.cc
+++ b/packages/jobharness/src/fake_fleet.cc
@@ -20,6 +20,8 @@
 constexpr Millis kAloneAfter{3'000};
 constexpr Millis kDeadlyAfter{10};
 constexpr Millis kCrashTakes{3'000};
+// Of tasks that save checkpoints, so that they end at different times.
+constexpr Millis kMaxExtraWork{500};
 // Every task takes one accelerator; the payload says the rest.
 constexpr workload::Resources kNeed{1'000, 1'000, 1};
 
@@ -143,6 +145,10 @@
                     run.failing_runs);
   }
   run.deadly = parsed.ptr < text + order.payload.size() && *parsed.ptr == '*';
+  run.saves = parsed.ptr < text + order.payload.size() && *parsed.ptr == '+';
+  if (run.saves) {
+    run.work += Millis(ref.task.index % kMaxExtraWork.count());
+  }
   if (!order.checkpoint.empty()) {
     run.done = Millis(std::stoll(order.checkpoint));
   }
@@ -213,7 +219,10 @@
   for (const auto& [task, run] : worker.runs) {
     workload::ActiveRun active;
     active.run = {task, run.number};
-    active.checkpoint = run.checkpoint;
+    // Work resumes from the number at its beginning.
+    active.checkpoint = run.saves ? std::to_string(run.done.count()) + "." +
+                                        std::to_string(task.index)
+                                  : run.checkpoint;
     active.percent = static_cast<int>(std::min<std::int64_t>(
         100, run.done * 100 / std::max(run.work, Millis{1})));
     view.active.push_back(active);
--- a/packages/jobharness/src/fake_store.cc
+++ b/packages/jobharness/src/fake_store.cc
@@ -34,7 +34,7 @@
   std::size_t bytes = 0;
   for (const workload::RawRecord& it : records) {
     bytes += joblog::AppendedBytes(it);
-    if (joblog::RecordBytes(it) > limits_.record_bytes) {
+    if (workload::RecordBytes(it) > limits_.record_bytes) {
       return "status 413: record of " + it.key;
     }
     if (refused_keys_.contains(it.key)) {
--- a/packages/jobharness/src/job_simulation_test.cc
+++ b/packages/jobharness/src/job_simulation_test.cc
@@ -604,6 +604,59 @@
   EXPECT_EQ(world.Shown(JobId("j2")), "completed");
 }
 
+constexpr int kTasksOfLargeJob = 2'500;
+
+// Workers with room for a job whose progress takes more than one record.
+JobSimulationOptions SmallRecords(std::uint64_t seed) {
+  JobSimulationOptions options;
+  options.seed = seed;
+  options.worker = {1'000'000, 1'000'000, 700};
+  options.store = {45'000, 120'000};
+  return options;
+}
+
+// Guards against one job whose record exceeds the store's limit, so that no
+// scheduler records anything while it is at work.
+TEST(JobSimulationTest, RecordsALargeJobInParts) {
+  JobSimulation world(SmallRecords(1));
+  world.Run(Millis(1'000));
+  workload::Job large = MakeJob("large", kTasksOfLargeJob, "2000+");
+  large.steps[0].saves_checkpoints = true;
+  world.Submit(large);
+  world.Run(Millis(2'000));
+  world.Submit(MakeJob("plain", 4, "500"));
+  world.Run(Millis(2'000));
+  EXPECT_EQ(world.Shown(JobId("plain")), "completed");
+  world.Run(Millis(8'000));
+  EXPECT_EQ(world.Shown(JobId("large")), "completed");
+  EXPECT_EQ(world.Oracle().Starts(), kTasksOfLargeJob + 4);
+  EXPECT_EQ(world.Finish(kSettle), "");
+}
+
+// Guards against a successor that does not know some of the parts, or takes
+// them for newer than they are.
+TEST(JobSimulationTest, SurvivesTheLossOfSchedulersOfAJobInParts) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    JobSimulation world(SmallRecords(seed));
+    world.Run(Millis(1'000));
+    workload::Job large = MakeJob("large", kTasksOfLargeJob, "2000+");
+    large.steps[0].saves_checkpoints = true;
+    world.Submit(large);
+    world.Run(Millis(1'900 + 70 * static_cast<int>(seed)));
+    for (int n = 0; n < 3; ++n) {
+      world.KillEntry(n);
+      world.Run(Millis(400));
+      if (seed % 2 == 0) {
+        world.Store().DropHistory();
+      }
+      world.StartEntry(n);
+    }
+    world.Run(Millis(10'000));
+    EXPECT_EQ(world.Oracle().Starts(), kTasksOfLargeJob) << "seed " << seed;
+    EXPECT_EQ(world.Finish(kSettle), "") << "seed " << seed;
+  }
+}
+
 // Guards against wrong decisions where the records of a plan take several
 // appends, with faults between them.
 TEST(JobSimulationTest, RandomDaysWithSmallAppendsKeepThePromises) {
--- a/packages/joblog/include/shallotlug/joblog/log_calls.h
+++ b/packages/joblog/include/shallotlug/joblog/log_calls.h
@@ -19,10 +19,6 @@
   std::size_t request_bytes = 2'097'152;  ///< Of all records of one append.
 };
 
-/// @brief Bytes of a record as the store counts them, with the length of its
-/// key.
-std::size_t RecordBytes(const workload::RawRecord& record);
-
 /// @brief Bytes of a record within an append, with its length.
 std::size_t AppendedBytes(const workload::RawRecord& record);
 std::size_t AppendedBytes(const std::vector<workload::RawRecord>& records);
--- a/packages/joblog/src/log_calls.cc
+++ b/packages/joblog/src/log_calls.cc
@@ -4,17 +4,12 @@
 
 namespace {
 
-constexpr std::size_t kKeyLengthBytes = 1;
 constexpr std::size_t kLengthBytes = 4;
 
 }  // namespace
 
-std::size_t RecordBytes(const workload::RawRecord& record) {
-  return kKeyLengthBytes + record.key.size() + record.value.size();
-}
-
 std::size_t AppendedBytes(const workload::RawRecord& record) {
-  return kLengthBytes + RecordBytes(record);
+  return kLengthBytes + workload::RecordBytes(record);
 }
 
 std::size_t AppendedBytes(const std::vector<workload::RawRecord>& records) {
--- a/packages/scheduler/src/batch.cc
+++ b/packages/scheduler/src/batch.cc
@@ -1,6 +1,7 @@
 #include "batch.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -21,25 +22,95 @@
 // A record that the store has refused for good is sent again after this time.
 constexpr Millis kRefusedRetry{10'000};
 
+/// @brief Bytes that the store accepts beside a claim.
 std::size_t LargestAppend(const State& state) {
   const std::size_t limit = state.options.store.request_bytes;
-  return std::min(kUsualAppendBytes, limit - std::min(limit / 2, kClaimBytes));
+  return limit - std::min(limit / 2, kClaimBytes);
 }
 
 bool IsHeldBack(const OccurrenceRow& row, TimePoint now) {
   return now < row.refused_until;
 }
 
+/// @brief Of the parts of an occurrence those that were not planned before as
+/// they are now. A whole record always counts as changed.
+std::vector<RawRecord> ChangedRecords(const OccurrenceRow& row,
+                                      workload::EncodedProgress encoded) {
+  if (encoded.in_parts) {
+    std::erase_if(encoded.records, [&](const RawRecord& it) {
+      const auto planned = row.planned_parts.find(it.key);
+      return planned != row.planned_parts.end() &&
+             planned->second == std::hash<std::string>{}(it.value);
+    });
+  }
+  return std::move(encoded.records);
+}
+
+void NoteEncoding(State& state,
+                  const OccurrenceKey& key,
+                  OccurrenceRow& row,
+                  const workload::EncodedProgress& encoded) {
+  if (encoded.in_parts && !std::exchange(row.progress.in_parts, true)) {
+    Log(state, "progress_in_parts",
+        {{"job", key.job.value},
+         {"occurrence", std::to_string(key.number)},
+         {"parts", std::to_string(encoded.records.size())}});
+  }
+  const bool left_out = encoded.parts_without_checkpoints > 0;
+  if (left_out && !std::exchange(row.checkpoints_left_out, true)) {
+    Log(state, "checkpoints_not_recorded",
+        {{"job", key.job.value},
+         {"occurrence", std::to_string(key.number)},
+         {"parts", std::to_string(encoded.parts_without_checkpoints)}});
+  }
+}
+
+void NotePlanned(Batch& batch,
+                 const OccurrenceKey& key,
+                 OccurrenceRow& row,
+                 const std::vector<RawRecord>& records) {
+  for (const RawRecord& it : records) {
+    batch.occurrences.emplace(it.key, key);
+    if (row.progress.in_parts) {
+      row.planned_parts[it.key] = std::hash<std::string>{}(it.value);
+    }
+  }
+}
+
+/// @brief Fills an empty batch with some of the records, which together are
+/// larger than the store accepts. Each part is true by itself; what the
+/// occurrence waits for waits until all are recorded.
+void AddSome(const State& state,
+             Batch& batch,
+             const OccurrenceKey& key,
+             OccurrenceRow& row,
+             const std::vector<RawRecord>& records) {
+  for (const RawRecord& it : records) {
+    if (!AddRecords(state, batch, {it})) {
+      return;
+    }
+    NotePlanned(batch, key, row, {it});
+  }
+}
+
 /// @brief Adds the progress of the occurrence, and its planned runs.
+/// @return Whether all of it is in the batch.
 bool AddProgress(State& state, Batch& batch, const OccurrenceKey& key) {
-  const OccurrenceRow& row = state.occurrences.at(key);
-  RawRecord record = workload::Encode(
-      workload::OccurrenceProgress{key.job, key.number, row.progress});
-  const std::string name = record.key;
-  if (!AddRecords(state, batch, {std::move(record)})) {
+  OccurrenceRow& row = state.occurrences.at(key);
+  workload::EncodedProgress encoded = workload::EncodeProgress(
+      {key.job, key.number, row.progress}, state.options.store.record_bytes);
+  NoteEncoding(state, key, row, encoded);
+  const std::vector<RawRecord> records =
+      ChangedRecords(row, std::move(encoded));
+  const bool first = batch.records.empty();
+  if (!AddRecords(state, batch, records)) {
+    if (first) {
+      AddSome(state, batch, key, row, records);
+    }
+    state.record_first = key;
     return false;
   }
-  batch.occurrences.emplace(name, key);
+  NotePlanned(batch, key, row, records);
   for (const auto& [task, run] : state.runs.OfOccurrence(key.job, key.number)) {
     if (run.state == RunState::kPlanned) {
       batch.runs.push_back(task);
@@ -48,6 +119,21 @@
   return true;
 }
 
+/// @brief As AddProgress(), if the occurrence is not held back; notes what is
+/// recorded by the batch.
+bool AddIfUnrecorded(State& state, Batch& batch, const OccurrenceKey& key) {
+  if (!state.unrecorded.contains(key) ||
+      IsHeldBack(state.occurrences.at(key), batch.planned_at)) {
+    return true;
+  }
+  if (!AddProgress(state, batch, key)) {
+    return false;
+  }
+  state.unrecorded.erase(key);
+  state.awaited.erase(key);
+  return true;
+}
+
 /// @brief Adds the progress of these occurrences until the batch is full.
 /// @return Whether there was room for all.
 bool AddProgressOf(State& state,
@@ -56,14 +142,9 @@
   // `keys` may be a table of the state, which loses those that were added.
   for (auto it = keys.begin(); it != keys.end();) {
     const OccurrenceKey key = *it++;
-    if (IsHeldBack(state.occurrences.at(key), batch.planned_at)) {
-      continue;
-    }
-    if (!AddProgress(state, batch, key)) {
+    if (!AddIfUnrecorded(state, batch, key)) {
       return false;
     }
-    state.unrecorded.erase(key);
-    state.awaited.erase(key);
   }
   return true;
 }
@@ -127,6 +208,7 @@
                          : state.occurrences.find(key->second);
     if (row != state.occurrences.end()) {
       row->second.refused_until = batch.planned_at + kRefusedRetry;
+      row->second.planned_parts.clear();
       MarkUnrecorded(state, key->second);
       held.insert(key->second);
     }
@@ -183,7 +265,12 @@
                 Batch& batch,
                 std::vector<RawRecord> records) {
   const std::size_t bytes = AppendedBytes(records);
-  if (!batch.records.empty() && batch.bytes + bytes > LargestAppend(state)) {
+  const bool first = batch.records.empty();
+  const std::size_t largest = LargestAppend(state);
+  const std::size_t limit =
+      first ? largest : std::min(largest, kUsualAppendBytes);
+  const bool alone = first && records.size() == 1;
+  if (!alone && batch.bytes + bytes > limit) {
     return false;
   }
   batch.bytes += bytes;
@@ -198,7 +285,9 @@
   batch.planned_at = now;
   std::erase_if(state.awaited,
                 [&](const auto& it) { return !state.unrecorded.contains(it); });
-  const bool has_room = AddProgressOf(state, batch, state.awaited);
+  const auto first = std::exchange(state.record_first, std::nullopt);
+  const bool has_room = (!first || AddIfUnrecorded(state, batch, *first)) &&
+                        AddProgressOf(state, batch, state.awaited);
   if (CleanupIsDue(state, now)) {
     DropOldJobs(state, batch, now);
     DropLostAgents(state, batch, now);
--- a/packages/scheduler/src/batch.h
+++ b/packages/scheduler/src/batch.h
@@ -41,8 +41,9 @@
   TimePoint planned_at{};
 };
 
-/// @brief Adds the records if all of them fit into the append, or if they are
-/// the first: records that exceed it alone are sent alone.
+/// @brief Adds the records if all of them fit into the append. The first ones
+/// may take as much as the store accepts. A single first record is always
+/// added: the store tells whether it takes it.
 bool AddRecords(const State& state,
                 Batch& batch,
                 std::vector<workload::RawRecord> records);
--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -173,6 +173,18 @@
   return (now - run.running_since) * (100 - run.percent) / run.percent;
 }
 
+/// @brief Number of parts of the occurrences that were recorded in parts.
+std::map<int, int> PartsOf(const State& state, const workload::Job& job) {
+  std::map<int, int> parts;
+  for (auto it = state.occurrences.lower_bound({job.id, 0});
+       it != state.occurrences.end() && it->first.job == job.id; ++it) {
+    if (it->second.progress.in_parts) {
+      parts[it->first.number] = workload::PartCount(it->second.progress);
+    }
+  }
+  return parts;
+}
+
 bool AllFinal(const State& state, const OccurrenceKey& first, TimePoint limit) {
   for (auto it = state.occurrences.lower_bound(first);
        it != state.occurrences.end() && it->first.job == first.job; ++it) {
@@ -252,7 +264,8 @@
     const std::shared_ptr<const workload::Job> job =
         state.occurrences.at(it).job;
     // The others go with the next batches.
-    if (!AddRecords(state, batch, workload::DropJob(*job))) {
+    if (!AddRecords(state, batch,
+                    workload::DropJob(*job, PartsOf(state, *job)))) {
       return;
     }
     for (int n = 0; n < Occurrences(*job); ++n) {
--- a/packages/scheduler/src/outcomes_test.cc
+++ b/packages/scheduler/src/outcomes_test.cc
@@ -235,6 +235,25 @@
   EXPECT_TRUE(scheduler.Running("j").empty());
 }
 
+// Guards against members of a completed gang that run again, as a lost
+// scheduler recorded only the part of the job with the others.
+TEST_F(OutcomesTest, CompletesAGangOfWhichSomeMembersAreRecordedAsDone) {
+  workload::JobEntry entry;
+  entry.job = scheduler.Job("j", "batch", "acme", 2, 4);
+  entry.job->steps[0].gang = true;
+  workload::Progress progress = workload::MakeProgress(*entry.job);
+  progress.in_parts = true;
+  for (workload::TaskProgress& it : progress.steps[0]) {
+    it.run = 1;
+  }
+  progress.steps[0][1].phase = workload::TaskPhase::kDone;
+  entry.occurrences[0] = progress;
+  scheduler.Get().AddJob(entry, scheduler.Clock());
+  scheduler.Run(4);
+  EXPECT_TRUE(scheduler.Running("j").empty());
+  EXPECT_THAT(scheduler.Log().at("p/j/0"), testing::HasSubstr("\"outcome\":1"));
+}
+
 // Guards against a job shown as failed too early: its scheduler recorded the
 // failure of a run and was lost before the agent heard so, and the next one was
 // told of the same failure.
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -56,6 +56,21 @@
   return true;
 }
 
+/// @brief The members of a gang complete together; a predecessor may have
+/// recorded that of some of them only.
+void CompleteGangs(const workload::Job& job, workload::Progress& progress) {
+  for (std::size_t n = 0; n < progress.steps.size(); ++n) {
+    auto& tasks = progress.steps[n];
+    const auto done = std::find_if(
+        tasks.begin(), tasks.end(),
+        [](const auto& it) { return it.phase == TaskPhase::kDone; });
+    if (job.steps[n].gang && done != tasks.end()) {
+      const workload::TaskProgress member = *done;
+      std::fill(tasks.begin(), tasks.end(), member);
+    }
+  }
+}
+
 }  // namespace
 
 struct Scheduler::Impl {
@@ -109,6 +124,7 @@
     if (recorded != entry.occurrences.end() &&
         Matches(*job, recorded->second)) {
       row.progress = recorded->second;
+      CompleteGangs(*job, row.progress);
       row.begun = workload::HasStarted(row.progress);
       RestoreRuns(key, row, now);
     }
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -42,6 +42,9 @@
   /// From its due time to `known_at`, by the clocks of two processes.
   Millis known_after{0};
   TimePoint wait_logged_at{};  ///< When the reason of its wait was last logged.
+  /// Hashes of the parts that were planned last, by their number.
+  std::map<std::string, std::size_t> planned_parts;
+  bool checkpoints_left_out = false;  ///< Of a part that they make too large.
   /// Its record was refused by the store, and is not sent before this time.
   TimePoint refused_until{};
   bool begun = false;  ///< All tasks of one of its steps have run at once.
@@ -146,6 +149,8 @@
   std::set<OccurrenceKey> unrecorded;
   /// Those of them for which a start or an acknowledgement waits.
   std::set<OccurrenceKey> awaited;
+  /// The records that did not fit into the last batch go first.
+  std::optional<OccurrenceKey> record_first;
   TimePoint backlog_logged_at{};
   /// Those with waiting tasks.
   std::set<OccurrenceKey> waiting;
--- a/packages/workload/include/shallotlug/workload/progress.h
+++ b/packages/workload/include/shallotlug/workload/progress.h
@@ -54,6 +54,7 @@
 struct Progress {
   Outcome outcome = Outcome::kOpen;
   std::vector<std::vector<TaskProgress>> steps;
+  bool in_parts = false;  ///< One record cannot hold it.
 
   bool operator==(const Progress&) const = default;
 };
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -1,11 +1,14 @@
 #ifndef SHALLOTLUG_WORKLOAD_RECORD_H_
 #define SHALLOTLUG_WORKLOAD_RECORD_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "shallotlug/workload/job.h"
 #include "shallotlug/workload/progress.h"
@@ -30,6 +33,19 @@
   Progress progress;
 };
 
+/// @brief Tasks of one part of an occurrence, counted over all steps.
+inline constexpr std::size_t kTasksPerPart = 1'000;
+
+/// @brief Progress of some tasks of an occurrence that one record cannot hold.
+struct ProgressPart {
+  JobId job;
+  int occurrence = 0;
+  int part = 0;
+  std::optional<Outcome> outcome;   ///< Of the occurrence; in the first part.
+  std::vector<std::size_t> counts;  ///< Tasks of each step.
+  std::vector<TaskProgress> tasks;  ///< From number `part * kTasksPerPart` on.
+};
+
 /// @brief The scheduler that may write progress from now on.
 struct SchedulerClaim {
   std::uint64_t epoch = 0;
@@ -69,6 +85,7 @@
 using Record = std::variant<JobAccepted,
                             JobCancelled,
                             OccurrenceProgress,
+                            ProgressPart,
                             SchedulerClaim,
                             AgentAddress,
                             EntryAddress,
@@ -92,8 +109,38 @@
 /// @brief Returns the record that deletes an agent's address.
 RawRecord DropAgent(const AgentName& agent);
 
+/// @brief The records of an occurrence's progress.
+struct EncodedProgress {
+  /// One, or all parts; the first part, which has the outcome, is the last
+  /// record.
+  std::vector<RawRecord> records;
+  bool in_parts = false;
+  /// Parts that are too large with the checkpoints of their tasks.
+  int parts_without_checkpoints = 0;
+};
+
+/// @brief Encodes the progress in records of at most `record_bytes`. An
+/// occurrence that was recorded in parts once stays so.
+EncodedProgress EncodeProgress(const OccurrenceProgress& it,
+                               std::size_t record_bytes);
+
+/// @brief Number of parts in which progress is recorded.
+int PartCount(const Progress& progress);
+
+/// @brief Replaces the tasks of the part, and the outcome if it has that.
+void ApplyPart(Progress& progress, const ProgressPart& part);
+
+/// @brief Takes over the tasks of an older whole record whose part was not read
+/// yet: a task that was started never returns to its initial state.
+void FillMissing(Progress& progress, const Progress& older);
+
+/// @brief Bytes of a record as a store counts them, with the length of its key.
+std::size_t RecordBytes(const RawRecord& record);
+
 /// @brief Returns the records that delete all keys of a job.
-std::vector<RawRecord> DropJob(const Job& job);
+/// @param parts Number of parts of each occurrence that was recorded so.
+std::vector<RawRecord> DropJob(const Job& job,
+                               const std::map<int, int>& parts = {});
 
 /// @brief Whether only the scheduler writes records of this key.
 bool IsSchedulersRecord(std::string_view key);
--- a/packages/workload/src/ledger.cc
+++ b/packages/workload/src/ledger.cc
@@ -17,9 +17,18 @@
   ledger.jobs[record.job].cancelled = true;
 }
 
+// A whole record is older than the parts of its occurrence.
 void ApplyRecord(Ledger& ledger, OccurrenceProgress record) {
-  ledger.jobs[record.job].occurrences[record.occurrence] =
-      std::move(record.progress);
+  Progress& progress = ledger.jobs[record.job].occurrences[record.occurrence];
+  if (progress.in_parts) {
+    FillMissing(progress, record.progress);
+  } else {
+    progress = std::move(record.progress);
+  }
+}
+
+void ApplyRecord(Ledger& ledger, const ProgressPart& record) {
+  ApplyPart(ledger.jobs[record.job].occurrences[record.occurrence], record);
 }
 
 void ApplyRecord(Ledger& ledger, const SchedulerClaim& record) {
--- a/packages/workload/src/ledger_test.cc
+++ b/packages/workload/src/ledger_test.cc
@@ -1,5 +1,8 @@
 #include "shallotlug/workload/ledger.h"
 
+#include <set>
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace shallotlug::workload {
@@ -148,6 +151,94 @@
   EXPECT_FALSE(StateOf(ledger, job.id));
 }
 
+constexpr std::size_t kSmallRecord = 40'000;
+
+// Tasks in different states, so that each takes a row of its own.
+OccurrenceProgress LargeProgress(int tasks) {
+  OccurrenceProgress it;
+  it.job = JobId("j1");
+  it.progress.steps.resize(2);
+  for (int n = 0; n < tasks; ++n) {
+    TaskProgress task;
+    task.phase = TaskPhase::kAssigned;
+    task.run = 1;
+    task.on = {AgentName("a" + std::to_string(n % 3)), {"w", 7}};
+    task.checkpoint = std::to_string(n);
+    it.progress.steps[n < tasks / 3 ? 0 : 1].push_back(task);
+  }
+  return it;
+}
+
+Progress ProgressIn(const Ledger& ledger) {
+  return ledger.jobs.at(JobId("j1")).occurrences.at(0);
+}
+
+// Guards against tasks that are lost or moved where progress takes several
+// records.
+TEST(LedgerTest, AppliesProgressInParts) {
+  OccurrenceProgress large = LargeProgress(2'500);
+  const EncodedProgress encoded = EncodeProgress(large, kSmallRecord);
+  ASSERT_TRUE(encoded.in_parts);
+  ASSERT_EQ(encoded.records.size(), 3U);
+  Ledger ledger;
+  std::uint64_t offset = 0;
+  for (const RawRecord& it : encoded.records) {
+    EXPECT_LE(RecordBytes(it), kSmallRecord);
+    EXPECT_TRUE(IsSchedulersRecord(it.key));
+    ApplyRaw(ledger, it, offset++);
+  }
+  large.progress.in_parts = true;
+  EXPECT_EQ(ProgressIn(ledger), large.progress);
+}
+
+// Guards against a reader that lets the older whole record replace parts, or
+// the parts that it has read replace tasks of the others.
+TEST(LedgerTest, AppliesPartsBesideAnOlderWholeRecord) {
+  OccurrenceProgress large = LargeProgress(2'500);
+  const RawRecord whole = Encode(large);
+  large.progress.steps[1].back().phase = TaskPhase::kDone;
+  large.progress.steps[1].back().on = {};
+  const RawRecord last = EncodeProgress(large, kSmallRecord).records[0];
+  large.progress.in_parts = true;
+  Ledger in_order;
+  ApplyRaw(in_order, whole, 0);
+  ApplyRaw(in_order, last, 1);
+  EXPECT_EQ(ProgressIn(in_order), large.progress);
+  Ledger by_key;
+  ApplyRaw(by_key, last, 1);
+  ApplyRaw(by_key, whole, 0);
+  EXPECT_EQ(ProgressIn(by_key), large.progress);
+}
+
+// Guards against a record that stays too large because of its checkpoints.
+TEST(LedgerTest, LeavesOutCheckpointsThatNoPartHolds) {
+  OccurrenceProgress large = LargeProgress(1'000);
+  for (auto& step : large.progress.steps) {
+    for (TaskProgress& it : step) {
+      it.checkpoint += std::string(1'000, 'x');
+    }
+  }
+  const EncodedProgress encoded = EncodeProgress(large, kSmallRecord);
+  EXPECT_EQ(encoded.parts_without_checkpoints, 1);
+  for (const RawRecord& it : encoded.records) {
+    EXPECT_LE(RecordBytes(it), kSmallRecord);
+  }
+}
+
+// Guards against parts of a job that stay in the log for ever.
+TEST(LedgerTest, DropsAllPartsOfAJob) {
+  const Job job = MakeJob("j1");
+  std::set<std::string> keys;
+  for (const RawRecord& it : DropJob(job, {{1, 3}})) {
+    keys.insert(it.key);
+  }
+  OccurrenceProgress large = LargeProgress(2'500);
+  large.occurrence = 1;
+  for (const RawRecord& it : EncodeProgress(large, kSmallRecord).records) {
+    EXPECT_TRUE(keys.contains(it.key)) << it.key;
+  }
+}
+
 TEST(LedgerTest, CountsMalformedRecords) {
   Ledger ledger;
   EXPECT_EQ(Apply(ledger, "j/1", "garbage", 0), Applied::kMalformed);
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -1,30 +1,35 @@
 #include "shallotlug/workload/record.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstddef>
 #include <map>
 #include <utility>
 
 #include <boost/json.hpp>
 
+#include "progress_record.h"
+#include "record_fields.h"
 #include "shallotlug/base/address.h"
 
 namespace shallotlug::workload {
 
 namespace json = boost::json;
 
+using detail::Checked;
+using detail::GetAmount;
+using detail::GetBool;
+using detail::GetInt;
+using detail::GetString;
+using detail::kMaxRuns;
+
 namespace {
 
 constexpr std::string_view kJobPrefix = "j/";
 constexpr std::string_view kCancelPrefix = "c/";
-constexpr std::string_view kProgressPrefix = "p/";
 constexpr std::string_view kAgentPrefix = "n/";
 constexpr std::string_view kEntryPrefix = "e/";
 constexpr std::string_view kClaimKey = "a";
 constexpr std::int64_t kMaxPriority = 1'000;
-// Of runs, failures and attempts of one task.
-constexpr std::int64_t kMaxRuns = 1'000'000'000;
 constexpr double kMaxSlackFactor = 1e6;
 constexpr std::int64_t kMaxAgents = 1'000'000;
 
@@ -56,30 +61,6 @@
   return to;
 }
 
-std::int64_t GetInt(const json::object& from, std::string_view key) {
-  const auto* it = from.if_contains(key);
-  return it == nullptr ? 0 : it->to_number<std::int64_t>();
-}
-
-std::int64_t Checked(std::int64_t n, std::int64_t min, std::int64_t max) {
-  if (n < min || n > max) {
-    throw std::out_of_range("number out of range");
-  }
-  return n;
-}
-
-/// @brief A number from 0 to `max`; 0 if there is none.
-std::int64_t GetAmount(const json::object& from,
-                       std::string_view key,
-                       std::int64_t max = kMaxAmount) {
-  return Checked(GetInt(from, key), 0, max);
-}
-
-/// @brief A number from 0 to `max` at this place of a row.
-int GetCell(const json::array& row, std::size_t n, std::int64_t max) {
-  return static_cast<int>(Checked(row.at(n).to_number<std::int64_t>(), 0, max));
-}
-
 std::string GetAddress(const json::object& from) {
   std::string address(from.at("address").as_string());
   if (!IsAddress(address)) {
@@ -88,16 +69,6 @@
   return address;
 }
 
-bool GetBool(const json::object& from, std::string_view key) {
-  const auto* it = from.if_contains(key);
-  return it != nullptr && it->as_bool();
-}
-
-std::string GetString(const json::object& from, std::string_view key) {
-  const auto* it = from.if_contains(key);
-  return it == nullptr ? "" : std::string(it->as_string());
-}
-
 Step DecodeStep(const json::object& from, int position) {
   Step to;
   to.count =
@@ -163,138 +134,6 @@
   return {std::move(job)};
 }
 
-/// @brief Numbers the workers of a record, so that each is written once.
-class WorkerList {
- public:
-  /// @return The worker's number; -1 for a task that is not assigned.
-  int Add(const TaskProgress& task) {
-    if (task.phase != TaskPhase::kAssigned) {
-      return -1;
-    }
-    const auto [it, added] = numbers_.try_emplace(
-        {task.on.agent, task.on.worker}, static_cast<int>(numbers_.size()));
-    if (added) {
-      rows_.emplace_back(json::array{task.on.agent.value, task.on.worker.id,
-                                     task.on.worker.born});
-    }
-    return it->second;
-  }
-  json::array Take() { return std::move(rows_); }
-
- private:
-  std::map<std::pair<AgentName, WorkerLife>, int> numbers_;
-  json::array rows_;
-};
-
-constexpr int kEarlyCrashBit = 1;
-constexpr int kAloneCrashBit = 2;
-
-json::array EncodeCrashes(const std::vector<WorkerCrash>& crashes) {
-  json::array rows;
-  for (const WorkerCrash& it : crashes) {
-    rows.emplace_back(json::array{it.run, (it.early ? kEarlyCrashBit : 0) |
-                                              (it.alone ? kAloneCrashBit : 0)});
-  }
-  return rows;
-}
-
-std::vector<WorkerCrash> DecodeCrashes(const json::array& rows) {
-  std::vector<WorkerCrash> crashes;
-  for (const json::value& it : rows) {
-    const json::array& row = it.as_array();
-    const int bits = GetCell(row, 1, kEarlyCrashBit | kAloneCrashBit);
-    crashes.push_back({GetCell(row, 0, kMaxRuns), (bits & kEarlyCrashBit) != 0,
-                       (bits & kAloneCrashBit) != 0});
-  }
-  return crashes;
-}
-
-// One row for consecutive tasks in the same state: [step, first, count, phase,
-// run, failures, failed run, worker, checkpoint, crashes]. Tasks in their
-// initial state are omitted, and so are crashes and an empty checkpoint at the
-// end of a row. A crash is the number of its run and two bits.
-json::array EncodeTasks(const Progress& progress, WorkerList& workers) {
-  json::array rows;
-  for (std::size_t step = 0; step < progress.steps.size(); ++step) {
-    const auto& tasks = progress.steps[step];
-    std::size_t first = 0;
-    while (first < tasks.size()) {
-      const TaskProgress& it = tasks[first];
-      std::size_t end = first + 1;
-      while (end < tasks.size() && tasks[end] == it) {
-        ++end;
-      }
-      if (it != TaskProgress{}) {
-        json::array row{
-            step,   first,       end - first,   static_cast<int>(it.phase),
-            it.run, it.failures, it.failed_run, workers.Add(it)};
-        if (!it.checkpoint.empty() || !it.crashes.empty()) {
-          row.emplace_back(it.checkpoint);
-        }
-        if (!it.crashes.empty()) {
-          row.emplace_back(EncodeCrashes(it.crashes));
-        }
-        rows.emplace_back(std::move(row));
-      }
-      first = end;
-    }
-  }
-  return rows;
-}
-
-TaskProgress DecodeTask(const json::array& row, const json::array& workers) {
-  TaskProgress task;
-  task.phase = static_cast<TaskPhase>(
-      GetCell(row, 3, static_cast<int>(TaskPhase::kDone)));
-  task.run = GetCell(row, 4, kMaxRuns);
-  task.failures = GetCell(row, 5, kMaxRuns);
-  task.failed_run = GetCell(row, 6, kMaxRuns);
-  if (row.size() > 8) {
-    task.checkpoint = row.at(8).as_string();
-  }
-  if (row.size() > 9) {
-    task.crashes = DecodeCrashes(row.at(9).as_array());
-  }
-  if (task.phase == TaskPhase::kAssigned) {
-    const json::array& worker =
-        workers.at(row.at(7).to_number<std::size_t>()).as_array();
-    task.on = {AgentName(std::string(worker.at(0).as_string())),
-               {std::string(worker.at(1).as_string()),
-                worker.at(2).to_number<std::int64_t>()}};
-  }
-  return task;
-}
-
-Progress DecodeProgress(const json::object& from) {
-  Progress progress;
-  progress.outcome = static_cast<Outcome>(
-      GetAmount(from, "outcome", static_cast<int>(Outcome::kCancelled)));
-  std::int64_t left = kMaxTasksPerJob;
-  for (const json::value& it : from.at("counts").as_array()) {
-    const auto n = Checked(it.to_number<std::int64_t>(), 0, left);
-    left -= n;
-    progress.steps.emplace_back(static_cast<std::size_t>(n));
-  }
-  const json::array& workers = from.at("workers").as_array();
-  for (const json::value& it : from.at("tasks").as_array()) {
-    const json::array& row = it.as_array();
-    auto& tasks = progress.steps.at(row.at(0).to_number<std::size_t>());
-    const auto first = row.at(1).to_number<std::size_t>();
-    const auto count = row.at(2).to_number<std::size_t>();
-    if (count > tasks.size() || first > tasks.size() - count) {
-      throw std::out_of_range("task number out of range");
-    }
-    std::fill_n(tasks.begin() + static_cast<std::ptrdiff_t>(first), count,
-                DecodeTask(row, workers));
-  }
-  return progress;
-}
-
-std::string ProgressKey(const JobId& job, int occurrence) {
-  return std::string(kProgressPrefix) + job.value + "/" +
-         std::to_string(occurrence);
-}
-
 Record DecodeValue(const std::string& key, const json::object& from) {
   if (key.starts_with(kJobPrefix)) {
     return DecodeJob(key.substr(kJobPrefix.size()), from);
@@ -302,18 +141,8 @@
   if (key.starts_with(kCancelPrefix)) {
     return JobCancelled{JobId(key.substr(kCancelPrefix.size()))};
   }
-  if (key.starts_with(kProgressPrefix)) {
-    const auto slash = key.rfind('/');
-    int occurrence = 0;
-    const char* end = key.data() + key.size();
-    const auto parsed =
-        std::from_chars(key.data() + slash + 1, end, occurrence);
-    if (slash < kProgressPrefix.size() || parsed.ptr != end) {
-      throw std::invalid_argument("malformed progress key");
-    }
-    return OccurrenceProgress{JobId(key.substr(kProgressPrefix.size(),
-                                               slash - kProgressPrefix.size())),
-                              occurrence, DecodeProgress(from)};
+  if (detail::IsProgressKey(key)) {
+    return detail::DecodeProgressValue(key, from);
   }
   if (key.starts_with(kAgentPrefix)) {
     return AgentAddress{
@@ -378,21 +207,6 @@
   return {std::string(kCancelPrefix) + it.job.value, "{}"};
 }
 
-RawRecord Encode(const OccurrenceProgress& it) {
-  json::array counts;
-  for (const auto& step : it.progress.steps) {
-    counts.emplace_back(step.size());
-  }
-  WorkerList workers;
-  json::array tasks = EncodeTasks(it.progress, workers);
-  return {ProgressKey(it.job, it.occurrence),
-          json::serialize(
-              json::object{{"outcome", static_cast<int>(it.progress.outcome)},
-                           {"counts", std::move(counts)},
-                           {"workers", workers.Take()},
-                           {"tasks", std::move(tasks)}})};
-}
-
 RawRecord Encode(const SchedulerClaim& it) {
   json::object to{{"epoch", it.epoch},
                   {"entry", it.entry.value},
@@ -433,23 +247,33 @@
   return {std::string(kAgentPrefix) + agent.value, ""};
 }
 
-std::vector<RawRecord> DropJob(const Job& job) {
+std::vector<RawRecord> DropJob(const Job& job,
+                               const std::map<int, int>& parts) {
   // The job goes first: without its progress or its cancel it would be run
   // again by a scheduler that begins between two appends.
   std::vector<RawRecord> drops{{std::string(kJobPrefix) + job.id.value, ""},
                                {std::string(kCancelPrefix) + job.id.value, ""}};
   for (int n = 0; n < Occurrences(job); ++n) {
-    drops.push_back({ProgressKey(job.id, n), ""});
+    const auto of_occurrence = parts.find(n);
+    const int count = of_occurrence == parts.end() ? 1 : of_occurrence->second;
+    for (int part = 0; part < count; ++part) {
+      drops.push_back({detail::PartKey(job.id, n, part), ""});
+    }
   }
   return drops;
 }
 
+std::size_t RecordBytes(const RawRecord& record) {
+  constexpr std::size_t kKeyLengthBytes = 1;
+  return kKeyLengthBytes + record.key.size() + record.value.size();
+}
+
 bool IsClaim(std::string_view key) {
   return key == kClaimKey;
 }
 
 bool IsSchedulersRecord(std::string_view key) {
-  return key == kClaimKey || key.starts_with(kProgressPrefix);
+  return key == kClaimKey || detail::IsProgressKey(key);
 }
 
 std::optional<Record> Decode(const std::string& key, std::string_view value) {
