scheduler: bound the orders in one call to an agent

Cause: all orders that were due went into one call (6 MB), which the agent refuses beyond 4 MiB, again and again; stops and acknowledgements with them.

Change: a call takes 1 MiB of orders and acknowledgements, stops first; the rest goes with the next call. The orders stand in a file of their own.

--- a/packages/protocol/include/shallotlug/protocol/sync.h
+++ b/packages/protocol/include/shallotlug/protocol/sync.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_PROTOCOL_SYNC_H_
 #define SHALLOTLUG_PROTOCOL_SYNC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -149,6 +150,9 @@
   bool operator==(const SyncReply&) const = default;
 };
 
+/// @brief An agent refuses larger requests.
+inline constexpr std::size_t kMaxSyncRequestBytes = 4 << 20;
+
 std::string Encode(const SyncRequest& request);
 std::string Encode(const SyncReply& reply);
 
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "batch.h"
+#include "orders.h"
 #include "rates.h"
 #include "state.h"
 #include "units.h"
@@ -18,8 +19,6 @@
 
 namespace {
 
-// Interval after which an order is resent that the agent has not confirmed.
-constexpr Millis kOrderRepeat{500};
 // An acknowledgement of ends waits this long for an order to travel with.
 constexpr Millis kMaxNotedDelay{200};
 // Orders to be repeated are found by a sweep over all agents.
@@ -227,40 +226,6 @@
 
 namespace {
 
-bool StartIsDue(const AgentRow& agent, const RunRow& run, TimePoint now) {
-  // A run that was ordered before may have ended.
-  const bool may_have_ended = agent.more_ends && run.ordered_before;
-  return run.state == RunState::kOrdered && !run.stop_requested &&
-         !may_have_ended && run.on.worker == agent.worker.life &&
-         now - run.order_sent >= kOrderRepeat;
-}
-
-bool StopIsDue(const RunRow& run, TimePoint now) {
-  return run.state != RunState::kPlanned && run.stop_requested &&
-         now - run.stop_sent >= kOrderRepeat;
-}
-
-void AddOrders(State& state,
-               const AgentName& name,
-               const AgentRow& agent,
-               SyncRequest& request,
-               TimePoint now) {
-  for (const auto& [task, run] : state.runs.On(name).rows) {
-    if (StopIsDue(*run, now)) {
-      run->stop_sent = now;
-      request.stops.push_back({task, run->run});
-    } else if (StartIsDue(agent, *run, now)) {
-      const OccurrenceRow* row = FindOccurrence(state, task);
-      request.starts.push_back({{task, run->run},
-                                row->job->payload,
-                                run->checkpoint,
-                                run->ordered_before});
-      run->order_sent = now;
-      run->ordered_before = true;
-    }
-  }
-}
-
 void ExtendLease(State& state,
                  AgentRow& agent,
                  SyncRequest& request,
@@ -303,12 +268,10 @@
   request.wait = agent.heard ? wait : Millis{0};
   request.noted_ends = agent.noted_ends;
   agent.noted_sent = agent.noted_ends;
-  request.settled = std::exchange(agent.settled, {});
-  request.stops = agent.orphans;
   const Belief speed = NoteOf(state.speeds, name);
   request.speed = {speed.mean, speed.weight};
   ExtendLease(state, agent, request, now.local);
-  AddOrders(state, name, agent, request, now.local);
+  AddOrders(state, agent, request, now.local);
   return request;
 }
 
@@ -323,11 +286,7 @@
                                now.local - row.noted_at >= kMaxNotedDelay)) {
     return true;
   }
-  const auto& runs = state.runs.On(name).rows;
-  return std::any_of(runs.begin(), runs.end(), [&](const auto& it) {
-    const RunRow& run = *it.second;
-    return StopIsDue(run, now.local) || StartIsDue(row, run, now.local);
-  });
+  return OrderIsDue(state, row, now.local);
 }
 
 std::vector<AgentName> Scheduler::TakeNews(Now now) {
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -151,6 +151,9 @@
   });
   const protocol::SyncRequest request =
       scheduler_.MakeSync(AgentName(name), Millis{0}, now_);
+  if (protocol::Encode(request).size() > protocol::kMaxSyncRequestBytes) {
+    return;  // It is refused.
+  }
   for (const workload::RunRef& it : request.settled) {
     std::erase_if(agent.crashes,
                   [&](const auto& crash) { return crash.run == it; });
--- a/packages/service/src/job_agent.cc
+++ b/packages/service/src/job_agent.cc
@@ -48,8 +48,6 @@
 constexpr Millis kTickInterval{100};
 constexpr Millis kRegistrationDeadline{60'000};
 constexpr Millis kMaxSyncWait{5'000};
-// All orders to one worker, with their payloads.
-constexpr std::size_t kMaxSyncBodyBytes = 4 << 20;
 constexpr std::size_t kMaxHeartbeatBytes = 64 << 10;
 // Of one worker, or of the entries that schedule in turn.
 constexpr std::size_t kConnections = 256;
@@ -86,7 +84,8 @@
                     [this](ExchangeId id, const HttpRequest& request) {
                       OnHeartbeatCall(id, request);
                     }) ||
-        !OpenServer(sync_server_, settings_.scheduler_listen, kMaxSyncBodyBytes,
+        !OpenServer(sync_server_, settings_.scheduler_listen,
+                    protocol::kMaxSyncRequestBytes,
                     [this](ExchangeId id, const HttpRequest& request) {
                       OnSyncCall(id, request);
                     }) ||
