service: a record that the store refuses fails no other caller's

Change: such a job is answered 400 job_too_large at once. An append that is refused for good is divided until a record is refused alone.

--- a/packages/service/src/job_agent.cc
+++ b/packages/service/src/job_agent.cc
@@ -66,7 +66,7 @@
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
         tick_timer_(context_),
         poll_timer_(context_),
-        records_(context_, settings.store),
+        records_(context_, settings.store, {}),
         incarnation_(net::DrawIncarnation()),
         executor_(
             {AgentName(settings.name), incarnation_, settings.longest_lease}),
--- a/packages/service/src/job_api.cc
+++ b/packages/service/src/job_api.cc
@@ -204,9 +204,19 @@
   const scheduler::Now now = ReadBothClocks();
   call.job.accepted_at = now.wall;
   std::vector<Label> job_labels = JobLabels(call.job);
+  workload::RawRecord record =
+      workload::Encode(workload::JobAccepted{std::move(call.job)});
+  if (!state_.records.Accepts(record)) {
+    LogJobEvent("job_not_accepted", id, {{"reason", "record_too_large"}});
+    state_.counters.AddTo("shallotlug_calls_refused_total",
+                          {{"reason", "job_too_large"}});
+    reply(platform::FaultReply({400, "job_too_large",
+                                "the store does not take a job of this size: "
+                                "use fewer steps or a shorter spec"}));
+    return;
+  }
   state_.records.Append(
-      workload::Encode(workload::JobAccepted{std::move(call.job)}),
-      now.local + kAppendDeadline,
+      std::move(record), now.local + kAppendDeadline,
       [this, id, job_labels = std::move(job_labels), reply,
        began = now.local](Stored stored) {
         std::vector<Label> fields{
--- a/packages/service/src/job_api_test.cc
+++ b/packages/service/src/job_api_test.cc
@@ -72,7 +72,7 @@
     AddPeer("e1", first.Address());
     AddPeer("e2", second.Address());
     ledger.entries[EntryName("self")] = {EntryName("self"), "127.0.0.1:1", {}};
-    records.emplace(context, store.Address());
+    records.emplace(context, store.Address(), joblog::StoreLimits{});
     api.emplace(JobApiState{ledger, policy, *records, counters, histograms,
                             peers, [this] { return current_at; },
                             [this](const std::function<void()>& handler) {
@@ -152,6 +152,21 @@
 
 // Guards against refusing a job although the store refuses only this entry and
 // a peer could store it.
+// Guards against a job that the store never takes and that is sent again and
+// again, by this entry, its peers and its caller.
+TEST_F(JobApiTest, RejectsAJobThatTheStoreDoesNotTake) {
+  constexpr int kSteps = 5'000;
+  std::string body = R"({"spec":"x","steps":[)";
+  for (int n = 0; n < kSteps; ++n) {
+    body += std::string(n > 0 ? "," : "") + R"({"count":1,"gpu":1})";
+  }
+  const HttpResponse response = Call("POST", body + "]}");
+  EXPECT_EQ(response.status, 400);
+  EXPECT_NE(response.body.find("job_too_large"), std::string::npos);
+  EXPECT_TRUE(store.requests.empty());
+  EXPECT_TRUE(first.requests.empty());
+}
+
 TEST_F(JobApiTest, ForwardsJobRefusedByStore) {
   store.status = 503;
   EXPECT_EQ(Submit().status, 200);
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -23,6 +23,7 @@
 #include "shallotlug/net/http_server.h"
 #include "shallotlug/net/role_loop.h"
 #include "shallotlug/platform/configuration.h"
+#include "store_limits.h"
 
 namespace shallotlug::service {
 
@@ -77,7 +78,7 @@
         signals_(context_, SIGTERM, SIGINT, SIGHUP),
         shutdown_timer_(context_),
         registration_timer_(context_),
-        records_(context_, settings.store),
+        records_(context_, settings.store, LimitsOf(settings.store_limits)),
         host_(context_, settings_, ledger_, policy_, histograms_),
         job_log_(
             context_,
--- a/packages/service/src/record_queue.cc
+++ b/packages/service/src/record_queue.cc
@@ -34,8 +34,13 @@
 }
 
 RecordQueue::RecordQueue(boost::asio::io_context& context,
-                         const std::string& store)
-    : retry_timer_(context), client_(context, store) {}
+                         const std::string& store,
+                         const joblog::StoreLimits& limits)
+    : retry_timer_(context), client_(context, store), limits_(limits) {}
+
+bool RecordQueue::Accepts(const workload::RawRecord& record) const {
+  return workload::RecordBytes(record) <= limits_.record_bytes;
+}
 
 void RecordQueue::Append(workload::RawRecord record,
                          TimePoint deadline,
@@ -69,7 +74,7 @@
   std::vector<workload::RawRecord> records;
   std::size_t bytes = 0;
   for (PendingRecord& it : pending_) {
-    it.sent = bytes < kBatchBytes;
+    it.sent = bytes < kBatchBytes && records.size() < max_records_;
     if (it.sent) {
       bytes += it.record.key.size() + it.record.value.size();
       records.push_back(it.record);
@@ -112,6 +117,10 @@
     WriteLog(
         {LogLevel::kWarning, "append_failed", {{"detail", result.detail}}});
   }
+  if (DivideIfRefused(result.status)) {
+    Retry();
+    return;
+  }
   const TimePoint now = ReadClock();
   // Handlers may call Append(), which must not modify the list being iterated.
   std::vector<PendingRecord> items = std::exchange(pending_, {});
@@ -131,6 +140,24 @@
   }
 }
 
+// The store refuses an append as a whole, also for one record in it.
+bool RecordQueue::DivideIfRefused(AppendStatus status) {
+  const auto sent = static_cast<std::size_t>(
+      std::count_if(pending_.begin(), pending_.end(),
+                    [](const PendingRecord& it) { return it.sent; }));
+  if (status == AppendStatus::kInvalid && sent > 1) {
+    max_records_ = sent / 2;
+    for (PendingRecord& it : pending_) {
+      it.sent = false;
+    }
+    return true;
+  }
+  if (status == AppendStatus::kDone) {
+    max_records_ = std::min(2 * max_records_, kMaxRecords);
+  }
+  return false;
+}
+
 void RecordQueue::Retry() {
   retry_scheduled_ = true;
   retry_timer_.expires_after(kRetryDelay);
--- a/packages/service/src/record_queue.h
+++ b/packages/service/src/record_queue.h
@@ -30,7 +30,12 @@
  public:
   using Handler = std::function<void(Stored)>;
 
-  RecordQueue(boost::asio::io_context& context, const std::string& store);
+  RecordQueue(boost::asio::io_context& context,
+              const std::string& store,
+              const joblog::StoreLimits& limits);
+
+  /// @brief Whether the store takes a record of this size.
+  bool Accepts(const workload::RawRecord& record) const;
 
   void Append(workload::RawRecord record, TimePoint deadline, Handler handler);
 
@@ -48,7 +53,11 @@
     bool sent = false;  ///< Part of the append in progress.
   };
 
+  static constexpr std::size_t kMaxRecords = 1'024;
+
   void Send();
+  /// @brief Whether the append in progress goes on in smaller ones.
+  bool DivideIfRefused(joblog::AppendStatus status);
   void OnResult(const joblog::AppendResult& result);
   void Retry();
   bool CompleteIfFinal(PendingRecord& item,
@@ -58,7 +67,10 @@
   boost::asio::steady_timer retry_timer_;
   platform::StoreClient client_;
   joblog::ResponseTimer response_timer_;
+  joblog::StoreLimits limits_;
   std::vector<PendingRecord> pending_;
+  /// Limit of the next append, lower after the store has refused one.
+  std::size_t max_records_ = kMaxRecords;
   bool retry_scheduled_ = false;
 };
 
--- a/packages/service/src/scheduler_host.cc
+++ b/packages/service/src/scheduler_host.cc
@@ -7,6 +7,7 @@
 
 #include "clocks.h"
 #include "shallotlug/base/logging.h"
+#include "store_limits.h"
 
 namespace shallotlug::service {
 
@@ -34,10 +35,7 @@
   options.stop_timeout = timing.stop_timeout;
   options.learn_speeds = settings.scheduling.learn_speeds;
   options.weigh_lateness = settings.scheduling.weigh_lateness;
-  options.store.record_bytes =
-      static_cast<std::size_t>(settings.store_limits.record_bytes);
-  options.store.request_bytes =
-      static_cast<std::size_t>(settings.store_limits.request_bytes);
+  options.store = LimitsOf(settings.store_limits);
   options.remote_factor = settings.scheduling.remote_factor;
   options.state_retention =
       kRetentionMargin +
