scheduler: spread a gang in a busy pool only when its caller gains

Where at least half of the pool is in use, a spread gang takes three times the time of workers that others want.

Change: in such a pool the gang is spread when its caller earns more by that than by the wait for a rack (full, late or no credit), when no rack is expected to come free, and after 30 s in any case. Elsewhere as before.

Tests: BusyPoolTest, three, for the wait, the gain and the longest wait.

--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -467,8 +467,7 @@
     if (waits_for_speed && !state.reservations.contains(unit.key)) {
       return WaitReason::kNoneInTime;
     }
-    if (WaitsForRack(state, unit, placement.now.local) &&
-        !state.reservations.contains(unit.key)) {
+    if (WaitsForRack(state, unit) && !state.reservations.contains(unit.key)) {
       return WaitReason::kNoRack;
     }
   }
--- a/packages/scheduler/src/rack_wait.cc
+++ b/packages/scheduler/src/rack_wait.cc
@@ -17,15 +17,15 @@
 constexpr int kSpreadShareOfReclaim = 4;
 // Limit of the wait of a gang whose run time is not known.
 constexpr Millis kUnknownWorkWait{3'000};
+// A gang does not wait for longer where others want the room.
+constexpr Millis kMaxWaitInBusyPool{30'000};
+constexpr Millis kWeighInterval{500};
 // The end of a run is known roughly, and is reported after some time.
 constexpr double kExpectedTimeFactor = 1.25;
 constexpr Millis kReportTime{500};
 
 /// @brief The longest wait for a rack that a unit gains from.
 Millis WorthOfRack(const State& state, const Unit& unit) {
-  if (unit.step->lasting) {
-    return Millis{0};
-  }
   if (unit.step->estimate <= Millis{0}) {
     return kUnknownWorkWait;
   }
@@ -101,36 +101,61 @@
   return std::nullopt;
 }
 
-/// @brief Until when a wait that begins now lasts: until a rack is expected to
-/// come free, if that is within `limit`.
-TimePoint EndOfWait(State& state,
-                    const Fleet& fleet,
-                    const Unit& unit,
-                    const std::vector<Candidate>& candidates,
-                    const Demand& demand,
-                    Millis limit,
-                    TimePoint now) {
-  const auto expected =
-      limit > Millis{0}
-          ? TimeUntilRackFits(state, fleet, candidates, demand, now)
-          : std::nullopt;
-  const Millis time = expected.value_or(Millis::max());
-  const bool waits = time <= limit;
-  Log(state, "gang_without_rack",
-      {{"job", unit.key.occurrence.job.value},
-       {"occurrence", std::to_string(unit.key.occurrence.number)},
-       {"step", std::to_string(unit.key.step)},
-       {"tasks", std::to_string(demand.count)},
-       {"expected_ms", expected ? std::to_string(time.count()) : "none"},
-       {"limit_ms", std::to_string(limit.count())},
-       {"waits", waits ? "true" : "false"}});
-  if (!waits) {
-    return now;
+/// @brief What the unit's job earns if the unit ends after this time.
+Credit CreditAfter(const Unit& unit, Millis time, Now now) {
+  return CreditAt(DeadlinesOf(*unit.row), now.wall + time + unit.time_behind);
+}
+
+/// @brief Whether a busy pool's unit waits on: a spread gang takes room from
+/// others for longer, which is justified only if its own caller gains by it.
+bool WaitsInBusyPool(const State& state,
+                     const Unit& unit,
+                     const RackWait& wait,
+                     std::optional<Millis> expected,
+                     Now now) {
+  if (!expected || now.local - wait.since >= kMaxWaitInBusyPool) {
+    return false;
+  }
+  const Millis estimate = unit.step->estimate;
+  const Credit in_rack = CreditAfter(unit, *expected + estimate, now);
+  const Credit spread =
+      CreditAfter(unit, estimate + WorthOfRack(state, unit), now);
+  return in_rack <= spread;
+}
+
+/// @brief Decides whether the unit waits for a rack, and until when.
+void Weigh(State& state,
+           const Unit& unit,
+           RackWait& wait,
+           std::optional<Millis> expected,
+           bool busy,
+           Now now) {
+  const Millis limit = WorthOfRack(state, unit);
+  if (busy) {
+    wait.spread = !WaitsInBusyPool(state, unit, wait, expected, now);
+    wait.until = now.local + kWeighInterval;
+  } else if (wait.expected_by || !expected || *expected > limit) {
+    // The rack that was expected was taken by others.
+    wait.spread = true;
+  } else {
+    const auto with_margin =
+        std::chrono::duration_cast<Millis>(kExpectedTimeFactor * *expected) +
+        kReportTime;
+    wait.expected_by = now.local + std::min(limit, with_margin);
+    wait.until = *wait.expected_by;
+  }
+  if (wait.spread || wait.since == now.local) {
+    Log(state, "gang_without_rack",
+        {{"job", unit.key.occurrence.job.value},
+         {"occurrence", std::to_string(unit.key.occurrence.number)},
+         {"step", std::to_string(unit.key.step)},
+         {"tasks", std::to_string(unit.tasks.size())},
+         {"expected_ms", expected ? std::to_string(expected->count()) : "none"},
+         {"limit_ms", std::to_string(limit.count())},
+         {"busy", busy ? "true" : "false"},
+         Age("waited_ms", wait.since, now.local),
+         {"waits", wait.spread ? "false" : "true"}});
   }
-  const auto with_margin =
-      std::chrono::duration_cast<Millis>(kExpectedTimeFactor * time) +
-      kReportTime;
-  return now + std::min(limit, with_margin);
 }
 
 }  // namespace
@@ -164,25 +189,24 @@
        waited > state.options.reclaim / kSpreadShareOfReclaim)) {
     return true;
   }
-  const Millis limit = WorthOfRack(state, unit);
-  const auto [it, begins] =
-      state.rack_waits.try_emplace(unit.key, RackWait{now.local, now.local});
-  RackWait& wait = it->second;
-  // A rack that was expected to come free was taken by others. In a busy pool a
-  // spread gang would keep its workers from others for longer.
-  const Millis left = limit - (now.local - wait.since);
-  const bool again = !begins && now.local >= wait.until && left > Millis{0} &&
-                     wait.until > wait.since && IsBusy(candidates);
-  if (begins || again) {
-    wait.until =
-        EndOfWait(state, fleet, unit, candidates, demand, left, now.local);
+  if (unit.step->lasting) {
+    return true;
+  }
+  RackWait& wait = state.rack_waits
+                       .try_emplace(unit.key, RackWait{now.local, now.local,
+                                                       std::nullopt, false})
+                       .first->second;
+  if (!wait.spread && now.local >= wait.until) {
+    Weigh(state, unit, wait,
+          TimeUntilRackFits(state, fleet, candidates, demand, now.local),
+          IsBusy(candidates), now);
   }
-  return now.local >= wait.until;
+  return wait.spread;
 }
 
-bool WaitsForRack(const State& state, const Unit& unit, TimePoint now) {
+bool WaitsForRack(const State& state, const Unit& unit) {
   const auto wait = state.rack_waits.find(unit.key);
-  return wait != state.rack_waits.end() && now < wait->second.until;
+  return wait != state.rack_waits.end() && !wait->second.spread;
 }
 
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/rack_wait.h
+++ b/packages/scheduler/src/rack_wait.h
@@ -9,8 +9,9 @@
 #include "units.h"
 
 /// How long a gang waits for room in one rack. One that is spread over several
-/// racks takes longer, so a rack is a preference, not a condition: the wait is
-/// worth at most the time that the spread gang would lose.
+/// racks takes longer, so a rack is a preference, not a condition. In a pool
+/// that is not busy the wait is worth at most the time that the spread gang
+/// would lose; in a busy one the gang is spread when its caller gains by it.
 namespace shallotlug::scheduler {
 
 /// @brief Time until the ends of runs leave room for all tasks of the demand in
@@ -32,7 +33,7 @@
                         Now now);
 
 /// @brief Whether the unit waits for a rack although it could be spread.
-bool WaitsForRack(const State& state, const Unit& unit, TimePoint now);
+bool WaitsForRack(const State& state, const Unit& unit);
 
 }  // namespace shallotlug::scheduler
 
--- a/packages/scheduler/src/rack_wait_test.cc
+++ b/packages/scheduler/src/rack_wait_test.cc
@@ -159,6 +159,63 @@
   EXPECT_TRUE(Runs("large"));
 }
 
+// A pool of which more than half is in use: each full rack has one free worker.
+class BusyPoolTest : public RackWaitTest {
+ protected:
+  void FillUntil(Millis work) {
+    for (int rack = 0; rack < kFullRacks; ++rack) {
+      const std::string id = "fill" + std::to_string(rack);
+      workload::Job job = scheduler.Job(id, "live", "acme", 2, 8);
+      job.steps[0].need = kWorker;
+      job.steps[0].data_rack = "r" + std::to_string(rack);
+      job.steps[0].estimate = work;
+      scheduler.SetWork(id, work);
+      scheduler.Submit(job);
+    }
+    scheduler.Run(2);
+  }
+
+  // Its caller gets full credit within 20 s, and late credit within 60 s.
+  void SubmitUrgentGang() {
+    workload::Job job = scheduler.Job("gang", "live", "acme", kGang, 8);
+    job.steps[0].gang = true;
+    job.steps[0].same_rack = true;
+    job.steps[0].estimate = kGangEstimate;
+    scheduler.Submit(job);
+  }
+};
+
+// Guards against a gang that takes three times the time of workers that others
+// want, while a rack comes free in time.
+TEST_F(BusyPoolTest, WaitsWhileTheRackIsWorthMoreToTheCaller) {
+  FillUntil(Millis(8'000));
+  SubmitUrgentGang();
+  scheduler.Run(7 * kRoundsOfSecond);
+  EXPECT_FALSE(Runs("gang"));
+  scheduler.Run(2 * kRoundsOfSecond);
+  ASSERT_TRUE(Runs("gang"));
+  EXPECT_EQ(Racks("gang").size(), 1U);
+}
+
+// Guards against a caller who gets nothing for a gang that would be in time
+// when spread.
+TEST_F(BusyPoolTest, SpreadsWhenTheCallerGainsByIt) {
+  FillUntil(Millis(120'000));
+  SubmitUrgentGang();
+  scheduler.Run(2);
+  EXPECT_TRUE(Runs("gang"));
+}
+
+// Guards against a wait without end where the caller gains nothing by a spread.
+TEST_F(BusyPoolTest, SpreadsAfterTheLongestWait) {
+  FillUntil(Millis(40'000));
+  SubmitUrgentGang();
+  scheduler.Run(29 * kRoundsOfSecond);
+  EXPECT_FALSE(Runs("gang"));
+  scheduler.Run(2 * kRoundsOfSecond);
+  EXPECT_TRUE(Runs("gang"));
+}
+
 // Guards against an urgent gang that waits for a rack while it might preempt
 // runs in several.
 TEST_F(RackWaitTest, PreemptsInSeveralRacksWhereNoRackComesFree) {
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -123,7 +123,10 @@
 /// @brief Wait of a gang for a rack, from when it could first be spread.
 struct RackWait {
   TimePoint since{};
-  TimePoint until{};  ///< It may be spread over racks from then on.
+  TimePoint until{};  ///< When it is weighed again.
+  /// When a rack was expected, at the first look at a pool that was not busy.
+  std::optional<TimePoint> expected_by;
+  bool spread = false;  ///< It may be spread over racks.
 };
 
 /// @brief Demand of urgent work, running or waiting, in accelerators.
