executor: stop unanswered starts on the life after a planned departure

Cause: the next life is sent a stop for each unanswered start of the last 15 s as the former life ends. After a departure no worker is there then, and nobody sent the stops when the next life was heard of. A crash was covered.

Change: the first heartbeat of a life after a departure sends them.

--- a/packages/executor/src/executor_test.cc
+++ b/packages/executor/src/executor_test.cc
@@ -725,6 +725,35 @@
   EXPECT_THAT(subject.TakeActions(now), IsEmpty());
 }
 
+// Guards against the same where the worker has left as planned and starts again
+// under its id, whether its heartbeat or its lists tell so first.
+TEST_F(LivesTest, StopsAnUnansweredStartOnALifeAfterAPlannedDeparture) {
+  for (const bool lists_first : {false, true}) {
+    subject = Executor({AgentName("agent"), Incarnation{1}, Millis(6'000)});
+    Connect();
+    OrderStart();
+    subject.TakeActions(now);
+    subject.OnStartResult(FirstRun(), {OrderStatus::kNoAnswer, {}, ""}, now);
+    Wait(Millis(200));
+    subject.TakeActions(now);
+    subject.OnStartResult(FirstRun(), {OrderStatus::kDone, {}, ""}, now);
+    Answer(subject.WatchCall(now),
+           View({}, {{1, FirstRun(), EndReason::kStopped, ""}}));
+    subject.OnDeparture(facts.life.id, now);
+    EXPECT_THAT(subject.TakeActions(now), IsEmpty());
+    Wait(Millis(4'000));
+    ++facts.life.born;
+    if (lists_first) {
+      Answer(subject.WatchCall(now), ViewOfLife(facts.life.born, Millis(10)));
+    }
+    sequence = 0;
+    subject.OnHeartbeat(facts, ++sequence, now);
+    const auto actions = subject.TakeActions(now);
+    ASSERT_THAT(actions, SizeIs(1)) << "lists first: " << lists_first;
+    EXPECT_TRUE(std::holds_alternative<StopAction>(actions[0]));
+  }
+}
+
 // The worker's clock may run 2 % slow, and the lease must not end late.
 TEST_F(ExecutorTest, ShortensTheLeaseForASlowWorkerClock) {
   Connect();
--- a/packages/executor/src/lives.cc
+++ b/packages/executor/src/lives.cc
@@ -66,7 +66,7 @@
   std::erase_if(unanswered_starts,
                 [&](const auto& it) { return now - it.second > kLatestStart; });
   if (departed) {
-    return;
+    return;  // The next life is told when it is heard of.
   }
   for (const auto& [ref, at] : unanswered_starts) {
     const auto [run, added] = runs.try_emplace(ref);
@@ -168,7 +168,9 @@
   it.heartbeat_sequence = sequence;
   it.heard_at = now;
   it.facts = facts;
-  it.departed = false;
+  if (std::exchange(it.departed, false) && new_life) {
+    it.StopUnansweredStarts(now);
+  }
   if ((new_life || it.reported_born == 0) &&
       it.reported_born != facts.life.born) {
     it.HearLife(facts.life.born);
