scheduler: keep rows of due occurrences only

Cause: a row with all tasks was made for each occurrence when the job was read.

Change: rows of the first occurrence, of recorded and of due ones, for at most as many open tasks as the largest job has; the others follow. A cancel records only what has rows.

--- a/packages/scheduler/src/outcomes.cc
+++ b/packages/scheduler/src/outcomes.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "batch.h"
+#include "occurrences.h"
 #include "state.h"
 #include "suspects.h"
 #include "units.h"
@@ -173,19 +174,22 @@
   return (now - run.running_since) * (100 - run.percent) / run.percent;
 }
 
-/// @brief Number of parts of the occurrences that were recorded in parts.
+/// @brief Number of records of each occurrence.
 std::map<int, int> PartsOf(const State& state, const workload::Job& job) {
   std::map<int, int> parts;
   for (auto it = state.occurrences.lower_bound({job.id, 0});
        it != state.occurrences.end() && it->first.job == job.id; ++it) {
-    if (it->second.progress.in_parts) {
-      parts[it->first.number] = workload::PartCount(it->second.progress);
-    }
+    parts[it->first.number] = it->second.progress.in_parts
+                                  ? workload::PartCount(it->second.progress)
+                                  : 1;
   }
   return parts;
 }
 
 bool AllFinal(const State& state, const OccurrenceKey& first, TimePoint limit) {
+  if (state.upcoming.contains(first.job)) {
+    return false;
+  }
   for (auto it = state.occurrences.lower_bound(first);
        it != state.occurrences.end() && it->first.job == first.job; ++it) {
     if (it->second.progress.outcome == Outcome::kOpen ||
@@ -264,11 +268,11 @@
     const std::shared_ptr<const workload::Job> job =
         state.occurrences.at(it).job;
     // The others go with the next batches.
-    if (!AddRecords(state, batch,
-                    workload::DropJob(*job, PartsOf(state, *job)))) {
+    const std::map<int, int> parts = PartsOf(state, *job);
+    if (!AddRecords(state, batch, workload::DropJob(*job, parts))) {
       return;
     }
-    for (int n = 0; n < Occurrences(*job); ++n) {
+    for (const auto& [n, count] : parts) {
       state.occurrences.erase({it.job, n});
       state.changed.erase({it.job, n});
       state.guaranteed.erase({it.job, n});
@@ -323,6 +327,7 @@
   }
   state.unrecorded.insert(key);
   state.open.erase(key);
+  NoteFinal(state, key.job);
   DropOccurrence(state.speeds, key.job, key.number);
   state.guarantees_outdated = true;
   row.final_at = now;
--- a/packages/scheduler/src/scheduler.cc
+++ b/packages/scheduler/src/scheduler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "batch.h"
+#include "occurrences.h"
 #include "orders.h"
 #include "rates.h"
 #include "state.h"
@@ -30,114 +31,14 @@
 // usual outages.
 constexpr Millis kAuthorityTimeout{12'000};
 
-OccurrenceRow MakeRow(const std::shared_ptr<const workload::Job>& job,
-                      int number) {
-  OccurrenceRow row;
-  row.job = job;
-  row.progress = workload::MakeProgress(*job);
-  row.due = job->recurrence.count > 0
-                ? job->recurrence.first + number * job->recurrence.interval
-                : job->accepted_at;
-  return row;
-}
-
-/// @brief Whether recorded progress has the job's steps and task counts.
-bool Matches(const workload::Job& job, const workload::Progress& progress) {
-  if (progress.steps.size() != job.steps.size()) {
-    return false;
-  }
-  for (std::size_t n = 0; n < job.steps.size(); ++n) {
-    if (progress.steps[n].size() !=
-        static_cast<std::size_t>(job.steps[n].count)) {
-      return false;
-    }
-  }
-  return true;
-}
-
-/// @brief The members of a gang complete together; a predecessor may have
-/// recorded that of some of them only.
-void CompleteGangs(const workload::Job& job, workload::Progress& progress) {
-  for (std::size_t n = 0; n < progress.steps.size(); ++n) {
-    auto& tasks = progress.steps[n];
-    const auto done = std::find_if(
-        tasks.begin(), tasks.end(),
-        [](const auto& it) { return it.phase == TaskPhase::kDone; });
-    if (job.steps[n].gang && done != tasks.end()) {
-      const workload::TaskProgress member = *done;
-      std::fill(tasks.begin(), tasks.end(), member);
-    }
-  }
-}
-
 }  // namespace
 
 struct Scheduler::Impl {
   State state;
   Batch batch;           ///< Planned last.
   TimePoint swept_at{};  ///< When all agents were last checked for news.
-
-  void RestoreRuns(const OccurrenceKey& key, const OccurrenceRow& row, Now now);
-  void AddOccurrences(const workload::JobEntry& entry, Now now);
 };
 
-// Runs that a predecessor recorded may be present on their workers.
-void Scheduler::Impl::RestoreRuns(const OccurrenceKey& key,
-                                  const OccurrenceRow& row,
-                                  Now now) {
-  for (std::size_t step = 0; step < row.progress.steps.size(); ++step) {
-    const auto& tasks = row.progress.steps[step];
-    for (std::size_t n = 0; n < tasks.size(); ++n) {
-      if (tasks[n].phase != TaskPhase::kAssigned) {
-        continue;
-      }
-      RunRow run;
-      run.run = tasks[n].run;
-      run.on = tasks[n].on;
-      run.need = NeedOf(row.job->steps[step]);
-      run.state = RunState::kOrdered;
-      run.ordered_before = true;
-      run.placed_at = now.local;
-      run.checkpoint = tasks[n].checkpoint;
-      run.resumed = !run.checkpoint.empty();
-      run.urgent = row.job->terms.priority == 0;
-      state.runs.Put(
-          {key.job, key.number, static_cast<int>(step), static_cast<int>(n)},
-          std::move(run));
-    }
-  }
-}
-
-void Scheduler::Impl::AddOccurrences(const workload::JobEntry& entry, Now now) {
-  const auto job = std::make_shared<const workload::Job>(*entry.job);
-  for (int n = 0; n < Occurrences(*job); ++n) {
-    const OccurrenceKey key{job->id, n};
-    if (state.occurrences.contains(key)) {
-      continue;
-    }
-    OccurrenceRow row = MakeRow(job, n);
-    row.cancelled = entry.cancelled;
-    row.known_at = now.local;
-    row.known_after = now.wall - row.due;
-    const auto recorded = entry.occurrences.find(n);
-    if (recorded != entry.occurrences.end() &&
-        Matches(*job, recorded->second)) {
-      row.progress = recorded->second;
-      CompleteGangs(*job, row.progress);
-      row.begun = workload::HasStarted(row.progress);
-      RestoreRuns(key, row, now);
-    }
-    if (row.progress.outcome == Outcome::kOpen) {
-      state.open.insert(key);
-    } else {
-      row.final_at = now.local;
-    }
-    state.occurrences.emplace(key, std::move(row));
-    state.guarantees_outdated = true;
-    MarkChanged(state, key);
-  }
-}
-
 Scheduler::Scheduler(const SchedulerOptions& options,
                      const workload::Ledger& ledger,
                      Now now)
@@ -163,17 +64,12 @@
 
 void Scheduler::AddJob(const workload::JobEntry& entry, Now now) {
   if (entry.job) {
-    impl_->AddOccurrences(entry, now);
+    AddOccurrences(impl_->state, entry, now);
   }
 }
 
 void Scheduler::CancelJob(const JobId& job) {
-  State& state = impl_->state;
-  for (auto it = state.occurrences.lower_bound({job, 0});
-       it != state.occurrences.end() && it->first.job == job; ++it) {
-    it->second.cancelled = true;
-    MarkChanged(state, it->first);
-  }
+  CancelOccurrences(impl_->state, job);
 }
 
 void Scheduler::AddAgent(const workload::AgentAddress& address, Now now) {
@@ -193,6 +89,7 @@
 std::vector<workload::RawRecord> Scheduler::Plan(const workload::Policy& policy,
                                                  Now now) {
   State& state = impl_->state;
+  AddDueOccurrences(state, now);
   ApplyPolicy(state, policy);
   ExpireLeases(state, now.local);
   LearnSpeeds(state, now.local);
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_SCHEDULER_SRC_STATE_H_
 #define SHALLOTLUG_SCHEDULER_SRC_STATE_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -55,6 +56,14 @@
   std::vector<WaitingStep> waiting;
 };
 
+/// @brief The occurrences of a repeated job that have no rows yet.
+struct Upcoming {
+  std::shared_ptr<const workload::Job> job;
+  std::int64_t tasks = 0;  ///< Of one occurrence.
+  int next = 0;            ///< All before it have rows.
+  std::int64_t open = 0;   ///< Rows without a final outcome.
+};
+
 struct Batch;
 
 /// @brief One agent and its worker.
@@ -141,6 +150,7 @@
 struct State {
   SchedulerOptions options;
   std::map<OccurrenceKey, OccurrenceRow> occurrences;
+  std::map<JobId, Upcoming> upcoming;
   std::set<OccurrenceKey> open;  ///< Those without a final outcome.
   RunTable runs;
   std::map<AgentName, AgentRow> agents;
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -138,9 +138,8 @@
 std::size_t RecordBytes(const RawRecord& record);
 
 /// @brief Returns the records that delete all keys of a job.
-/// @param parts Number of parts of each occurrence that was recorded so.
-std::vector<RawRecord> DropJob(const Job& job,
-                               const std::map<int, int>& parts = {});
+/// @param parts Number of records of each occurrence that may have some.
+std::vector<RawRecord> DropJob(const Job& job, const std::map<int, int>& parts);
 
 /// @brief Whether only the scheduler writes records of this key.
 bool IsSchedulersRecord(std::string_view key);
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -253,9 +253,7 @@
   // again by a scheduler that begins between two appends.
   std::vector<RawRecord> drops{{std::string(kJobPrefix) + job.id.value, ""},
                                {std::string(kCancelPrefix) + job.id.value, ""}};
-  for (int n = 0; n < Occurrences(job); ++n) {
-    const auto of_occurrence = parts.find(n);
-    const int count = of_occurrence == parts.end() ? 1 : of_occurrence->second;
+  for (const auto& [n, count] : parts) {
     for (int part = 0; part < count; ++part) {
       drops.push_back({detail::PartKey(job.id, n, part), ""});
     }
