--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -1,9 +1,8 @@
 #include <algorithm>
-#include <iterator>
-#include <limits>
 #include <optional>
 #include <utility>
 
+#include "candidates.h"
 #include "fleet.h"
 #include "placement.h"
 #include "rack_wait.h"
@@ -28,152 +27,6 @@
 // After a search for runs to preempt has failed, the unit is searched for again
 // only after this time, as a search looks at all runs.
 constexpr Millis kPreemptionRetry{100};
-// How long a task waits for a worker in the rack of its data.
-constexpr Millis kDataLocalityWait{3'000};
-// How long a task that has failed waits for a worker on which it has not.
-constexpr Millis kOtherWorkerWait{2'000};
-// The same in a pool of which at least half is in use: others are full there.
-constexpr Millis kOtherWorkerWaitWhenBusy{10'000};
-
-/// @brief State of one placement.
-struct Placement {
-  State& state;
-  Fleet fleet;
-  Now now;
-};
-
-bool HasLabel(const workload::WorkerFacts& worker, const std::string& label) {
-  return label.empty() || std::find(worker.labels.begin(), worker.labels.end(),
-                                    label) != worker.labels.end();
-}
-
-int TasksOfStepOn(const State& state,
-                  const Unit& unit,
-                  const AgentName& agent) {
-  const auto runs = state.runs.OfStep(
-      unit.key.occurrence.job, unit.key.occurrence.number, unit.key.step);
-  return static_cast<int>(std::count_if(
-      runs.begin(), runs.end(),
-      [&](const auto& it) { return it.second.on.agent == agent; }));
-}
-
-bool HasFailed(const State& state, const Unit& unit) {
-  return !state.failed_on.empty() &&
-         std::any_of(unit.tasks.begin(), unit.tasks.end(), [&](int it) {
-           return state.failed_on.contains(TaskOf(unit, it));
-         });
-}
-
-bool HasFailedOn(const State& state, const Unit& unit, const AgentName& agent) {
-  return !state.failed_on.empty() &&
-         std::any_of(unit.tasks.begin(), unit.tasks.end(), [&](int it) {
-           const auto found = state.failed_on.find(TaskOf(unit, it));
-           return found != state.failed_on.end() &&
-                  found->second.contains(agent);
-         });
-}
-
-bool IsEligible(const FleetWorker& worker, const Unit& unit) {
-  return worker.schedulable &&
-         worker.agent->worker.service == unit.row->terms.pool &&
-         HasLabel(worker.agent->worker, unit.step->required_label);
-}
-
-std::vector<Candidate> Candidates(const Placement& placement,
-                                  const Unit& unit,
-                                  bool skip_failed) {
-  std::vector<Candidate> candidates;
-  candidates.reserve(placement.fleet.size());
-  for (std::size_t n = 0; n < placement.fleet.size(); ++n) {
-    const FleetWorker& worker = placement.fleet[n];
-    if (!IsEligible(worker, unit) ||
-        IsClosedTo(placement.state, *worker.name, unit) ||
-        (skip_failed && HasFailedOn(placement.state, unit, *worker.name))) {
-      continue;
-    }
-    int limit = std::numeric_limits<int>::max();
-    if (unit.step->per_worker_limit > 0) {
-      limit = unit.step->per_worker_limit -
-              TasksOfStepOn(placement.state, unit, *worker.name);
-    }
-    candidates.push_back({static_cast<int>(n), worker.agent->rack,
-                          worker.agent->worker.capacity, worker.free, limit,
-                          worker.time_factor, worker.speed_class});
-  }
-  return candidates;
-}
-
-/// @brief What one placement of the unit requires: all tasks of a gang, or one.
-Demand DemandOf(const State& state, const Unit& unit) {
-  Demand demand;
-  demand.count = unit.step->gang ? static_cast<int>(unit.tasks.size()) : 1;
-  demand.need = NeedOf(*unit.step);
-  demand.same_rack = unit.step->gang && unit.step->same_rack;
-  const auto rack = state.racks.find(unit.step->data_rack);
-  if (!unit.step->data_rack.empty() && rack != state.racks.end()) {
-    demand.data_rack = rack->second;
-  }
-  return demand;
-}
-
-Millis Waited(const Unit& unit, Now now) {
-  return std::max(now.wall - unit.row->due, Millis{0});
-}
-
-std::vector<Candidate> CandidatesInRack(
-    const std::vector<Candidate>& candidates,
-    int rack) {
-  std::vector<Candidate> near;
-  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(near),
-               [&](const Candidate& it) { return it.rack == rack; });
-  return near;
-}
-
-std::vector<int> Fit(const Placement& placement,
-                     const Unit& unit,
-                     const std::vector<Candidate>& all,
-                     const Demand& demand) {
-  const Now now = placement.now;
-  if (demand.data_rack != kNoRack && Waited(unit, now) < kDataLocalityWait) {
-    const std::vector<Candidate> near = CandidatesInRack(all, demand.data_rack);
-    if (!near.empty()) {
-      return FirstFit(unit, near, now, [&](const auto& choice) {
-        return FitIntoRack(choice, demand);
-      });
-    }
-  }
-  // Tasks of a gang without a rack run as fast over several.
-  const bool anywhere = demand.count > 1 && !demand.same_rack;
-  std::vector<int> workers = FirstFit(unit, all, now, [&](const auto& choice) {
-    std::vector<int> fit = FitIntoRack(choice, demand);
-    return fit.empty() && anywhere ? FitInto(choice, demand) : fit;
-  });
-  if (!workers.empty() || !demand.same_rack || demand.count <= 1) {
-    return workers;
-  }
-  std::vector<int> spread = FirstFit(unit, all, now, [&](const auto& choice) {
-    return FitInto(choice, demand);
-  });
-  const bool may_spread =
-      !spread.empty() && MaySpreadOverRacks(placement.state, placement.fleet,
-                                            unit, all, demand, now);
-  return may_spread ? spread : std::vector<int>{};
-}
-
-/// @brief Whether all tasks of the demand fit into the eligible workers, with
-/// no regard to racks, limits and the reserve.
-bool MayFit(const Fleet& fleet, const Unit& unit, const Demand& demand) {
-  std::int64_t slots = 0;
-  for (const FleetWorker& it : fleet) {
-    if (it.free.Holds(demand.need) && IsEligible(it, unit)) {
-      slots += Slots(it.free, demand.need, demand.count);
-      if (slots >= demand.count) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
 
 void AssignTask(Placement& placement,
                 const Unit& unit,
@@ -387,33 +240,6 @@
   return true;
 }
 
-/// @brief Whether the unit waits on for workers on which none of its tasks has
-/// failed.
-bool WaitsForOtherWorkers(const Placement& placement,
-                          const Unit& unit,
-                          const std::vector<Candidate>& all) {
-  const TimePoint now = placement.now.local;
-  const auto since =
-      placement.state.other_worker_wait_since.try_emplace(unit.key, now).first;
-  return now - since->second <
-         (IsBusy(all) ? kOtherWorkerWaitWhenBusy : kOtherWorkerWait);
-}
-
-/// @brief The workers that may take the unit. Those on which one of its tasks
-/// has failed only if the others could not hold it, or do not for some time.
-std::vector<Candidate> CandidatesOf(const Placement& placement,
-                                    const Unit& unit,
-                                    const Demand& demand) {
-  std::vector<Candidate> all = Candidates(placement, unit, false);
-  if (!HasFailed(placement.state, unit)) {
-    return all;
-  }
-  std::vector<Candidate> others = Candidates(placement, unit, true);
-  const bool waits =
-      CouldHold(others, demand) && WaitsForOtherWorkers(placement, unit, all);
-  return waits ? others : all;
-}
-
 /// @brief The candidates on which the unit would be in time, while it may wait
 /// for these, else all of them.
 std::vector<Candidate> AcceptedCandidates(
