scheduler: no search over racks while a gang waits for one

A gang that waits for a rack looked for room in all racks at each placement, which sorts all workers with room. It does so when its wait is weighed again.

--- a/packages/scheduler/src/candidates.cc
+++ b/packages/scheduler/src/candidates.cc
@@ -170,6 +170,11 @@
   if (!workers.empty() || !demand.same_rack || demand.count <= 1) {
     return workers;
   }
+  // A search over all racks is worth nothing before the wait is weighed again.
+  if (!unit.guaranteed &&
+      WaitsForRackUntil(placement.state, unit) > now.local) {
+    return workers;
+  }
   std::vector<int> spread = FirstFit(unit, all, now, [&](const auto& choice) {
     return FitInto(choice, demand);
   });
--- a/packages/scheduler/src/rack_wait.cc
+++ b/packages/scheduler/src/rack_wait.cc
@@ -209,4 +209,11 @@
   return wait != state.rack_waits.end() && !wait->second.spread;
 }
 
+TimePoint WaitsForRackUntil(const State& state, const Unit& unit) {
+  const auto wait = state.rack_waits.find(unit.key);
+  return wait != state.rack_waits.end() && !wait->second.spread
+             ? wait->second.until
+             : TimePoint{};
+}
+
 }  // namespace shallotlug::scheduler
--- a/packages/scheduler/src/rack_wait.h
+++ b/packages/scheduler/src/rack_wait.h
@@ -35,6 +35,9 @@
 /// @brief Whether the unit waits for a rack although it could be spread.
 bool WaitsForRack(const State& state, const Unit& unit);
 
+/// @brief When such a wait is weighed again; the past if there is none.
+TimePoint WaitsForRackUntil(const State& state, const Unit& unit);
+
 }  // namespace shallotlug::scheduler
 
 #endif  // SHALLOTLUG_SCHEDULER_SRC_RACK_WAIT_H_
