scheduler: a large record does not keep smaller ones out of an append

Found by reading: while the parts of one occurrence filled an append, the records of others behind it waited for the next one, and again if its parts had changed. A batch goes on to smaller records now, and one that fills a batch alone goes first only in each second one.

--- a/packages/scheduler/src/batch.cc
+++ b/packages/scheduler/src/batch.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kUsualAppendBytes = 512UL * 1024;
 // Room for the claim that may be added to a batch.
 constexpr std::size_t kClaimBytes = 1'024;
+// A batch counts as full when it has had no room for so many occurrences.
+constexpr int kLeftOutUntilFull = 4;
 constexpr Millis kBacklogLogInterval{1'000};
 // A record that the store has refused for good is sent again after this time.
 constexpr Millis kRefusedRetry{10'000};
@@ -106,8 +108,9 @@
   if (!AddRecords(state, batch, records)) {
     if (first) {
       AddSome(state, batch, key, row, records);
+    } else if (!state.record_first) {
+      state.record_first = key;
     }
-    state.record_first = key;
     return false;
   }
   NotePlanned(batch, key, row, records);
@@ -134,19 +137,20 @@
   return true;
 }
 
-/// @brief Adds the progress of these occurrences until the batch is full.
+/// @brief Adds the progress of these occurrences until the batch is full. One
+/// that has no room does not keep out smaller ones behind it.
 /// @return Whether there was room for all.
 bool AddProgressOf(State& state,
                    Batch& batch,
                    const std::set<OccurrenceKey>& keys) {
+  int left_out = 0;
   // `keys` may be a table of the state, which loses those that were added.
-  for (auto it = keys.begin(); it != keys.end();) {
+  for (auto it = keys.begin();
+       it != keys.end() && left_out < kLeftOutUntilFull;) {
     const OccurrenceKey key = *it++;
-    if (!AddIfUnrecorded(state, batch, key)) {
-      return false;
-    }
+    left_out += AddIfUnrecorded(state, batch, key) ? 0 : 1;
   }
-  return true;
+  return left_out == 0;
 }
 
 /// @brief Whether all records that the agent's reports have changed are durable
@@ -285,6 +289,7 @@
   batch.planned_at = now;
   std::erase_if(state.awaited,
                 [&](const auto& it) { return !state.unrecorded.contains(it); });
+  // One that fills the whole batch goes first only in each second one.
   const auto first = std::exchange(state.record_first, std::nullopt);
   const bool has_room = (!first || AddIfUnrecorded(state, batch, *first)) &&
                         AddProgressOf(state, batch, state.awaited);
--- a/packages/scheduler/src/batch_test.cc
+++ b/packages/scheduler/src/batch_test.cc
@@ -89,6 +89,42 @@
   EXPECT_LE(scheduler.LargestPlan(), limits.request_bytes);
 }
 
+class LargeJobTest : public BatchTest {
+ protected:
+  LargeJobTest() : BatchTest({20'000, 22'000}) {}
+};
+
+// Guards against jobs that are never recorded beside one whose changes fill
+// more than an append all the time, whatever their order.
+TEST_F(LargeJobTest, RecordsOthersBesideAJobThatFillsAllAppends) {
+  constexpr int kTasks = 3'000;
+  constexpr int kStride = 50;
+  constexpr int kRounds = 30;
+  scheduler.AddWorker("a2", "r1", {4'000'000, 4'000'000, 4'000});
+  scheduler.Run(2);
+  scheduler.Submit(scheduler.Job("large", "live", "acme", kTasks, 1));
+  scheduler.Run(4);
+  const auto fail_some = [&](int round) {
+    for (int n = round % kStride; n < kTasks; n += kStride) {
+      scheduler.End({JobId("large"), 0, 0, n}, workload::EndReason::kFailed);
+    }
+  };
+  // Tasks in different states take a row each.
+  for (int round = 0; round < kStride; round += 2) {
+    fail_some(round);
+  }
+  scheduler.Run();
+  scheduler.Submit(scheduler.Job("before", "live", "acme", 1, 1));
+  scheduler.Submit(scheduler.Job("later", "live", "acme", 1, 1));
+  for (int round = 0; round < kRounds; ++round) {
+    fail_some(round);
+    scheduler.Run();
+  }
+  EXPECT_LE(scheduler.LargestPlan(), limits.request_bytes);
+  EXPECT_EQ(scheduler.Log().count("p/before/0"), 1U);
+  EXPECT_EQ(scheduler.Log().count("p/later/0"), 1U);
+}
+
 class SmallAppendsTest : public BatchTest {
  protected:
   SmallAppendsTest() : BatchTest({1'000, 1'000}) {}
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -43,7 +43,7 @@
   /// From its due time to `known_at`, by the clocks of two processes.
   Millis known_after{0};
   TimePoint wait_logged_at{};  ///< When the reason of its wait was last logged.
-  /// Hashes of the parts that were planned last, by their number.
+  /// Hashes of the parts that were planned last, by their key.
   std::map<std::string, std::size_t> planned_parts;
   bool checkpoints_left_out = false;  ///< Of a part that they make too large.
   /// Its record was refused by the store, and is not sent before this time.
