--- a/packages/joblog/src/joblog_test.cc
+++ b/packages/joblog/src/joblog_test.cc
@@ -127,6 +127,26 @@
   EXPECT_GT(follower.Next().max_kilobytes, 16 * smallest);
 }
 
+// Guards against a reader that asks again and again for a page that cannot hold
+// the next record.
+TEST_F(FollowerTest, RaisesThePageLimitUntilALargeRecordFits) {
+  constexpr int kRecordKilobytes = 257;
+  follower.OnNewest(DonePage(), kNow);
+  for (int n = 0; n < 10; ++n) {
+    follower.OnRead(ReadResult{}, kNow);
+  }
+  ASSERT_LT(follower.Next().max_kilobytes, kRecordKilobytes);
+  ReadResult empty;
+  empty.status = ReadStatus::kDone;
+  empty.end_offset = 1;
+  int reads = 0;
+  while (follower.Next().max_kilobytes < kRecordKilobytes && reads < 50) {
+    follower.OnRead(empty, kNow);
+    ++reads;
+  }
+  EXPECT_LT(reads, 50);
+}
+
 class ShouldClaimTest : public testing::Test {
  protected:
   AuthorityView View(Millis silence, bool resigned = false) const {
