scheduler: hold the placement after an outage until the log is read

Cause: the time without a complete read counted from the first append after the outage, which may be answered before the first read.

Change: the placement is held by the age of the last complete read alone; an outage still is no reason to resign.

--- a/packages/scheduler/src/role_checks.cc
+++ b/packages/scheduler/src/role_checks.cc
@@ -96,9 +96,11 @@
 }
 
 void Role::Impl::CheckLogLag(Now now) {
+  // After an outage of the store the first append may be answered before the
+  // first read, and jobs may have been cancelled meanwhile.
+  term->scheduler.HoldPlacement(now.local - current_at > kMaxLogLag);
   // While the store is away, reads fail as appends do.
   const Millis lag = now.local - std::max(current_at, term->appending_since);
-  term->scheduler.HoldPlacement(lag > kMaxLogLag);
   const Millis limit = joblog::IsWeakerThanAnother(ledger, options.entry)
                            ? kMaxLogLag
                            : kMaxLogLagOfStrongest;
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -436,6 +436,31 @@
   EXPECT_EQ(role.Epoch(), 1U);
 }
 
+// Guards against starts of a job whose cancel was stored during an outage: the
+// first append after it is answered before the first read.
+TEST_F(LogLagTest, PlacesNothingAfterAnOutageUntilTheLogIsRead) {
+  Read({});
+  for (Millis passed{0}; passed < Millis(5'000); passed += Millis(100)) {
+    now.local += Millis(100);
+    if (role.NextAppend(kNonce, now)) {
+      joblog::AppendResult refused;
+      refused.status = joblog::AppendStatus::kNotDone;
+      role.OnAppended(refused, now);
+    }
+  }
+  const auto logged = [&](const std::string& event) {
+    const std::vector<LogLine> lines = role.TakeLog();
+    return std::any_of(lines.begin(), lines.end(),
+                       [&](const LogLine& it) { return it.event == event; });
+  };
+  role.TakeLog();
+  FallBehind(Millis(200));
+  EXPECT_TRUE(logged("placement_held"));
+  Read({});
+  FallBehind(Millis(100));
+  EXPECT_TRUE(logged("placement_resumed"));
+}
+
 // Guards against a role that goes back and forth between weak entries while the
 // strong ones are lost.
 TEST_F(LogLagTest, KeepsTheRoleAfterAnotherHasHandedItOver) {
