--- a/packages/scheduler/src/rack_wait.h
+++ b/packages/scheduler/src/rack_wait.h
@@ -35,7 +35,8 @@
 /// @brief Whether the unit waits for a rack although it could be spread.
 bool WaitsForRack(const State& state, const Unit& unit);
 
-/// @brief When such a wait is weighed again; the past if there is none.
+/// @brief When such a wait is weighed again; TimePoint{} if the unit does not
+/// wait for a rack.
 TimePoint WaitsForRackUntil(const State& state, const Unit& unit);
 
 }  // namespace shallotlug::scheduler
