--- a/review/standins-3/worker.h
+++ b/review/standins-3/worker.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -24,8 +25,8 @@
 
 /// @brief A worker as the pages describe it: starts, stops, leases, ends that
 /// are listed until they are noted, and heartbeats to the agent beside it. The
-/// `spec` of a task is the time that it works, in ms; a task that lasts works
-/// until it is stopped.
+/// `spec` of a task is the time that it works, in ms, behind `fail ` if it ends
+/// failed then.
 class Worker {
  public:
   struct Options {
@@ -120,6 +121,7 @@
   using LifePtr = std::shared_ptr<Life>;
 
   static constexpr Millis kUntilFailure{150};
+  static constexpr std::string_view kFails = "fail ";
 
   static Millis ClockOf(const Life& life) {
     return std::chrono::duration_cast<Millis>(Clock::now() - life.began);
@@ -242,13 +244,16 @@
       return Conflict(*life, "late");
     }
     ExtendLease(*life, body);
-    const std::string spec(body.at("spec").as_string());
-    const Millis work(std::stoll(spec));
+    std::string spec(body.at("spec").as_string());
+    const bool fails = failing_ || spec.starts_with(kFails);
+    if (spec.starts_with(kFails)) {
+      spec.erase(0, kFails.size());
+    }
+    const Millis work = failing_ ? kUntilFailure : Millis(std::stoll(spec));
     life->runs[task] = {number, Clock::now(), work, 0};
     listener_({life->id, task, number, "start"});
     asio::co_spawn(context_,
-                   failing_ ? Work(life, task, number, kUntilFailure, "failed")
-                            : Work(life, task, number, work, "done"),
+                   Work(life, task, number, work, fails ? "failed" : "done"),
                    asio::detached);
     return JsonResponse(200, Answer(*life));
   }
