--- a/review/standins-3/worker.h
+++ b/review/standins-3/worker.h
@@ -81,6 +81,7 @@
 
   unsigned short Port() const { return port_; }
   void SetAgent(unsigned short port) { agent_ = port; }
+  unsigned short AgentPort() const { return agent_; }
   const std::string& Id() const { return life_->id; }
 
   /// @brief Whether the task is at work here.
