service: store the cancel of a job that is not in the log

The store turned one entry away, the caller left early and cancelled at another entry, and a third stored the submission after that.

Cause: JobApi::Cancel() answered 410 from the log alone and left nothing for a submission that an entry, a peer or the store still held.

Change: the cancel is stored before the 410; 503 or 504 if it cannot be. Ledger and scheduler already take a cancel before its job. The scheduler drops the record after 180 s, counted from the time in the record; at most 10,000 are kept, and a repeated cancel writes nothing. A 410 of a peer is returned to a caller whose own entry does not know the outcome of its append.

--- a/packages/scheduler/src/role.cc
+++ b/packages/scheduler/src/role.cc
@@ -144,6 +144,7 @@
   if (records.empty()) {
     term.scheduler.Commit();
   }
+  AddOldCancels(it.cancel_ages, it.ledger, records, now);
   it.AddClaimIfDue(records, now.local);
   if (records.empty()) {
     return std::nullopt;
--- a/packages/scheduler/src/role_impl.h
+++ b/packages/scheduler/src/role_impl.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "append_queue.h"
+#include "early_cancels.h"
 #include "fleet_reach.h"
 #include "shallotlug/joblog/authority.h"
 #include "shallotlug/joblog/response_timer.h"
@@ -82,6 +83,7 @@
   bool append_failed = false;  ///< The latest append of this term.
   joblog::ResponseTimer response_timer;
   TimePoint sent_at{};  ///< Of the append in flight.
+  CancelAges cancel_ages;
   bool retiring = false;
   std::vector<LogLine> log;
 
--- a/packages/scheduler/src/role_test.cc
+++ b/packages/scheduler/src/role_test.cc
@@ -461,6 +461,37 @@
   EXPECT_TRUE(logged("placement_resumed"));
 }
 
+// Guards against a log that keeps the cancels of jobs that never come.
+TEST_F(LogLagTest, DropsCancelsOfUnknownJobsAfterTheirRetention) {
+  Read({workload::Encode(workload::JobCancelled{JobId("gone"), now.wall})});
+  Read({workload::Encode(workload::JobCancelled{JobId("j1"), now.wall})});
+  workload::Job job;
+  job.id = JobId("j1");
+  job.steps.emplace_back();
+  Read({workload::Encode(workload::JobAccepted{job})});
+  std::optional<Millis> dropped_after;
+  const TimePoint began = now.local;
+  while (now.local - began < Millis(200'000)) {
+    now.local += Millis(500);
+    now.wall += Millis(500);
+    Read({});
+    const auto append = role.NextAppend(kNonce, now);
+    if (!append) {
+      continue;
+    }
+    for (const workload::RawRecord& it : append->records) {
+      if (it.key == "c/gone" && it.value.empty()) {
+        dropped_after = now.local - began;
+      }
+    }
+    role.OnAppended(Appended(end), now);
+    end += append->records.size();
+  }
+  ASSERT_TRUE(dropped_after);
+  EXPECT_GE(*dropped_after, workload::kEarlyCancelRetention);
+  EXPECT_TRUE(ledger.early_cancels.empty());
+}
+
 // Guards against a role that goes back and forth between weak entries while the
 // strong ones are lost.
 TEST_F(LogLagTest, KeepsTheRoleAfterAnotherHasHandedItOver) {
--- a/packages/service/src/job_api.cc
+++ b/packages/service/src/job_api.cc
@@ -19,6 +19,7 @@
 // Responses with these statuses are retried at another entry.
 constexpr int kNotRunStatus = 503;
 constexpr int kOutcomeUnknownStatus = 504;
+constexpr int kUnknownJobStatus = 410;
 // Appends are refused without a try when the log was last read this long ago,
 // or when reads have failed for this long: the outcome of a failed append is
 // unknown, and a caller cannot repeat a request then, but can after a refusal.
@@ -83,13 +84,15 @@
 }
 
 /// @brief Whether a peer's response may be returned to the caller. If the
-/// outcome of the local append is unknown, only a success may: the job may be
-/// stored even though the peer rejects the request.
+/// outcome of the local append is unknown, only a success may, and "unknown
+/// job", which acknowledges a cancel: the job may be stored even though the
+/// peer rejects the request.
 bool CanReturnPeerResponse(
     const std::optional<net::HttpResponse>& local_response,
     const net::HttpResponse& peer_response) {
   return !local_response || local_response->status != kOutcomeUnknownStatus ||
-         peer_response.status == 200;
+         peer_response.status == 200 ||
+         peer_response.status == kUnknownJobStatus;
 }
 
 }  // namespace
@@ -253,8 +256,7 @@
     if (StateOf(state_.ledger, job)) {
       CancelKnownJob(job, reply);
     } else if (current) {
-      LogJobEvent("job_to_cancel_unknown", job, {});
-      reply(platform::UnknownJobReply());
+      CancelUnknownJob(job, reply);
     } else {
       reply(platform::UnavailableReply("store_lost", kRetryAfter));
     }
@@ -262,14 +264,45 @@
 }
 
 void JobApi::CancelKnownJob(const JobId& job, const Reply& reply) {
+  AppendCancel(job, [job, reply](Stored stored) {
+    LogJobEvent("job_cancel_requested", job, {{"outcome", Name(stored)}});
+    reply(ResponseFor(stored));
+  });
+}
+
+void JobApi::CancelUnknownJob(const JobId& job, const Reply& reply) {
+  if (workload::IsCancelledEarly(state_.ledger, job)) {
+    LogJobEvent("job_to_cancel_unknown", job, {{"outcome", "repeated"}});
+    reply(platform::UnknownJobReply());
+    return;
+  }
+  if (workload::CountEarlyCancels(state_.ledger, ReadBothClocks().wall) >=
+      workload::kMaxEarlyCancels) {
+    LogJobEvent("job_to_cancel_unknown", job, {{"outcome", "too_many"}});
+    state_.counters.AddTo("shallotlug_calls_refused_total",
+                          {{"reason", "too_many_unknown_cancels"}});
+    reply(platform::UnavailableReply("too_many_unknown_cancels", kRetryAfter));
+    return;
+  }
+  AppendCancel(job, [this, job, reply](Stored stored) {
+    LogJobEvent("job_to_cancel_unknown", job, {{"outcome", Name(stored)}});
+    // The job may have been read while its cancel was stored.
+    const bool known = StateOf(state_.ledger, job).has_value();
+    reply(stored == Stored::kYes && !known ? platform::UnknownJobReply()
+                                           : ResponseFor(stored));
+  });
+}
+
+void JobApi::AppendCancel(const JobId& job,
+                          std::function<void(Stored)> handler) {
+  const scheduler::Now now = ReadBothClocks();
   state_.records.Append(
-      workload::Encode(workload::JobCancelled{job}),
-      ReadClock() + kAppendDeadline,
-      [this, job, reply, began = ReadClock()](Stored stored) {
+      workload::Encode(workload::JobCancelled{job, now.wall}),
+      now.local + kAppendDeadline,
+      [this, began = now.local, handler = std::move(handler)](Stored stored) {
         state_.histograms.Observe("shallotlug_job_call_seconds",
                                   {{"call", "cancel"}}, ReadClock() - began);
-        LogJobEvent("job_cancel_requested", job, {{"outcome", Name(stored)}});
-        reply(ResponseFor(stored));
+        handler(stored);
       });
 }
 
--- a/packages/service/src/job_api.h
+++ b/packages/service/src/job_api.h
@@ -66,6 +66,10 @@
   void Submit(platform::SubmitCall call, const Reply& reply);
   void Cancel(const platform::CancelCall& call, const Reply& reply);
   void CancelKnownJob(const JobId& job, const Reply& reply);
+  /// @brief Records the cancel of a job that is not in the log: its submission
+  /// may still be on its way there.
+  void CancelUnknownJob(const JobId& job, const Reply& reply);
+  void AppendCancel(const JobId& job, std::function<void(Stored)> handler);
   void QueryState(const platform::StateCall& call, const Reply& reply);
   void ReplyState(const JobId& job, const Reply& reply);
   /// @brief Whether an append would be tried in vain.
--- a/packages/service/src/job_api_test.cc
+++ b/packages/service/src/job_api_test.cc
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 #include <boost/asio/io_context.hpp>
 
+#include "clocks.h"
 #include "shallotlug/net/role_loop.h"
 
 namespace shallotlug::service {
@@ -126,11 +127,19 @@
     entry.job->steps.emplace_back();
   }
 
+  /// @brief The log holds the cancel of a job that is not in it.
+  void CancelEarly(const std::string& job, workload::WallTime stated_at) {
+    const workload::RawRecord record =
+        workload::Encode(workload::JobCancelled{JobId(job), stated_at});
+    Apply(ledger, record.key, record.value, ++offset);
+  }
+
   boost::asio::io_context context;
   Server store;
   Server first;
   Server second;
   workload::Ledger ledger;
+  std::uint64_t offset = 0;  // Of the last record of CancelEarly().
   workload::Policy policy;
   CounterTable counters;
   HistogramTable histograms;
@@ -310,6 +319,67 @@
   EXPECT_EQ(Cancel().status, 503);
 }
 
+// Guards against a job that runs although its cancel was acknowledged: its
+// submission was on its way to the log, and was stored later.
+TEST_F(JobApiTest, RecordsTheCancelOfAJobThatIsNotInTheLog) {
+  EXPECT_EQ(Cancel().status, 410);
+  ASSERT_EQ(store.requests.size(), 1U);
+  EXPECT_NE(store.requests[0].body.find("c/0123456789abcdef"),
+            std::string::npos);
+}
+
+TEST_F(JobApiTest, AcknowledgesNoCancelOfAnUnknownJobBeforeItIsStored) {
+  first.status = 503;
+  second.status = 503;
+  store.status = 503;
+  EXPECT_EQ(Cancel().status, 503);
+  store.drops = true;
+  EXPECT_EQ(Cancel().status, 504);
+}
+
+// Guards against a cancel whose acknowledgement by another entry is kept from
+// the caller, who repeats it in vain.
+TEST_F(JobApiTest, ReturnsAPeersAcknowledgementOfACancelAfterUnknownOutcome) {
+  store.drops = true;
+  first.status = 410;
+  EXPECT_EQ(Cancel().status, 410);
+}
+
+// Guards against a log that grows with each repetition of a cancel.
+TEST_F(JobApiTest, RecordsARepeatedCancelOfAnUnknownJobOnce) {
+  CancelEarly("0123456789abcdef", ReadBothClocks().wall);
+  EXPECT_EQ(Cancel().status, 410);
+  EXPECT_TRUE(store.requests.empty());
+}
+
+// Guards against the memory and the records that cancels of made-up ids take.
+TEST_F(JobApiTest, RefusesCancelsOfUnknownJobsBeyondTheirLimit) {
+  const workload::WallTime now = ReadBothClocks().wall;
+  for (std::size_t n = 0; n < workload::kMaxEarlyCancels; ++n) {
+    CancelEarly("made-up-" + std::to_string(n), now);
+  }
+  first.status = 503;
+  second.status = 503;
+  const HttpResponse response = Cancel();
+  EXPECT_EQ(response.status, 503);
+  EXPECT_FALSE(response.headers.empty());
+  EXPECT_TRUE(store.requests.empty());
+  // One of them is past its time.
+  CancelEarly("made-up-0", now - workload::kEarlyCancelRetention);
+  EXPECT_EQ(Cancel().status, 410);
+}
+
+// Guards against a caller that is refused its job without end, and against one
+// that asks for the state of an accepted job in vain.
+TEST_F(JobApiTest, StoresAJobThatWasCancelledBefore) {
+  CancelEarly("0123456789abcdef", ReadBothClocks().wall);
+  EXPECT_EQ(Call("GET", "").status, 410);
+  EXPECT_EQ(Submit().status, 200);
+  ASSERT_EQ(store.requests.size(), 1U);
+  EXPECT_NE(store.requests[0].body.find("j/0123456789abcdef"),
+            std::string::npos);
+}
+
 // Guards against a caller seeing a configuration take effect and then revert
 // because two entries with different versions served its requests.
 TEST_F(JobApiTest, NeverServesOlderConfigurationThanPeer) {
--- a/packages/service/src/job_entry.cc
+++ b/packages/service/src/job_entry.cc
@@ -191,6 +191,8 @@
     SetGauge("shallotlug_policy_version", policy_.version);
     SetGauge("shallotlug_jobs_known",
              static_cast<std::int64_t>(ledger_.jobs.size()));
+    SetGauge("shallotlug_unknown_jobs_cancelled",
+             static_cast<std::int64_t>(ledger_.early_cancels.size()));
     const scheduler::Scheduler::Reach reach = host_.AgentsHeard();
     SetGauge("shallotlug_scheduler_agents", reach.known, {{"state", "known"}});
     SetGauge("shallotlug_scheduler_agents", reach.heard, {{"state", "heard"}});
--- a/packages/workload/include/shallotlug/workload/ledger.h
+++ b/packages/workload/include/shallotlug/workload/ledger.h
@@ -1,6 +1,7 @@
 #ifndef SHALLOTLUG_WORKLOAD_LEDGER_H_
 #define SHALLOTLUG_WORKLOAD_LEDGER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +12,12 @@
 
 namespace shallotlug::workload {
 
+/// @brief How long the cancel of an unknown job is kept. Longer than the job's
+/// submission can be on its way through entries, their retries and the store.
+inline constexpr Millis kEarlyCancelRetention{180'000};
+/// @brief Cancels of unknown jobs that are kept at once; more are refused.
+inline constexpr std::size_t kMaxEarlyCancels = 10'000;
+
 /// @brief State of one job in the log. The records of a job may be read in any
 /// order, so it can be cancelled or have progress before `job` is set.
 struct JobEntry {
@@ -22,6 +29,9 @@
 /// @brief The state that results from applying the log.
 struct Ledger {
   std::map<JobId, JobEntry> jobs;
+  /// Cancels of jobs that are not in the log, and when they were stated. The
+  /// job is cancelled if its submission follows.
+  std::map<JobId, WallTime> early_cancels;
   std::map<AgentName, AgentAddress> agents;
   std::map<EntryName, EntryAddress> entries;
   SchedulerClaim claim;
@@ -52,6 +62,13 @@
 /// @brief The state of a job, or nullopt if the job is unknown.
 std::optional<JobState> StateOf(const Ledger& ledger, const JobId& job);
 
+/// @brief Whether the job was cancelled and is not in the log.
+bool IsCancelledEarly(const Ledger& ledger, const JobId& job);
+
+/// @brief Number of cancels of unknown jobs within kEarlyCancelRetention.
+/// Older ones are about to be dropped, or were while this process did not read.
+std::size_t CountEarlyCancels(const Ledger& ledger, WallTime now);
+
 /// @brief Number of open jobs of the queue of which no task has started.
 std::int64_t PendingJobs(const Ledger& ledger, std::string_view queue);
 
--- a/packages/workload/include/shallotlug/workload/record.h
+++ b/packages/workload/include/shallotlug/workload/record.h
@@ -21,9 +21,11 @@
   Job job;
 };
 
-/// @brief A caller cancelled the job.
+/// @brief A caller cancelled the job. The record may be stored before the
+/// job's own, which may still be on its way.
 struct JobCancelled {
   JobId job;
+  WallTime stated_at{};
 };
 
 /// @brief The complete progress of one occurrence.
@@ -78,6 +80,7 @@
 /// keys of a job, which are dropped before the job itself.
 struct RecordDropped {
   std::optional<JobId> job;
+  std::optional<JobId> cancelled_job;  ///< Of the cancel alone.
   std::optional<AgentName> agent;
   std::optional<EntryName> entry;
 };
@@ -137,6 +140,9 @@
 /// @brief Bytes of a record as a store counts them, with the length of its key.
 std::size_t RecordBytes(const RawRecord& record);
 
+/// @brief Returns the record that deletes the cancel of a job.
+RawRecord DropCancel(const JobId& job);
+
 /// @brief Returns the records that delete all keys of a job.
 /// @param parts Number of records of each occurrence that may have some.
 std::vector<RawRecord> DropJob(const Job& job, const std::map<int, int>& parts);
--- a/packages/workload/src/ledger.cc
+++ b/packages/workload/src/ledger.cc
@@ -9,12 +9,17 @@
   JobEntry& entry = ledger.jobs[record.job.id];
   // A repeated submission has no effect.
   if (!entry.job) {
+    ledger.early_cancels.erase(record.job.id);
     entry.job = std::move(record.job);
   }
 }
 
 void ApplyRecord(Ledger& ledger, const JobCancelled& record) {
-  ledger.jobs[record.job].cancelled = true;
+  JobEntry& entry = ledger.jobs[record.job];
+  entry.cancelled = true;
+  if (!entry.job) {
+    ledger.early_cancels[record.job] = record.stated_at;
+  }
 }
 
 // A whole record is older than the parts of its occurrence.
@@ -46,6 +51,12 @@
 void ApplyRecord(Ledger& ledger, const RecordDropped& record) {
   if (record.job) {
     ledger.jobs.erase(*record.job);
+    ledger.early_cancels.erase(*record.job);
+  }
+  // A job that was stored meanwhile stays cancelled.
+  if (record.cancelled_job &&
+      ledger.early_cancels.erase(*record.cancelled_job) > 0) {
+    ledger.jobs.erase(*record.cancelled_job);
   }
   if (record.agent) {
     ledger.agents.erase(*record.agent);
@@ -142,6 +153,16 @@
   return StateOf(it->second);
 }
 
+bool IsCancelledEarly(const Ledger& ledger, const JobId& job) {
+  return ledger.early_cancels.contains(job);
+}
+
+std::size_t CountEarlyCancels(const Ledger& ledger, WallTime now) {
+  return static_cast<std::size_t>(std::count_if(
+      ledger.early_cancels.begin(), ledger.early_cancels.end(),
+      [&](const auto& it) { return now - it.second < kEarlyCancelRetention; }));
+}
+
 std::int64_t PendingJobs(const Ledger& ledger, std::string_view queue) {
   return std::count_if(
       ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& it) {
--- a/packages/workload/src/ledger_test.cc
+++ b/packages/workload/src/ledger_test.cc
@@ -140,6 +140,43 @@
   EXPECT_EQ(PendingJobs(ledger, "other"), 0);
 }
 
+// Guards against a job that is open although its cancel was stored first, and
+// against one that is shown because of its cancel alone.
+TEST(LedgerTest, CancelsAJobWhoseCancelIsStoredFirst) {
+  Ledger ledger;
+  const Job job = MakeJob("j1");
+  ApplyRaw(ledger, Encode(JobCancelled{job.id, WallTime(Millis(9))}), 0);
+  EXPECT_FALSE(StateOf(ledger, job.id));
+  EXPECT_TRUE(IsCancelledEarly(ledger, job.id));
+  EXPECT_EQ(PendingJobs(ledger, "live"), 0);
+  ApplyRaw(ledger, Encode(JobAccepted{job}), 1);
+  EXPECT_EQ(StateOf(ledger, job.id), JobState::kCancelled);
+  EXPECT_FALSE(IsCancelledEarly(ledger, job.id));
+  EXPECT_EQ(PendingJobs(ledger, "live"), 0);
+}
+
+// Guards against cancels of unknown jobs that are kept for good.
+TEST(LedgerTest, ForgetsADroppedCancelOfAnUnknownJob) {
+  Ledger ledger;
+  const JobId job("j1");
+  ApplyRaw(ledger, Encode(JobCancelled{job, WallTime(Millis(9))}), 0);
+  ApplyRaw(ledger, DropCancel(job), 1);
+  EXPECT_FALSE(IsCancelledEarly(ledger, job));
+  EXPECT_TRUE(ledger.jobs.empty());
+  EXPECT_TRUE(ledger.offsets.empty());
+}
+
+// Guards against a job that runs because the record of its cancel was dropped
+// just after its late submission was stored.
+TEST(LedgerTest, KeepsAJobCancelledWhoseCancelIsDropped) {
+  Ledger ledger;
+  const Job job = MakeJob("j1");
+  ApplyRaw(ledger, Encode(JobCancelled{job.id, WallTime(Millis(9))}), 0);
+  ApplyRaw(ledger, Encode(JobAccepted{job}), 1);
+  ApplyRaw(ledger, DropCancel(job.id), 2);
+  EXPECT_EQ(StateOf(ledger, job.id), JobState::kCancelled);
+}
+
 TEST(LedgerTest, DropsAJob) {
   Ledger ledger;
   const Job job = MakeJob("j1");
--- a/packages/workload/src/record.cc
+++ b/packages/workload/src/record.cc
@@ -139,7 +139,8 @@
     return DecodeJob(key.substr(kJobPrefix.size()), from);
   }
   if (key.starts_with(kCancelPrefix)) {
-    return JobCancelled{JobId(key.substr(kCancelPrefix.size()))};
+    return JobCancelled{JobId(key.substr(kCancelPrefix.size())),
+                        WallTime(Millis(GetAmount(from, "stated")))};
   }
   if (detail::IsProgressKey(key)) {
     return detail::DecodeProgressValue(key, from);
@@ -170,6 +171,8 @@
   RecordDropped dropped;
   if (key.starts_with(kJobPrefix)) {
     dropped.job = JobId(key.substr(kJobPrefix.size()));
+  } else if (key.starts_with(kCancelPrefix)) {
+    dropped.cancelled_job = JobId(key.substr(kCancelPrefix.size()));
   } else if (key.starts_with(kAgentPrefix)) {
     dropped.agent = AgentName(key.substr(kAgentPrefix.size()));
   } else if (key.starts_with(kEntryPrefix)) {
@@ -204,7 +207,9 @@
 }
 
 RawRecord Encode(const JobCancelled& it) {
-  return {std::string(kCancelPrefix) + it.job.value, "{}"};
+  return {std::string(kCancelPrefix) + it.job.value,
+          json::serialize(json::object{
+              {"stated", it.stated_at.time_since_epoch().count()}})};
 }
 
 RawRecord Encode(const SchedulerClaim& it) {
@@ -247,12 +252,16 @@
   return {std::string(kAgentPrefix) + agent.value, ""};
 }
 
+RawRecord DropCancel(const JobId& job) {
+  return {std::string(kCancelPrefix) + job.value, ""};
+}
+
 std::vector<RawRecord> DropJob(const Job& job,
                                const std::map<int, int>& parts) {
   // The job goes first: without its progress or its cancel it would be run
   // again by a scheduler that begins between two appends.
   std::vector<RawRecord> drops{{std::string(kJobPrefix) + job.id.value, ""},
-                               {std::string(kCancelPrefix) + job.id.value, ""}};
+                               DropCancel(job.id)};
   for (const auto& [n, count] : parts) {
     for (int part = 0; part < count; ++part) {
       drops.push_back({detail::PartKey(job.id, n, part), ""});
