executor: take over a new life of the worker only when it has answered

One heartbeat of another writer, with another id and an unknown service, had reached the agent.

Cause: OnHeartbeat() began a new life for any id with a later born, put the worker's true life among the former ones, whose heartbeats are dropped for good, and named the foreign id in all looks, so that no answer could correct that. A high sequence number under the worker's own id silenced its heartbeats. Ruled out: the placement (it would recover with the next heartbeat).

Change: a heartbeat of another life sends a look that names it, without a lease and without noted ends; the life is taken over when the worker answers with that born. A life without an answer never becomes a former one. Within a life, a heartbeat with another service or a lower sequence number is ignored, unless the accepted one had no successor for 4 s and three others came in order. Ignored heartbeats are logged with the reason.

--- a/packages/executor/include/shallotlug/executor/executor.h
+++ b/packages/executor/include/shallotlug/executor/executor.h
@@ -44,6 +44,9 @@
   Executor& operator=(Executor&&) noexcept;
   ~Executor();
 
+  /// @brief A heartbeat from the worker, or from another writer: another life
+  /// than the present one is taken over once the worker has answered a look
+  /// that names it.
   void OnHeartbeat(const workload::WorkerFacts& facts,
                    std::uint64_t sequence,
                    TimePoint now);
@@ -74,6 +77,7 @@
   /// @brief The long-polling call, which waits for the end of a run.
   WorkerQuery WatchCall(TimePoint now);
   /// @brief A call without a wait, if one is needed before the long poll ends.
+  /// It may name another worker than the present one, to ask which is there.
   std::optional<WorkerQuery> QuickCall(TimePoint now);
   void OnView(std::uint64_t number, const WorkerView& view, TimePoint now);
 
--- a/packages/executor/src/impl.h
+++ b/packages/executor/src/impl.h
@@ -41,6 +41,18 @@
   TimePoint until{};  ///< An order that was sent before may still arrive.
 };
 
+/// @brief What a heartbeat says.
+struct Heartbeat {
+  workload::WorkerFacts facts;
+  std::uint64_t sequence = 0;
+};
+
+/// @brief Heartbeats of the present life that do not follow the accepted ones.
+struct OtherHeartbeats {
+  std::uint64_t sequence = 0;  ///< Of the last one.
+  int in_order = 0;            ///< Each with a higher sequence number.
+};
+
 /// @brief Whether the run is on the worker, or a start of it was sent.
 bool MayBePresent(const TrackedRun& run);
 
@@ -51,6 +63,15 @@
 
   std::optional<workload::WorkerFacts> facts;
   std::uint64_t heartbeat_sequence = 0;
+  TimePoint beat_at{};  ///< When the last heartbeat was accepted.
+  OtherHeartbeats other_beats;
+  /// Heartbeats of other lives, whose looks are due, and those whose looks are
+  /// under way, by look number.
+  std::deque<Heartbeat> candidates;
+  std::map<std::uint64_t, Heartbeat> probes;
+  /// The heartbeat that was last logged as ignored, and why.
+  workload::WorkerLife ignored_life;
+  std::string ignored_reason;
   bool lists_read = false;  ///< Lists of the current life.
   /// The lists that were read last leave out ends: a run that is in neither
   /// list may have ended.
@@ -58,6 +79,7 @@
   bool departed = false;
   bool silent = false;
   std::int64_t reported_born = 0;
+  bool life_answered = false;  ///< An answer has stated `reported_born`.
   /// The first look that was sent after `reported_born` was first heard of.
   std::uint64_t life_from_look = 0;
   /// `born` of the former lives that were heard of, the latest last.
@@ -106,7 +128,22 @@
   void StartNewLife(const char* cause, TimePoint now);
   bool IsFormerLife(std::int64_t born) const;
   /// @brief Answers tell lives apart from now on, beginning with this one.
-  void HearLife(std::int64_t born);
+  /// @param answered It has answered itself.
+  void HearLife(std::int64_t born, bool answered);
+  bool ContinuesHeartbeats(const Heartbeat& beat, TimePoint now);
+  bool IsConfirmed(const workload::WorkerLife& life) const;
+  void AddCandidate(const Heartbeat& beat);
+  /// @brief The heartbeat is the worker's own.
+  void Adopt(const Heartbeat& beat, TimePoint now);
+  void LogIgnored(const Heartbeat& beat, const char* reason);
+  /// @brief A look that names a life which no answer has confirmed. It extends
+  /// no lease and notes no ends.
+  WorkerQuery MakeProbe();
+  /// @brief Takes over the life that a look was sent to, if the worker has
+  /// confirmed it.
+  void OnProbeAnswer(const Heartbeat& beat,
+                     const WorkerView& view,
+                     TimePoint now);
   void StopUnansweredStarts(TimePoint now);
   void RecordCrash();
   /// @brief When the lease of the request ends, by this process's clock.
--- a/packages/executor/src/lives.cc
+++ b/packages/executor/src/lives.cc
@@ -15,6 +15,12 @@
 constexpr Millis kLeaseExpiryMargin{600};
 // A call without an answer may be carried out up to 12 s later.
 constexpr Millis kLatestStart{15'000};
+// Heartbeats in order by which their writer is told from late ones, and the
+// silence of the former writer, which is longer than two intervals.
+constexpr int kBeatsOfAWriter = 3;
+constexpr Millis kWriterSilence{4'000};
+// Lives that wait to be confirmed by the worker.
+constexpr std::size_t kMaxCandidates = 8;
 
 }  // namespace
 
@@ -142,48 +148,112 @@
   }
 }
 
+// The worker's heartbeats all follow each other. One that does not is late or
+// another writer's, unless the writer of the accepted one has fallen silent and
+// this one goes on.
+bool Executor::Impl::ContinuesHeartbeats(const Heartbeat& beat, TimePoint now) {
+  if (beat.facts.service == facts->service &&
+      beat.sequence > heartbeat_sequence) {
+    other_beats = {};
+    return true;
+  }
+  const bool in_order = beat.sequence > other_beats.sequence;
+  other_beats.in_order = in_order ? other_beats.in_order + 1 : 1;
+  other_beats.sequence = beat.sequence;
+  return other_beats.in_order >= kBeatsOfAWriter &&
+         now - beat_at > kWriterSilence;
+}
+
+// Answers tell which life is at the worker's address. A life that none of them
+// has confirmed is taken only while there is no other.
+bool Executor::Impl::IsConfirmed(const workload::WorkerLife& life) const {
+  if (!facts) {
+    return reported_born == 0 || reported_born == life.born;
+  }
+  return facts->life.id == life.id && life_answered &&
+         reported_born == life.born;
+}
+
+void Executor::Impl::AddCandidate(const Heartbeat& beat) {
+  std::erase_if(candidates, [&](const Heartbeat& it) {
+    return it.facts.life == beat.facts.life;
+  });
+  candidates.push_back(beat);
+  if (candidates.size() > kMaxCandidates) {
+    candidates.pop_front();
+  }
+}
+
+void Executor::Impl::Adopt(const Heartbeat& beat, TimePoint now) {
+  const workload::WorkerLife& life = beat.facts.life;
+  const bool new_life = facts && facts->life != life;
+  const bool changed = !facts || *facts != beat.facts || departed;
+  // An answer of the new life may have ended the former one before.
+  const bool ends_former =
+      new_life && (reported_born != life.born || life.born == 0);
+  if (ends_former) {
+    StartNewLife("heartbeat", now);
+  }
+  heartbeat_sequence = beat.sequence;
+  beat_at = now;
+  other_beats = {};
+  heard_at = now;
+  facts = beat.facts;
+  if (std::exchange(departed, false) && new_life) {
+    StopUnansweredStarts(now);
+  }
+  if ((new_life || reported_born == 0) && reported_born != life.born) {
+    HearLife(life.born, false);
+  }
+  if (changed) {
+    log.push_back({LogLevel::kInfo,
+                   "worker_heard",
+                   {{"worker", life.id},
+                    {"born", std::to_string(life.born)},
+                    {"draining", beat.facts.draining ? "true" : "false"},
+                    {"sequence", std::to_string(beat.sequence)}}});
+    immediate_look = next_look;
+    MarkChanged();
+  }
+}
+
+void Executor::Impl::LogIgnored(const Heartbeat& beat, const char* reason) {
+  const workload::WorkerLife& life = beat.facts.life;
+  if (ignored_life == life && ignored_reason == reason) {
+    return;
+  }
+  ignored_life = life;
+  ignored_reason = reason;
+  log.push_back({LogLevel::kInfo,
+                 "heartbeat_ignored",
+                 {{"reason", reason},
+                  {"worker", life.id},
+                  {"born", std::to_string(life.born)},
+                  {"service", beat.facts.service},
+                  {"sequence", std::to_string(beat.sequence)},
+                  {"present", facts ? facts->life.id : ""},
+                  {"present_born", std::to_string(reported_born)}}});
+}
+
 void Executor::OnHeartbeat(const workload::WorkerFacts& facts,
                            std::uint64_t sequence,
                            TimePoint now) {
   Impl& it = *impl_;
+  const Heartbeat beat{facts, sequence};
   if (it.facts && it.facts->life == facts.life) {
-    if (sequence <= it.heartbeat_sequence && !it.departed) {
-      return;
+    const bool follows = it.ContinuesHeartbeats(beat, now);
+    if (follows || it.departed) {
+      it.Adopt(beat, now);
+    } else {
+      it.LogIgnored(beat, facts.service != it.facts->service ? "other_service"
+                                                             : "outdated");
     }
   } else if (it.IsFormerLife(facts.life.born)) {
-    return;
-  } else if (it.facts && facts.life.born < it.facts->life.born &&
-             facts.life.born != it.reported_born) {
-    // A delayed heartbeat of a former life, or a life that is dated by a wall
-    // clock that has stepped back. An answer tells.
-    it.immediate_look = it.next_look;
-    return;
-  }
-  const bool new_life = it.facts && it.facts->life != facts.life;
-  const bool changed = !it.facts || *it.facts != facts || it.departed;
-  // An answer of the new life may have ended the former one before.
-  if (new_life && it.reported_born != facts.life.born) {
-    it.StartNewLife("heartbeat", now);
-  }
-  it.heartbeat_sequence = sequence;
-  it.heard_at = now;
-  it.facts = facts;
-  if (std::exchange(it.departed, false) && new_life) {
-    it.StopUnansweredStarts(now);
-  }
-  if ((new_life || it.reported_born == 0) &&
-      it.reported_born != facts.life.born) {
-    it.HearLife(facts.life.born);
-  }
-  if (changed) {
-    it.log.push_back({LogLevel::kInfo,
-                      "worker_heard",
-                      {{"worker", facts.life.id},
-                       {"born", std::to_string(facts.life.born)},
-                       {"draining", facts.draining ? "true" : "false"},
-                       {"sequence", std::to_string(sequence)}}});
-    it.immediate_look = it.next_look;
-    it.MarkChanged();
+    it.LogIgnored(beat, "former_life");
+  } else if (it.IsConfirmed(facts.life)) {
+    it.Adopt(beat, now);
+  } else {
+    it.AddCandidate(beat);
   }
 }
 
--- a/packages/executor/src/views.cc
+++ b/packages/executor/src/views.cc
@@ -29,17 +29,43 @@
 
 }  // namespace
 
-void Executor::Impl::HearLife(std::int64_t born) {
-  if (reported_born != 0) {
+void Executor::Impl::HearLife(std::int64_t born, bool answered) {
+  // A life that never answered may be another writer's invention.
+  if (reported_born != 0 && life_answered) {
     former_lives.push_back(reported_born);
     if (former_lives.size() > kMaxFormerLives) {
       former_lives.pop_front();
     }
   }
   reported_born = born;
+  life_answered = answered;
   life_from_look = next_look;
 }
 
+WorkerQuery Executor::Impl::MakeProbe() {
+  const Heartbeat beat = std::move(candidates.front());
+  candidates.pop_front();
+  WorkerQuery look;
+  look.number = next_look++;
+  look.context.worker = beat.facts.life.id;
+  look.context.epoch = epoch;
+  probes[look.number] = beat;
+  return look;
+}
+
+void Executor::Impl::OnProbeAnswer(const Heartbeat& beat,
+                                   const WorkerView& view,
+                                   TimePoint now) {
+  if (view.status != OrderStatus::kDone) {
+    // Without an answer, the life's next heartbeat asks again.
+    LogIgnored(beat, Name(view.status));
+  } else if (view.born != 0 && view.born != beat.facts.life.born) {
+    LogIgnored(beat, "other_life_answers");
+  } else {
+    Adopt(beat, now);
+  }
+}
+
 WorkerQuery Executor::Impl::MakeQuery(Millis wait) {
   WorkerQuery look;
   look.number = next_look++;
@@ -145,6 +171,9 @@
 
 std::optional<WorkerQuery> Executor::QuickCall(TimePoint) {
   Impl& it = *impl_;
+  if (!it.candidates.empty()) {
+    return it.MakeProbe();
+  }
   const auto lease = it.SafeWorkerLease();
   const bool renew = lease && !it.runs.empty() &&
                      *lease - it.granted_lease > kLeaseRenewalThreshold;
@@ -182,6 +211,11 @@
                       TimePoint now) {
   Impl& it = *impl_;
   it.NoteStep(now);
+  const auto probe = it.probes.extract(number);
+  if (probe && view.status != OrderStatus::kDone) {
+    it.OnProbeAnswer(probe.mapped(), view, now);
+    return;
+  }
   const auto look = it.pending_looks.extract(number);
   if (view.status != OrderStatus::kDone) {
     if (!it.silent && it.lists_read &&
@@ -207,12 +241,21 @@
     }
     it.NoteAnswer(now);
     it.StartNewLife("lists", now);
-    it.HearLife(view.born);
+    it.HearLife(view.born, true);
+    if (probe) {
+      it.OnProbeAnswer(probe.mapped(), view, now);
+    }
     return;
   }
   it.NoteAnswer(now);
   if (view.born != 0 && it.reported_born == 0) {
-    it.HearLife(view.born);
+    it.HearLife(view.born, true);
+  }
+  it.life_answered = it.life_answered || view.born != 0;
+  if (probe) {
+    // Its lists are read by the next look, which extends the lease.
+    it.OnProbeAnswer(probe.mapped(), view, now);
+    return;
   }
   if (view.clock) {
     // A call that waits for an end may be answered after a later call.
