scheduler: let work that only an avoided worker can do try it again

Cause: AvoidWorker() doubled the back-off with each end, so that the ends of one report made it 60 s, and it held where no other worker could take the work. A worker without runs cannot show that it is sound. Ruled out: failures that went on (worker_avoided came five times within 0.1 s, for runs placed together), and the wait of failed tasks for other workers, which ends after 2 s.

Change: only a run that was placed during the back-off can prolong it; the same for refusals, orders without an answer and stalled runs. After it the worker gets one run as a trial, and is trusted when that ends well or has made progress for 1.5 s. Work that no other worker could hold goes to an avoided worker 2 s after its last fault, one task or gang of each job; a task that has failed there waits as long, so that its attempts last.

--- a/packages/scheduler/src/candidates.cc
+++ b/packages/scheduler/src/candidates.cc
@@ -17,7 +17,8 @@
 
 // How long a task waits for a worker in the rack of its data.
 constexpr Millis kDataLocalityWait{3'000};
-// How long a task that has failed waits for a worker on which it has not.
+// How long a unit waits for a worker that is not avoided and on which none of
+// its tasks has failed.
 constexpr Millis kOtherWorkerWait{2'000};
 // The same in a pool of which at least half is in use: others are full there.
 constexpr Millis kOtherWorkerWaitWhenBusy{10'000};
@@ -53,32 +54,87 @@
          });
 }
 
+bool IsPausedOn(const Placement& placement,
+                const Unit& unit,
+                const AgentName& agent) {
+  return std::any_of(unit.tasks.begin(), unit.tasks.end(), [&](int it) {
+    return IsPaused(placement.state, TaskOf(unit, it), agent,
+                    placement.now.local);
+  });
+}
+
+bool HasRunOfJobOn(const State& state,
+                   const Unit& unit,
+                   const AgentName& agent) {
+  const auto& runs = state.runs.On(agent).rows;
+  return std::any_of(runs.begin(), runs.end(), [&](const auto& it) {
+    return it.first.job == unit.key.occurrence.job;
+  });
+}
+
 bool IsEligible(const FleetWorker& worker, const Unit& unit) {
   return worker.schedulable &&
          worker.agent->worker.service == unit.row->terms.pool &&
          HasLabel(worker.agent->worker, unit.step->required_label);
 }
 
+/// @brief Workers that are asked only if the others cannot take the unit.
+struct Reach {
+  bool failed_on = false;    ///< Those on which one of its tasks has failed.
+  bool last_resort = false;  ///< Those that are avoided.
+};
+
+bool IsWithin(const Placement& placement,
+              const Unit& unit,
+              const FleetWorker& worker,
+              const Reach& reach) {
+  if (worker.trust == Trust::kNone ||
+      (worker.trust == Trust::kLastResort && !reach.last_resort)) {
+    return false;
+  }
+  if (!HasFailedOn(placement.state, unit, *worker.name)) {
+    return true;
+  }
+  // A task that lasts has no attempts to be used up.
+  return reach.failed_on &&
+         (unit.step->lasting || !IsPausedOn(placement, unit, *worker.name));
+}
+
+/// @brief Tasks of the unit that the worker may take. One that is not trusted
+/// takes one task, or gang, of each job.
+int LimitOn(const Placement& placement,
+            const Unit& unit,
+            const FleetWorker& worker) {
+  int limit = std::numeric_limits<int>::max();
+  if (unit.step->per_worker_limit > 0) {
+    limit = unit.step->per_worker_limit -
+            TasksOfStepOn(placement.state, unit, *worker.name);
+  }
+  if (worker.trust == Trust::kFull || unit.step->lasting) {
+    return limit;
+  }
+  const int trial = unit.step->gang ? static_cast<int>(unit.tasks.size()) : 1;
+  return HasRunOfJobOn(placement.state, unit, *worker.name)
+             ? 0
+             : std::min(limit, trial);
+}
+
 std::vector<Candidate> Candidates(const Placement& placement,
                                   const Unit& unit,
-                                  bool skip_failed) {
+                                  const Reach& reach) {
   std::vector<Candidate> candidates;
   candidates.reserve(placement.fleet.size());
   for (std::size_t n = 0; n < placement.fleet.size(); ++n) {
     const FleetWorker& worker = placement.fleet[n];
     if (!IsEligible(worker, unit) ||
         IsClosedTo(placement.state, *worker.name, unit) ||
-        (skip_failed && HasFailedOn(placement.state, unit, *worker.name))) {
+        !IsWithin(placement, unit, worker, reach)) {
       continue;
     }
-    int limit = std::numeric_limits<int>::max();
-    if (unit.step->per_worker_limit > 0) {
-      limit = unit.step->per_worker_limit -
-              TasksOfStepOn(placement.state, unit, *worker.name);
-    }
     candidates.push_back({static_cast<int>(n), worker.agent->rack,
-                          worker.agent->worker.capacity, worker.free, limit,
-                          worker.time_factor, worker.speed_class});
+                          worker.agent->worker.capacity, worker.free,
+                          LimitOn(placement, unit, worker), worker.time_factor,
+                          worker.speed_class});
   }
   return candidates;
 }
@@ -92,16 +148,18 @@
   return near;
 }
 
-/// @brief Whether the unit waits on for workers on which none of its tasks has
-/// failed.
-bool WaitsForOtherWorkers(const Placement& placement,
-                          const Unit& unit,
-                          const std::vector<Candidate>& all) {
+bool HasAvoidedWorkers(const Fleet& fleet) {
+  return std::any_of(fleet.begin(), fleet.end(), [](const FleetWorker& it) {
+    return it.trust != Trust::kFull;
+  });
+}
+
+/// @brief For how long the unit has waited for the preferred workers.
+Millis WaitedForPreferred(const Placement& placement, const Unit& unit) {
   const TimePoint now = placement.now.local;
-  const auto since =
-      placement.state.other_worker_wait_since.try_emplace(unit.key, now).first;
-  return now - since->second <
-         (IsBusy(all) ? kOtherWorkerWaitWhenBusy : kOtherWorkerWait);
+  return now -
+         placement.state.other_worker_wait_since.try_emplace(unit.key, now)
+             .first->second;
 }
 
 }  // namespace
@@ -125,7 +183,8 @@
 bool MayFit(const Fleet& fleet, const Unit& unit, const Demand& demand) {
   std::int64_t slots = 0;
   for (const FleetWorker& it : fleet) {
-    if (it.free.Holds(demand.need) && IsEligible(it, unit)) {
+    if (it.free.Holds(demand.need) && it.trust != Trust::kNone &&
+        IsEligible(it, unit)) {
       slots += Slots(it.free, demand.need, demand.count);
       if (slots >= demand.count) {
         return true;
@@ -138,14 +197,24 @@
 std::vector<Candidate> CandidatesOf(const Placement& placement,
                                     const Unit& unit,
                                     const Demand& demand) {
-  std::vector<Candidate> all = Candidates(placement, unit, false);
-  if (!HasFailed(placement.state, unit)) {
-    return all;
+  std::vector<Candidate> preferred = Candidates(placement, unit, {});
+  const bool has_failed = HasFailed(placement.state, unit);
+  if (!has_failed && !HasAvoidedWorkers(placement.fleet)) {
+    return preferred;
+  }
+  if (!CouldHold(preferred, demand)) {
+    return Candidates(placement, unit, {true, true});
+  }
+  const Millis waited = WaitedForPreferred(placement, unit);
+  if (waited < kOtherWorkerWait) {
+    return preferred;
+  }
+  const bool busy = IsBusy(Candidates(placement, unit, {true, false}));
+  if (busy && waited < kOtherWorkerWaitWhenBusy) {
+    return preferred;
   }
-  std::vector<Candidate> others = Candidates(placement, unit, true);
-  const bool waits =
-      CouldHold(others, demand) && WaitsForOtherWorkers(placement, unit, all);
-  return waits ? others : all;
+  // In a busy pool, room on an avoided worker would serve few.
+  return Candidates(placement, unit, {true, !busy});
 }
 
 std::vector<int> Fit(const Placement& placement,
--- a/packages/scheduler/src/crash_counts.cc
+++ b/packages/scheduler/src/crash_counts.cc
@@ -30,7 +30,7 @@
     return;
   }
   crashes.push_back({crash.run.run, crash.early, crash.alone});
-  state.failed_on[task].insert(agent.address.agent);
+  state.failed_on[task].try_emplace(agent.address.agent);
   MarkUnrecorded(state, KeyOf(task));
   Log(state, "crash_counted",
       {{"job", task.job.value},
--- a/packages/scheduler/src/fleet.cc
+++ b/packages/scheduler/src/fleet.cc
@@ -15,8 +15,7 @@
                    TimePoint now) {
   return agent.heard && now - agent.heard_at < kMaxAgentSilence &&
          agent.worker_state == protocol::WorkerState::kPresent &&
-         !agent.worker.draining && now >= agent.avoid_until &&
-         agent.orphans.empty() &&
+         !agent.worker.draining && agent.orphans.empty() &&
          !policy.evacuated_data_centres.contains(agent.worker.data_centre);
 }
 
@@ -37,6 +36,7 @@
     worker.agent = &agent;
     worker.free = agent.worker.capacity;
     worker.schedulable = IsSchedulable(agent, policy, now);
+    worker.trust = TrustIn(state, agent, now);
     while (speed != state.speeds.workers.end() && speed->first < name) {
       ++speed;
     }
--- a/packages/scheduler/src/fleet.h
+++ b/packages/scheduler/src/fleet.h
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "avoidance.h"
 #include "placement.h"
 #include "state.h"
 
@@ -15,6 +16,7 @@
   const AgentRow* agent = nullptr;
   workload::Resources free;  ///< Without what is reserved for blocked units.
   bool schedulable = false;  ///< May take new runs.
+  Trust trust = Trust::kFull;
   /// Time that a task takes here, relative to a usual worker.
   double time_factor = 1;
   int speed_class = 0;
--- a/packages/scheduler/src/planner.cc
+++ b/packages/scheduler/src/planner.cc
@@ -48,6 +48,10 @@
   row.checkpoint = progress.checkpoint;
   row.resumed = !row.checkpoint.empty();
   on.free -= row.need;
+  const Trust trust = on.trust;
+  if (trust == Trust::kTrial) {
+    on.trust = Trust::kLastResort;
+  }
   placement.state.runs.Put(task, std::move(row));
   Log(placement.state, "run_placed",
       {{"job", task.job.value},
@@ -58,6 +62,7 @@
        {"queue", unit.row->job->queue},
        {"guaranteed", unit.guaranteed ? "true" : "false"},
        {"time_factor", FactorText(on.time_factor)},
+       {"trust", Name(trust)},
        {"waited_ms", std::to_string(Waited(unit, placement.now).count())},
        Age("report_age_ms", on.agent->heard_at, placement.now.local)});
 }
--- a/packages/scheduler/src/reports.cc
+++ b/packages/scheduler/src/reports.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "avoidance.h"
 #include "crash_counts.h"
 #include "rates.h"
 #include "waits.h"
@@ -16,31 +17,6 @@
 
 namespace {
 
-// A worker is avoided after failures of this many different jobs in a row.
-constexpr int kFailuresBeforeAvoidance = 2;
-constexpr Millis kFirstAvoidance{4'000};
-constexpr Millis kLongestAvoidance{60'000};
-
-void CountFailure(State& state,
-                  AgentRow& agent,
-                  const TaskRef& task,
-                  TimePoint now) {
-  if (task.job != agent.last_failed_job) {
-    agent.last_failed_job = task.job;
-    ++agent.failures_in_a_row;
-  }
-  if (agent.failures_in_a_row >= kFailuresBeforeAvoidance) {
-    AvoidWorker(state, agent, "failures", now);
-  }
-}
-
-void CountSuccess(AgentRow& agent) {
-  agent.failures_in_a_row = 0;
-  agent.last_failed_job = {};
-  agent.last_avoidance = Millis{0};
-  agent.avoid_until = {};
-}
-
 void SetWaiting(TaskProgress& task) {
   task.phase = TaskPhase::kWaiting;
   task.on = {};
@@ -114,6 +90,7 @@
                          run->on.agent == agent.address.agent;
   const bool current =
       row != nullptr && IsCurrent(state, ProgressOf(*row, task), end.run);
+  const TimePoint placed_at = known_run ? run->placed_at : TimePoint{};
   Log(state, "run_ended",
       {{"job", task.job.value},
        {"task", workload::ToString(task)},
@@ -134,13 +111,13 @@
   MarkUnrecorded(state, KeyOf(task));
   switch (end.reason) {
     case EndReason::kDone:
-      CountSuccess(agent);
+      CountSuccess(state, agent);
       ApplyDone(*row, task);
       return;
     case EndReason::kFailed:
       ApplyFailure(*row, end.run);
-      state.failed_on[task].insert(agent.address.agent);
-      CountFailure(state, agent, task, now);
+      state.failed_on[task][agent.address.agent] = now;
+      CountFailure(state, agent, task, placed_at, now);
       return;
     case EndReason::kStopped:
     case EndReason::kLapsed:
@@ -166,10 +143,11 @@
       run->on.agent != agent.address.agent) {
     return;
   }
+  const TimePoint placed_at = run->placed_at;
   AbandonRun(state, task, Name(refusal.reason), now);
   if (refusal.reason == RefusalReason::kUnhealthy ||
       refusal.reason == RefusalReason::kNoAnswer) {
-    AvoidWorker(state, agent, Name(refusal.reason), now);
+    AvoidWorker(state, agent, Name(refusal.reason), placed_at, now);
   }
 }
 
@@ -228,6 +206,7 @@
     }
     reported.insert(run);
     ApplyRunReport(state, *row, it, now);
+    CountProgress(state, agent, *row, now);
     ApplyCheckpoint(state, it, *row);
     MeasureRate(state, it, *row, times);
   }
@@ -318,9 +297,7 @@
     agent.processed_ends = 0;
     agent.noted_ends = 0;
     agent.noted_sent = 0;
-    agent.failures_in_a_row = 0;
-    agent.avoid_until = {};
-    agent.last_avoidance = Millis{0};
+    agent.avoidance = {};
   }
   if (reply.worker.draining &&
       (!agent.worker.draining ||
@@ -373,19 +350,6 @@
 
 }  // namespace
 
-void AvoidWorker(State& state,
-                 AgentRow& agent,
-                 const char* why,
-                 TimePoint now) {
-  agent.last_avoidance =
-      std::clamp(agent.last_avoidance * 2, kFirstAvoidance, kLongestAvoidance);
-  agent.avoid_until = now + agent.last_avoidance;
-  Log(state, "worker_avoided",
-      {{"agent", agent.address.agent.value},
-       {"reason", why},
-       {"for_ms", std::to_string(agent.last_avoidance.count())}});
-}
-
 void AbandonRun(State& state,
                 const TaskRef& task,
                 const std::string& reason,
--- a/packages/scheduler/src/stalls.cc
+++ b/packages/scheduler/src/stalls.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "avoidance.h"
 #include "state.h"
 
 namespace shallotlug::scheduler {
@@ -63,9 +64,7 @@
           !IsIndependent(state, *row, task, *run)) {
         continue;
       }
-      if (now >= agent.avoid_until) {
-        AvoidWorker(state, agent, "no_progress", now);
-      }
+      AvoidWorker(state, agent, "no_progress", run->placed_at, now);
       if (StepOf(*row, task.step).saves_checkpoints ||
           run->percent <= kMaxPercentToRestart) {
         RequestStop(state, task, *run, "no_progress", now);
--- a/packages/scheduler/src/state.h
+++ b/packages/scheduler/src/state.h
@@ -66,6 +66,15 @@
 
 struct Batch;
 
+/// @brief Failures of a worker, and how long it gets no new runs for them.
+struct Avoidance {
+  int failures_in_a_row = 0;  ///< Of different jobs, without a success.
+  JobId last_failed_job;
+  Millis length{0};   ///< 0: the worker is not avoided.
+  TimePoint since{};  ///< When the last fault was reported.
+  TimePoint until{};  ///< A trial is due then.
+};
+
 /// @brief One agent and its worker.
 struct AgentRow {
   workload::AgentAddress address;
@@ -97,10 +106,7 @@
   /// Reported runs whose task is unknown, or whose run number or agent is not
   /// the one in `runs`.
   std::vector<workload::RunRef> orphans;
-  int failures_in_a_row = 0;  ///< Of different jobs, without a success.
-  JobId last_failed_job;
-  TimePoint avoid_until{};
-  Millis last_avoidance{0};
+  Avoidance avoidance;
 };
 
 /// @brief Resources held for a blocked unit until the preempted runs have
@@ -195,12 +201,13 @@
   /// since when.
   std::map<UnitKey, TimePoint> speed_wait_since;
   std::map<UnitKey, RackWait> rack_waits;
-  /// Units that wait for workers on which none of their tasks has failed, and
-  /// since when.
+  /// Units that wait for workers that are not avoided and on which none of
+  /// their tasks has failed, and since when.
   std::map<UnitKey, TimePoint> other_worker_wait_since;
   UrgentDemand urgent;
-  /// Workers on which a task has failed; its next run goes elsewhere.
-  std::map<workload::TaskRef, std::set<AgentName>> failed_on;
+  /// Workers on which a task has failed or that it may have crashed, and when
+  /// it failed there last; its next run goes elsewhere.
+  std::map<workload::TaskRef, std::map<AgentName, TimePoint>> failed_on;
   SpeedTable speeds;
   double fastest_factor = 1;  ///< Time factor of the fastest worker.
   TimePoint authority_confirmed{};
@@ -293,10 +300,6 @@
 /// report, and stops those runs that lose little.
 void EvictFromStalledWorkers(State& state, TimePoint now);
 
-/// @brief Places no new runs on a worker for a back-off time, which doubles
-/// with each call until a success or a restart of the worker resets it.
-void AvoidWorker(State& state, AgentRow& agent, const char* why, TimePoint now);
-
 /// @brief Requests the stop of a run; no effect if it was requested before.
 void RequestStop(State& state,
                  const workload::TaskRef& task,
--- a/packages/scheduler/src/test_scheduler.h
+++ b/packages/scheduler/src/test_scheduler.h
@@ -145,6 +145,16 @@
   /// @brief Latest planned record of each key.
   const std::map<std::string, std::string>& Log() const { return log_; }
 
+  /// @brief Replaces the labels of a worker.
+  void SetLabel(const std::string& agent, const std::string& label) {
+    agents_.at(agent).facts.labels = {label, agents_.at(agent).facts.rack};
+  }
+
+  /// @brief Ends all runs of a worker; its agent reports the ends at once.
+  void EndAll(const std::string& agent, workload::EndReason reason);
+  /// @brief Ends all runs of a job.
+  void EndAllOf(const std::string& job, workload::EndReason reason);
+
   /// @brief Ends the run of a task; its agent reports the end.
   void End(const workload::TaskRef& task, workload::EndReason reason);
 
--- a/packages/scheduler/src/test_scheduler_test.cc
+++ b/packages/scheduler/src/test_scheduler_test.cc
@@ -1,6 +1,7 @@
 #include "test_scheduler.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shallotlug::scheduler {
 
@@ -307,6 +308,29 @@
   }
 }
 
+void TestScheduler::EndAll(const std::string& agent,
+                           workload::EndReason reason) {
+  Agent& it = agents_.at(agent);
+  for (const auto& [run, stopping] : std::exchange(it.runs, {})) {
+    it.ends.push_back({it.next_end++, run, reason, ""});
+  }
+}
+
+void TestScheduler::EndAllOf(const std::string& job,
+                             workload::EndReason reason) {
+  std::set<workload::TaskRef> tasks;
+  for (const auto& [name, agent] : agents_) {
+    for (const auto& [run, stopping] : agent.runs) {
+      if (run.task.job.value == job) {
+        tasks.insert(run.task);
+      }
+    }
+  }
+  for (const workload::TaskRef& it : tasks) {
+    End(it, reason);
+  }
+}
+
 std::map<std::string, int> TestScheduler::Running(
     const std::string& job) const {
   std::map<std::string, int> running;
